Set down the design, the core types and the control loop

Cause: an empty repository; the modules need shared types before they can be built side by side. Conclusion: the pipelines of the programs can be built on these types.

--- /dev/null
+++ b/internal/control/ask.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+)
+
+type replier interface{ finish() }
+
+// Question is embedded in events whose sender waits for an answer of type R.
+// Create it with NewQuestion. A stage answers with Reply; a question that no
+// stage answers yields the zero R.
+type Question[R any] struct {
+	reply chan R
+}
+
+// NewQuestion returns a question ready to be asked once.
+func NewQuestion[R any]() Question[R] { return Question[R]{reply: make(chan R, 1)} }
+
+// Reply answers the question. Only the first reply counts.
+func (q Question[R]) Reply(r R) {
+	select {
+	case q.reply <- r:
+	default:
+	}
+}
+
+func (q Question[R]) finish() {
+	var zero R
+	q.Reply(zero)
+}
+
+// Defer marks a question whose answer comes from a later event. A stage that
+// keeps the question must answer it eventually.
+type Defer[R any] struct {
+	reply chan R
+}
+
+// NewDeferred returns a question that is not closed by the loop itself.
+func NewDeferred[R any]() Defer[R] { return Defer[R]{reply: make(chan R, 1)} }
+
+// Reply answers the question. Only the first reply counts.
+func (q Defer[R]) Reply(r R) {
+	select {
+	case q.reply <- r:
+	default:
+	}
+}
+
+func (q Question[R]) wait() <-chan R { return q.reply }
+func (q Defer[R]) wait() <-chan R    { return q.reply }
+
+// Asker is an event that carries its own reply channel.
+type Asker[R any] interface {
+	Event
+	wait() <-chan R
+}
+
+// Ask posts ev and waits for its reply.
+func Ask[R any](ctx context.Context, p Poster, ev Asker[R]) (R, error) {
+	var zero R
+	if err := p.Post(ctx, ev); err != nil {
+		return zero, err
+	}
+	select {
+	case r := <-ev.wait():
+		return r, nil
+	case <-p.stopped():
+		return zero, ErrStopped
+	case <-ctx.Done():
+		return zero, eris.Wrap(ctx.Err(), "control: no reply")
+	}
+}
--- /dev/null
+++ b/internal/instances/instances.go
@@ -0,0 +1,125 @@
+// Package instances is the client of the platform's instance list, which lags
+// behind the truth by seconds, and defines its published HTTP format.
+package instances
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Role tells what an instance runs.
+type Role string
+
+// The roles of instances.
+const (
+	RoleEntry    Role = "entry"
+	RoleEndpoint Role = "endpoint"
+)
+
+// Status is the platform's view of an instance.
+type Status string
+
+// The states of an instance in the list.
+const (
+	Live    Status = "live"
+	Leaving Status = "leaving"
+	Gone    Status = "gone"
+)
+
+// Instance is one item of the list.
+type Instance struct {
+	ID         model.InstanceID   `json:"id"`
+	Role       Role               `json:"role"`
+	Kind       model.EndpointKind `json:"kind,omitempty"`
+	Pool       model.Pool         `json:"pool,omitempty"`
+	Version    model.Version      `json:"version,omitempty"`
+	DataCentre model.DataCentre   `json:"data_centre"`
+	Address    string             `json:"address"`         // traffic address of the entry or side process
+	Control    string             `json:"control"`         // control exchange address of the process
+	Admin      string             `json:"admin,omitempty"` // metrics and status address
+	Status     Status             `json:"status"`
+}
+
+// Changes is the answer of the list: every instance that changed since the
+// sequence number that was asked for.
+type Changes struct {
+	Seq       int64      `json:"seq"`
+	Instances []Instance `json:"instances"`
+}
+
+// List is what the fleet needs of the instance list.
+type List interface {
+	// Since returns the changes after seq and waits up to wait if there are none.
+	Since(ctx context.Context, seq int64, wait time.Duration) (Changes, error)
+}
+
+// maxListBytes bounds one answer of the list.
+const maxListBytes = 16 << 20
+
+// Client reads the list over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the list at base.
+func NewClient(base string) *Client { return &Client{base: base, http: &http.Client{}} }
+
+// Since implements List.
+func (c *Client) Since(ctx context.Context, seq int64, wait time.Duration) (Changes, error) {
+	u := fmt.Sprintf("%s/instances?since=%d&wait_ms=%d", c.base, seq, wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return Changes{}, eris.Wrap(err, "instances: request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Changes{}, eris.Wrap(err, "instances: read")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Changes{}, eris.Errorf("instances: status %d", resp.StatusCode)
+	}
+	var out Changes
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&out)
+	return out, eris.Wrap(err, "instances: answer is malformed")
+}
+
+// followWait is how long one read waits for changes.
+const followWait = 10 * time.Second
+
+// retryPause is the pause after a failed read.
+const retryPause = 500 * time.Millisecond
+
+// Follow hands every set of changes to each until ctx ends.
+func Follow(ctx context.Context, list List, each func(Changes), failed func(error)) {
+	var seq int64
+	for ctx.Err() == nil {
+		ch, err := list.Since(ctx, seq, followWait)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			failed(err)
+			t := time.NewTimer(retryPause)
+			select {
+			case <-ctx.Done():
+			case <-t.C:
+			}
+			t.Stop()
+			continue
+		}
+		if len(ch.Instances) > 0 {
+			each(ch)
+		}
+		seq = max(seq, ch.Seq)
+	}
+}
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,53 @@
+// Package invariant checks inside the programs what must always hold. A breach
+// is counted and logged in service and fatal in tests.
+package invariant
+
+import (
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// ID names one requirement of docs/design.md, section 2.
+type ID string
+
+// The invariants.
+const (
+	LoadBound     ID = "load_bound"     // R1
+	ColdLimit     ID = "cold_limit"     // R2
+	DataCentreOut ID = "data_centre"    // R3
+	VersionShare  ID = "version_share"  // R4
+	WholeAnswer   ID = "whole_answer"   // R5
+	NotRunIsTrue  ID = "not_run"        // R6
+	AtMostOnce    ID = "at_most_once"   // R7
+	LeavingNoWork ID = "leaving"        // R8
+	CleanStop     ID = "planned_stop"   // R9
+	ConfigForward ID = "config_forward" // R10
+)
+
+var fatal atomic.Bool
+
+// SetFatal makes a breach panic. Tests turn it on.
+func SetFatal(on bool) { fatal.Store(on) }
+
+// Check counts a check of id and reports a breach unless ok. It returns ok.
+func Check(id ID, ok bool, format string, args ...any) bool {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_invariant_checks_total{invariant=%q}`, id)).Inc()
+	if ok {
+		return true
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_invariant_breaches_total{invariant=%q}`, id)).Inc()
+	msg := fmt.Sprintf(format, args...)
+	if fatal.Load() {
+		panic(fmt.Sprintf("invariant %s: %s", id, msg))
+	}
+	slog.Error("invariant: breach found", "invariant", id, "detail", msg)
+	return false
+}
+
+// Breaches returns the number of breaches of id since the start.
+func Breaches(id ID) uint64 {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_invariant_breaches_total{invariant=%q}`, id)).Get()
+}
--- /dev/null
+++ b/internal/logsvc/follow.go
@@ -0,0 +1,42 @@
+package logsvc
+
+import (
+	"context"
+	"time"
+)
+
+// FollowWait is how long one read waits for new records.
+const FollowWait = 10 * time.Second
+
+// retryPause is the pause after a failed read. It bounds both the load on a
+// service that recovers and the delay of the records that it then serves.
+const retryPause = 250 * time.Millisecond
+
+// Follow reads stream from offset on and hands every batch to each, until ctx
+// ends. It reports a failed read to failed and goes on from the same offset.
+func Follow(ctx context.Context, log Log, stream string, from int64, each func(Batch), failed func(error)) {
+	for ctx.Err() == nil {
+		batch, err := log.Read(ctx, stream, from, FollowWait)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			failed(err)
+			pause(ctx, retryPause)
+			continue
+		}
+		if batch.First > from || len(batch.Records) > 0 {
+			each(batch)
+		}
+		from = max(from, batch.Next)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/model/refusal.go
@@ -0,0 +1,81 @@
+package model
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Outcome says what is known about the execution of a refused request.
+type Outcome string
+
+// The outcomes of a refusal.
+const (
+	NotRun  Outcome = "not_run" // the request did not run and will not run
+	Ran     Outcome = "ran"     // the request ran; its answer is gone
+	Unknown Outcome = "unknown" // the request may have run
+)
+
+// Reason is the machine-readable cause of a refusal.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonBadRequest     Reason = "bad_request"
+	ReasonUnauthorised   Reason = "unauthorised"
+	ReasonForbidden      Reason = "forbidden"
+	ReasonNoRoute        Reason = "no_route"
+	ReasonLimit          Reason = "limit_exceeded"
+	ReasonOverloaded     Reason = "overloaded"
+	ReasonCold           Reason = "cold"
+	ReasonDataCentreOut  Reason = "data_centre_out"
+	ReasonLeaving        Reason = "leaving"
+	ReasonDraining       Reason = "draining"
+	ReasonVersion        Reason = "version_suspended"
+	ReasonSuspect        Reason = "suspected_of_crashes"
+	ReasonNoEndpoint     Reason = "no_endpoint"
+	ReasonNotConfigured  Reason = "not_configured"
+	ReasonLogUnavailable Reason = "log_unavailable"
+	ReasonNotOwner       Reason = "not_owner"
+	ReasonVoided         Reason = "voided"
+	ReasonDuplicate      Reason = "duplicate"
+	ReasonDeadline       Reason = "deadline_exceeded"
+	ReasonEndpointFailed Reason = "endpoint_failed"
+	ReasonUnreachable    Reason = "unreachable"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonInternal       Reason = "internal"
+)
+
+// Refusal is the error that ends a request without a whole answer.
+type Refusal struct {
+	Outcome    Outcome
+	Reason     Reason
+	Detail     string
+	RetryAfter time.Duration // 0 means that no time is suggested
+	LoadRatio  float64       // load of the refusing endpoint over the pool mean
+	Owner      EndpointID    // endpoint to ask instead, with ReasonNotOwner
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.Detail == "" {
+		return fmt.Sprintf("refused (%s): %s", r.Outcome, r.Reason)
+	}
+	return fmt.Sprintf("refused (%s): %s: %s", r.Outcome, r.Reason, r.Detail)
+}
+
+// Refuse returns a refusal of a request that was not run.
+func Refuse(reason Reason, detail string) *Refusal {
+	return &Refusal{Outcome: NotRun, Reason: reason, Detail: detail}
+}
+
+// AsRefusal returns the refusal in err. An error without one becomes a refusal
+// with outcome unknown, since nothing proves that the request did not run.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if eris.As(err, &r) {
+		return r
+	}
+	return &Refusal{Outcome: Unknown, Reason: ReasonInternal, Detail: err.Error()}
+}
