Build one path from caller to endpoint and back

Cause: the parts can only be built side by side once one thin path fixes the shape. No performance was measured. Conclusion: the shape holds end to end; the decisions behind the filters are still the simplest ones.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+SEED ?= 1
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS = -X github.com/goldcrestturn/goldcrestturn/internal/program.Version=$(VERSION)
+
+.PHONY: build test lint measure capacity ci
+
+build:
+	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
+
+test:
+	go test -race ./...
+
+lint:
+	test -z "$$(gofmt -l cmd internal)"
+	go vet ./...
+	go tool staticcheck ./...
+
+measure:
+	go test ./internal/measure -run '^TestMeasure$$' -count=1 -timeout 30m -args -seed $(SEED) -only '$(ONLY)'
+
+capacity:
+	go test ./... -run '^$$' -bench '^BenchmarkCapacity' -benchtime 200ms | grep -E '^Benchmark'
+
+ci:
+	bash .ci/run
--- /dev/null
+++ b/cmd/goldcrest-standin/main.go
@@ -0,0 +1,14 @@
+// Command goldcrest-standin serves fakes of the platform and of the endpoints
+// for trials and tests on one machine.
+package main
+
+import (
+	"os"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
+	"github.com/goldcrestturn/goldcrestturn/internal/standin"
+)
+
+func main() {
+	os.Exit(program.Main("goldcrest-standin", "standin: ", os.Args[1:], standin.LoadSettings, standin.Run))
+}
--- /dev/null
+++ b/internal/archtest/arch_test.go
@@ -0,0 +1,128 @@
+package archtest
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// purePackages decide without a clock, a socket or hidden randomness.
+var purePackages = []string{
+	"admit", "choose", "claim", "config", "finding", "limit", "lists", "member",
+	"model", "order", "pipe", "replay", "retry", "rollout", "summary", "suspect",
+}
+
+// bannedImports never appear in product code: a process starts no process and
+// no ready-made proxy is used.
+var bannedImports = []string{"os/exec", "net/http/httputil"}
+
+type source struct {
+	path string
+	pkg  string
+	file *ast.File
+}
+
+func sources(t *testing.T) []source {
+	t.Helper()
+	is := is.New(t)
+	var out []source
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		out = append(out, source{path: path, pkg: filepath.Base(filepath.Dir(path)), file: f})
+		return err
+	})
+	is.NoErr(err)
+	return out
+}
+
+func imports(f *ast.File) []string {
+	var out []string
+	for _, im := range f.Imports {
+		p, _ := strconv.Unquote(im.Path.Value)
+		out = append(out, p)
+	}
+	return out
+}
+
+// calls reports whether f selects pkg.name, such as time.Now.
+func calls(f *ast.File, pkg, name string) bool {
+	found := false
+	ast.Inspect(f, func(n ast.Node) bool {
+		sel, ok := n.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		x, ok := sel.X.(*ast.Ident)
+		found = found || ok && x.Name == pkg && sel.Sel.Name == name
+		return true
+	})
+	return found
+}
+
+// Guards against a decision package that reads the clock, opens a socket or
+// uses hidden randomness, which would make its tests depend on the machine.
+func TestDecisionPackagesArePure(t *testing.T) {
+	is := is.New(t)
+	for _, s := range sources(t) {
+		if !slices.Contains(purePackages, s.pkg) {
+			continue
+		}
+		for _, im := range imports(s.file) {
+			is.True(im != "net" && im != "net/http" && im != "net/rpc" && im != "math/rand" && im != "crypto/rand") // s.path
+		}
+		for _, name := range []string{"Now", "Since", "Sleep", "After", "NewTimer", "NewTicker"} {
+			if calls(s.file, "time", name) {
+				t.Errorf("%s: decision package calls time.%s", s.path, name)
+			}
+		}
+	}
+}
+
+// Guards against control state that is shared under a lock instead of being
+// owned by the control goroutine, and against sleeps in place of waits.
+func TestNoMutexAndNoSleep(t *testing.T) {
+	for _, s := range sources(t) {
+		for _, name := range []string{"Mutex", "RWMutex", "Map"} {
+			if calls(s.file, "sync", name) {
+				t.Errorf("%s: uses sync.%s", s.path, name)
+			}
+		}
+		if calls(s.file, "time", "Sleep") {
+			t.Errorf("%s: calls time.Sleep", s.path)
+		}
+	}
+}
+
+// Guards against a second control goroutine in a program.
+func TestOneControlLoopPerProgram(t *testing.T) {
+	loops := map[string]int{}
+	for _, s := range sources(t) {
+		if (s.pkg == "entry" || s.pkg == "side") && calls(s.file, "control", "New") {
+			loops[s.pkg]++
+		}
+	}
+	is.New(t).Equal(loops, map[string]int{"entry": 1, "side": 1})
+}
+
+// Guards against imports that the platform does not allow.
+func TestBannedImports(t *testing.T) {
+	for _, s := range sources(t) {
+		for _, im := range imports(s.file) {
+			if slices.Contains(bannedImports, im) {
+				t.Errorf("%s: imports %s", s.path, im)
+			}
+		}
+	}
+}
--- a/internal/control/ask.go
+++ b/internal/control/ask.go
@@ -48,13 +48,16 @@
 	}
 }
 
-func (q Question[R]) wait() <-chan R { return q.reply }
-func (q Defer[R]) wait() <-chan R    { return q.reply }
+// Replied returns the channel that yields the reply.
+func (q Question[R]) Replied() <-chan R { return q.reply }
+
+// Replied returns the channel that yields the reply.
+func (q Defer[R]) Replied() <-chan R { return q.reply }
 
 // Asker is an event that carries its own reply channel.
 type Asker[R any] interface {
 	Event
-	wait() <-chan R
+	Replied() <-chan R
 }
 
 // Ask posts ev and waits for its reply.
@@ -64,7 +67,7 @@
 		return zero, err
 	}
 	select {
-	case r := <-ev.wait():
+	case r := <-ev.Replied():
 		return r, nil
 	case <-p.stopped():
 		return zero, ErrStopped
--- /dev/null
+++ b/internal/endpointapi/engine.go
@@ -0,0 +1,119 @@
+package endpointapi
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// maxLineBytes bounds one line of an engine's answer.
+const maxLineBytes = 256 << 10
+
+// Engine runs requests on a model engine.
+type Engine struct {
+	base string
+	id   model.EndpointID
+	http *http.Client
+}
+
+// NewEngine returns a client of the engine at base.
+func NewEngine(base string, id model.EndpointID) *Engine {
+	return &Engine{base: base, id: id, http: &http.Client{}}
+}
+
+// Run starts a generation and returns its answer once the engine accepted it.
+func (e *Engine) Run(ctx context.Context, req *model.Request) (*model.Answer, error) {
+	body, err := json.Marshal(GenerateRequest{
+		ID: req.ID, Chat: req.HashKey(), Priority: req.Priority, Prefill: req.Cost.Prefill,
+		MaxTokens: req.Cost.Generate, From: req.From, Version: req.Version, Body: req.Body,
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "endpointapi: request cannot be encoded")
+	}
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/generate", bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "endpointapi: request cannot be made")
+	}
+	resp, err := e.http.Do(call)
+	if err != nil {
+		return nil, callRefusal(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: resp.Status}
+	}
+	frames := newEngineFrames(req, resp.Body)
+	var head GenerateHead
+	if err := frames.line(&head); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return &model.Answer{
+		Request: req.ID, Status: http.StatusOK, Endpoint: e.id, Version: head.Version,
+		CachedUnits: head.Cached, Frames: frames, Stages: req.Stages,
+	}, nil
+}
+
+// callRefusal is a truthful refusal for a failed call: only a connection that
+// was never made proves that the request did not run.
+func callRefusal(err error) *model.Refusal {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return model.Refuse(model.ReasonEndpointFailed, "the endpoint cannot be reached")
+	}
+	return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: err.Error()}
+}
+
+// engineFrames turns the lines of an engine into frames.
+type engineFrames struct {
+	request model.RequestID
+	next    int
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+	ended   bool
+}
+
+func newEngineFrames(req *model.Request, body io.ReadCloser) *engineFrames {
+	s := bufio.NewScanner(body)
+	s.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	return &engineFrames{request: req.ID, next: req.From, body: body, scanner: s}
+}
+
+// Next implements model.FrameReader. The body is bound to the request's context.
+func (f *engineFrames) Next(context.Context) (model.Frame, error) {
+	if f.ended {
+		return model.Frame{}, io.EOF
+	}
+	var l GenerateLine
+	if err := f.line(&l); err != nil {
+		return model.Frame{}, err
+	}
+	if l.Error != "" {
+		return model.Frame{}, &model.Refusal{Outcome: model.Ran, Reason: model.ReasonEndpointFailed, Detail: l.Error}
+	}
+	frame := model.Frame{Request: f.request, Index: f.next, Kind: model.FrameToken, Data: []byte(l.Token)}
+	if l.Done {
+		frame.Kind, frame.Data, f.ended = model.FrameEnd, nil, true
+	}
+	f.next++
+	return frame, nil
+}
+
+// Close implements model.FrameReader.
+func (f *engineFrames) Close() error { return f.body.Close() }
+
+func (f *engineFrames) line(out any) error {
+	if !f.scanner.Scan() {
+		return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: "the engine's answer was cut"}
+	}
+	return eris.Wrap(json.Unmarshal(f.scanner.Bytes(), out), "endpointapi: line of the engine is malformed")
+}
--- /dev/null
+++ b/internal/entry/decode.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Headers of the callers' interface.
+const (
+	headerChat        = "Chat-Id"
+	headerKey         = "Idempotency-Key"
+	headerTimeout     = "Request-Timeout" // milliseconds
+	headerReturnToken = "Return-Token"
+	headerRequest     = "Request-Id"
+	headerLastEvent   = "Last-Event-ID" // index of the last frame that the caller holds
+)
+
+// RouteChat is the route of the chat completions path.
+const RouteChat model.Route = "chat"
+
+// Bounds on what a caller may send besides the body.
+const (
+	maxHeaderValue      = 256
+	defaultMaxTokens    = 256
+	maxTokensPerRequest = 32768
+	charsPerToken       = 4 // usual ratio for English text; only used to estimate cost
+)
+
+// chatBody is the part of an OpenAI-style chat completions body that the
+// fleet reads. The rest passes through to the engine.
+type chatBody struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int64         `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type streamKey struct{}
+
+// wantsStream reports whether the caller asked for server-sent events.
+func wantsStream(ctx context.Context) bool {
+	stream, _ := ctx.Value(streamKey{}).(*bool)
+	return stream != nil && *stream
+}
+
+// decodeChat decodes a chat completions request.
+func (e *Entry) decodeChat(ctx context.Context, r *http.Request) (any, error) {
+	req, err := e.decodeCommon(r)
+	if err != nil {
+		return nil, err
+	}
+	var body chatBody
+	if err := json.Unmarshal(req.Body, &body); err != nil {
+		return nil, model.Refuse(model.ReasonBadRequest, "the body is not a chat completions request: "+err.Error())
+	}
+	if len(body.Messages) == 0 {
+		return nil, model.Refuse(model.ReasonBadRequest, "messages is empty")
+	}
+	if body.MaxTokens < 0 || body.MaxTokens > maxTokensPerRequest {
+		return nil, model.Refuse(model.ReasonBadRequest, "max_tokens is out of range")
+	}
+	req.Route = RouteChat
+	if body.Model != "" {
+		req.Route = RouteChat + "/" + model.Route(body.Model)
+	}
+	req.Cost = chatCost(body)
+	if stream, ok := ctx.Value(streamKey{}).(*bool); ok {
+		*stream = body.Stream
+	}
+	return e.finishDecode(req), nil
+}
+
+func chatCost(body chatBody) model.Cost {
+	var chars int64
+	for _, m := range body.Messages {
+		chars += int64(len(m.Content))
+	}
+	generate := body.MaxTokens
+	if generate == 0 {
+		generate = defaultMaxTokens
+	}
+	return model.Cost{Prefill: 1 + chars/charsPerToken, Generate: generate}
+}
+
+// decodeService decodes a call of a plain service.
+func (e *Entry) decodeService(_ context.Context, r *http.Request) (any, error) {
+	req, err := e.decodeCommon(r)
+	if err != nil {
+		return nil, err
+	}
+	req.Route = model.Route(r.PathValue("service") + "/" + r.PathValue("route"))
+	req.Cost = model.Cost{Prefill: 1}
+	return e.finishDecode(req), nil
+}
+
+func (e *Entry) decodeCommon(r *http.Request) (*model.Request, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, e.settings.MaxBody))
+	if err != nil {
+		return nil, model.Refuse(model.ReasonBadRequest, "the body cannot be read or is too large")
+	}
+	for _, h := range []string{headerChat, headerKey, headerTimeout, headerReturnToken, headerRequest} {
+		if len(r.Header.Get(h)) > maxHeaderValue {
+			return nil, model.Refuse(model.ReasonBadRequest, "header "+h+" is too long")
+		}
+	}
+	req := &model.Request{
+		ID:             model.RequestID(r.Header.Get(headerRequest)),
+		APIKey:         strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "),
+		Chat:           model.ChatID(r.Header.Get(headerChat)),
+		IdempotencyKey: r.Header.Get(headerKey),
+		ReturnToken:    r.Header.Get(headerReturnToken),
+		Body:           body,
+		Stages:         &model.StageTimes{},
+	}
+	if req.ID == "" {
+		req.ID = model.RequestID(rand.Text())
+	}
+	return req, e.decodeNumbers(r, req)
+}
+
+func (e *Entry) decodeNumbers(r *http.Request, req *model.Request) error {
+	timeout := e.settings.Timeout
+	if v := r.Header.Get(headerTimeout); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+			return model.Refuse(model.ReasonBadRequest, headerTimeout+" is not a number of milliseconds in range")
+		}
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	req.Deadline = time.Now().Add(timeout)
+	if v := r.Header.Get(headerLastEvent); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 0 {
+			return model.Refuse(model.ReasonBadRequest, headerLastEvent+" is not a frame index")
+		}
+		req.From = n + 1
+	}
+	return nil
+}
+
+func (e *Entry) finishDecode(req *model.Request) *model.Request {
+	d := xxhash.New()
+	_, _ = d.WriteString(hashKey(req.APIKey) + "\x00" + string(req.Route) + "\x00")
+	_, _ = d.Write(req.Body)
+	req.Fingerprint = d.Sum64()
+	return req
+}
--- /dev/null
+++ b/internal/entry/deps.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+)
+
+// Deps are the outside parts that an entry talks to.
+type Deps struct {
+	Log       *slog.Logger
+	Logs      logsvc.Log
+	List      instances.List
+	Transport http.RoundTripper // to the side processes
+}
+
+// dialTimeout bounds the wait for a connection to a side process. Data centres
+// of one region are milliseconds apart.
+const dialTimeout = time.Second
+
+// NewTransport returns the transport to the side processes.
+func NewTransport() http.RoundTripper {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     time.Minute,
+	}
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	httptransport "github.com/go-kit/kit/transport/http"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
+)
+
+// controlTick is the interval at which time-dependent control state is updated.
+const controlTick = 250 * time.Millisecond
+
+// Entry is one entry process.
+type Entry struct {
+	settings Settings
+	deps     Deps
+	log      *slog.Logger
+	client   *http.Client
+	loop     *control.Loop[State, Snapshot]
+}
+
+// New returns an entry. Start starts it.
+func New(s Settings, deps Deps) *Entry {
+	e := &Entry{settings: s, deps: deps, log: deps.Log, client: &http.Client{Transport: deps.Transport}}
+	e.loop = control.New(control.Config[State, Snapshot]{
+		State:   newState(),
+		Stages:  e.controlPipeline(),
+		Publish: publish,
+		Tick:    controlTick,
+	})
+	return e
+}
+
+// Run runs the entry of the given settings until ctx ends.
+func Run(ctx context.Context, log *slog.Logger, s Settings) error {
+	traffic, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return eris.Wrap(err, "entry: callers' address cannot be used")
+	}
+	admin, err := net.Listen("tcp", s.Admin)
+	if err != nil {
+		return eris.Wrap(err, "entry: admin address cannot be used")
+	}
+	e := New(s, Deps{
+		Log:       log,
+		Logs:      logsvc.NewClient(s.LogService),
+		List:      instances.NewClient(s.InstanceList),
+		Transport: NewTransport(),
+	})
+	return e.Serve(ctx, traffic, admin)
+}
+
+// Serve serves callers and operators until ctx ends, then drains.
+func (e *Entry) Serve(ctx context.Context, traffic, admin net.Listener) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var g errgroup.Group
+	e.Start(background, &g)
+	g.Go(func() error {
+		return program.Serve(background, program.NewServer(program.Admin(e.ready, e.status)), admin, time.Second)
+	})
+	e.log.Info("started", "instance", e.settings.Instance, "listen", traffic.Addr().String())
+	err := program.Serve(ctx, program.NewServer(e.Handler()), traffic, e.settings.DrainTime)
+	stop()
+	return eris.Wrap(firstError(err, g.Wait()), "entry")
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Start starts the control loop and its sources. They end with ctx.
+func (e *Entry) Start(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error { e.loop.Run(ctx); return nil })
+	g.Go(func() error { e.followConfig(ctx); return nil })
+	g.Go(func() error { e.followInstances(ctx); return nil })
+}
+
+func (e *Entry) followConfig(ctx context.Context) {
+	each := func(b logsvc.Batch) {
+		for _, r := range b.Records {
+			rec, err := config.Decode(r.Data)
+			if err != nil {
+				e.log.Warn("record was skipped", "stream", config.Stream, "offset", r.Offset, "error", err)
+				continue
+			}
+			_ = e.loop.Post(ctx, configRecord{offset: r.Offset, record: rec})
+		}
+	}
+	failed := func(err error) { e.log.Warn("log service cannot be read", "error", err) }
+	logsvc.Follow(ctx, e.deps.Logs, config.Stream, 0, each, failed)
+}
+
+func (e *Entry) followInstances(ctx context.Context) {
+	each := func(ch instances.Changes) { _ = e.loop.Post(ctx, listChanged{ch}) }
+	failed := func(err error) { e.log.Warn("instance list cannot be read", "error", err) }
+	instances.Follow(ctx, e.deps.List, each, failed)
+}
+
+// Handler returns the callers' HTTP interface.
+func (e *Entry) Handler() http.Handler {
+	run := pipe.Endpoint(e.trafficPipeline())
+	options := []httptransport.ServerOption{
+		httptransport.ServerErrorEncoder(encodeError),
+		httptransport.ServerBefore(func(ctx context.Context, _ *http.Request) context.Context {
+			return context.WithValue(ctx, streamKey{}, new(bool))
+		}),
+	}
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/chat/completions", httptransport.NewServer(run, e.decodeChat, encodeChat, options...))
+	mux.Handle("POST /v1/services/{service}/{route}", httptransport.NewServer(run, e.decodeService, encodeService, options...))
+	return mux
+}
+
+func (e *Entry) ready() bool { return e.loop.Snapshot().Config.Offset != config.NoBase }
+
+// Status is the answer of the /status path.
+type Status struct {
+	Instance     string         `json:"instance"`
+	Role         string         `json:"role"`
+	ConfigOffset int64          `json:"config_offset"`
+	Endpoints    map[string]int `json:"endpoints"` // usable endpoints by pool
+}
+
+func (e *Entry) status() any {
+	s := e.loop.Snapshot()
+	st := Status{Instance: string(e.settings.Instance), Role: "entry", ConfigOffset: s.Config.Offset, Endpoints: map[string]int{}}
+	for pool, list := range s.Pools {
+		st.Endpoints[string(pool)] = len(list)
+	}
+	return st
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/settings"
+)
+
+// Settings are the settings of one entry process.
+type Settings struct {
+	Instance      model.InstanceID
+	DataCentre    model.DataCentre
+	Region        model.Region
+	Listen        string // callers' address
+	Control       string // control exchange address
+	Admin         string // metrics and status address
+	LogService    string // base URL
+	InstanceList  string // base URL
+	Key           string // shared key of the fleet
+	DrainTime     time.Duration
+	ControlBudget int64 // bytes a second for control traffic
+	MaxBody       int64 // bytes of one caller's body
+	Timeout       time.Duration
+}
+
+// Bounds and defaults of the settings.
+const (
+	defaultDrainTime = 60 * time.Second
+	maxDrainTime     = 10 * time.Minute
+	// defaultControlBudget is the limit of control traffic of a node at the
+	// target size, in bytes a second.
+	defaultControlBudget = 11_000
+	minControlBudget     = 1_000
+	maxControlBudget     = 1_000_000
+	defaultMaxBody       = 2 << 20
+	defaultTimeout       = 2 * time.Minute
+	maxTimeout           = time.Hour
+)
+
+// LoadSettings reads the settings of an entry and reports all faults together.
+func LoadSettings(path string) (Settings, error) {
+	f, err := settings.Open(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return ReadSettings(f)
+}
+
+// ReadSettings reads the settings from f.
+func ReadSettings(f *settings.File) (Settings, error) {
+	s := Settings{
+		Instance:      model.InstanceID(f.Required("entry", "instance")),
+		DataCentre:    model.DataCentre(f.Required("entry", "data_centre")),
+		Region:        model.Region(f.Required("entry", "region")),
+		Listen:        f.Address("entry", "listen"),
+		Control:       f.Address("entry", "control"),
+		Admin:         f.Address("entry", "admin"),
+		LogService:    f.Required("platform", "log_service"),
+		InstanceList:  f.Required("platform", "instance_list"),
+		Key:           f.Required("fleet", "key"),
+		DrainTime:     f.Duration("entry", "drain_time", defaultDrainTime, time.Second, maxDrainTime),
+		ControlBudget: f.Int("fleet", "control_budget", defaultControlBudget, minControlBudget, maxControlBudget),
+		MaxBody:       f.Int("entry", "max_body", defaultMaxBody, 1, 64<<20),
+		Timeout:       f.Duration("entry", "timeout", defaultTimeout, time.Second, maxTimeout),
+	}
+	return s, f.Err()
+}
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,56 @@
+package measure
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+)
+
+var (
+	seed     = flag.Uint64("seed", 1, "seed of the scenarios")
+	only     = flag.String("only", "", "run only the scenarios whose name starts with this")
+	knownRed = flag.String("known-red", "", "file with known misses that do not fail the run")
+)
+
+// TestMeasure prints all figures. It guards against a figure that falls behind
+// its target.
+func TestMeasure(t *testing.T) {
+	env := Env{Seed: *seed, Bubble: func(f func()) {
+		synctest.Test(t, func(*testing.T) { f() })
+	}}
+	known := readKnownRed(t, *knownRed)
+	for _, name := range Run(os.Stdout, env, *only) {
+		if slices.Contains(known, name) {
+			fmt.Printf("known red, passed over: %s\n", name)
+			continue
+		}
+		t.Errorf("target missed: %s", name)
+	}
+}
+
+// readKnownRed returns the figures listed as "figure NAME ..." in the file.
+func readKnownRed(t *testing.T, path string) []string {
+	if path == "" {
+		return nil
+	}
+	f, err := os.Open(path)
+	if os.IsNotExist(err) {
+		return nil
+	}
+	is.New(t).NoErr(err)
+	defer f.Close()
+	var names []string
+	for s := bufio.NewScanner(f); s.Scan(); {
+		if fields := strings.Fields(s.Text()); len(fields) > 1 && fields[0] == "figure" {
+			names = append(names, fields[1])
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,243 @@
+// Package settings reads the INI settings of a program. It collects all faults
+// with their place, unknown sections and keys included, and reports them
+// together.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/finding"
+)
+
+// File is a settings file that is being read.
+type File struct {
+	name     string
+	ini      *ini.File
+	lines    map[place]int
+	known    map[place]bool
+	findings finding.List
+}
+
+type place struct{ section, key string }
+
+// Open parses the file at path.
+func Open(path string) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings: file cannot be read")
+	}
+	return Parse(path, data)
+}
+
+// Parse parses data; name is used in findings.
+func Parse(name string, data []byte) (*File, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: false}, data)
+	if err != nil {
+		return nil, finding.List{{File: name, Problem: "is not INI: " + err.Error()}}
+	}
+	return &File{name: name, ini: f, lines: lineIndex(data), known: map[place]bool{}}, nil
+}
+
+// lineIndex finds the line of each section and key, which the INI library does
+// not keep.
+func lineIndex(data []byte) map[place]int {
+	idx := map[place]int{}
+	section := ""
+	for i, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "" || line[0] == '#' || line[0] == ';':
+		case line[0] == '[':
+			section = strings.TrimSpace(strings.Trim(line, "[]"))
+			idx[place{section, ""}] = i + 1
+		default:
+			if key, _, ok := strings.Cut(line, "="); ok {
+				idx[place{section, strings.TrimSpace(key)}] = i + 1
+			}
+		}
+	}
+	return idx
+}
+
+// Sections returns the names of the sections in file order, without the
+// unnamed one.
+func (f *File) Sections() []string {
+	return slices.DeleteFunc(f.ini.SectionStrings(), func(s string) bool { return s == ini.DefaultSection })
+}
+
+// Has reports whether the key is present.
+func (f *File) Has(section, key string) bool {
+	s, err := f.ini.GetSection(section)
+	return err == nil && s.HasKey(key)
+}
+
+// Fault records a finding about a key, or about a section if key is empty.
+func (f *File) Fault(section, key, problem, allowed string) {
+	line := f.lines[place{section, key}]
+	if line == 0 {
+		line = f.lines[place{section, ""}]
+	}
+	f.findings.Add(finding.Finding{File: f.name, Line: line, Section: section, Key: key, Problem: problem, Allowed: allowed})
+}
+
+// value returns the trimmed value of a key, or false if it is absent or empty.
+func (f *File) value(section, key string) (string, bool) {
+	f.known[place{section, key}] = true
+	if !f.Has(section, key) {
+		return "", false
+	}
+	v := strings.TrimSpace(f.ini.Section(section).Key(key).String())
+	return v, v != ""
+}
+
+// Required returns the value of a key that must be present.
+func (f *File) Required(section, key string) string {
+	v, ok := f.value(section, key)
+	if !ok {
+		f.Fault(section, key, "is missing", "a value")
+	}
+	return v
+}
+
+// String returns the value of a key, or def.
+func (f *File) String(section, key, def string) string {
+	if v, ok := f.value(section, key); ok {
+		return v
+	}
+	return def
+}
+
+// OneOf returns the value of a key, which must be one of allowed, or def.
+func (f *File) OneOf(section, key, def string, allowed ...string) string {
+	v := f.String(section, key, def)
+	if !slices.Contains(allowed, v) {
+		f.Fault(section, key, fmt.Sprintf("has the value %q", v), strings.Join(allowed, ", "))
+	}
+	return v
+}
+
+// Address returns a required "ip:port" value. Host names are refused, since
+// the fleet talks by IP number.
+func (f *File) Address(section, key string) string {
+	v := f.Required(section, key)
+	f.checkAddress(section, key, v)
+	return v
+}
+
+// OptionalAddress is Address for a key that may be absent.
+func (f *File) OptionalAddress(section, key string) string {
+	v := f.String(section, key, "")
+	f.checkAddress(section, key, v)
+	return v
+}
+
+func (f *File) checkAddress(section, key, v string) {
+	if v == "" {
+		return
+	}
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		f.Fault(section, key, fmt.Sprintf("has the value %q", v), "IP number and port, such as 127.0.0.1:7000")
+	}
+}
+
+// Addresses returns a comma-separated list of "ip:port" values.
+func (f *File) Addresses(section, key string) []string {
+	list := f.List(section, key)
+	for _, v := range list {
+		f.checkAddress(section, key, v)
+	}
+	return list
+}
+
+// List returns the parts of a comma-separated value.
+func (f *File) List(section, key string) []string {
+	v, _ := f.value(section, key)
+	var out []string
+	for part := range strings.SplitSeq(v, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+// Duration returns a duration within [low, high], or def.
+func (f *File) Duration(section, key string, def, low, high time.Duration) time.Duration {
+	v, ok := f.value(section, key)
+	if !ok {
+		return def
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil || d < low || d > high {
+		f.Fault(section, key, fmt.Sprintf("has the value %q", v), fmt.Sprintf("a duration from %s to %s", low, high))
+		return def
+	}
+	return d
+}
+
+// Int returns a whole number within [low, high], or def.
+func (f *File) Int(section, key string, def, low, high int64) int64 {
+	v, ok := f.value(section, key)
+	if !ok {
+		return def
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || n < low || n > high {
+		f.Fault(section, key, fmt.Sprintf("has the value %q", v), fmt.Sprintf("a whole number from %d to %d", low, high))
+		return def
+	}
+	return n
+}
+
+// Float returns a number within [low, high], or def.
+func (f *File) Float(section, key string, def, low, high float64) float64 {
+	v, ok := f.value(section, key)
+	if !ok {
+		return def
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= low && n <= high) {
+		f.Fault(section, key, fmt.Sprintf("has the value %q", v), fmt.Sprintf("a number from %g to %g", low, high))
+		return def
+	}
+	return n
+}
+
+// Bool returns true or false, or def.
+func (f *File) Bool(section, key string, def bool) bool {
+	v, ok := f.value(section, key)
+	if !ok {
+		return def
+	}
+	b, err := strconv.ParseBool(v)
+	if err != nil {
+		f.Fault(section, key, fmt.Sprintf("has the value %q", v), "true or false")
+	}
+	return b
+}
+
+// Err reports all findings together, with every key that nothing asked for.
+func (f *File) Err() error {
+	for _, s := range f.ini.Sections() {
+		name := s.Name()
+		if name == ini.DefaultSection {
+			name = ""
+		}
+		for _, k := range s.Keys() {
+			if !f.known[place{name, k.Name()}] {
+				f.Fault(name, k.Name(), "is not a known key", "")
+			}
+		}
+	}
+	slices.SortStableFunc(f.findings, func(a, b finding.Finding) int { return a.Line - b.Line })
+	return f.findings.Err()
+}
--- /dev/null
+++ b/internal/side/deps.go
@@ -0,0 +1,16 @@
+package side
+
+import (
+	"log/slog"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+)
+
+// Deps are the outside parts that a side process talks to.
+type Deps struct {
+	Log      *slog.Logger
+	Logs     logsvc.Log
+	List     instances.List
+	Endpoint Endpoint
+}
--- /dev/null
+++ b/internal/side/server.go
@@ -0,0 +1,145 @@
+package side
+
+import (
+	"context"
+	"crypto/subtle"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	httptransport "github.com/go-kit/kit/transport/http"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/endpointapi"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
+	"github.com/goldcrestturn/goldcrestturn/internal/wire"
+)
+
+// controlTick is the interval at which time-dependent control state is updated.
+const controlTick = 100 * time.Millisecond
+
+// Side is one side process.
+type Side struct {
+	settings Settings
+	deps     Deps
+	log      *slog.Logger
+	loop     *control.Loop[State, Snapshot]
+}
+
+// New returns a side process. Start starts it.
+func New(s Settings, deps Deps) *Side {
+	p := &Side{settings: s, deps: deps, log: deps.Log}
+	p.loop = control.New(control.Config[State, Snapshot]{
+		State:   newState(),
+		Stages:  p.controlPipeline(),
+		Publish: publish,
+		Tick:    controlTick,
+	})
+	return p
+}
+
+// Run runs the side process of the given settings until ctx ends.
+func Run(ctx context.Context, log *slog.Logger, s Settings) error {
+	traffic, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return eris.Wrap(err, "side: address for entries cannot be used")
+	}
+	admin, err := net.Listen("tcp", s.Admin)
+	if err != nil {
+		return eris.Wrap(err, "side: admin address cannot be used")
+	}
+	var endpoint Endpoint = endpointapi.NewEngine(s.Endpoint, s.EndpointID())
+	if s.Kind == model.Service {
+		endpoint = endpointapi.NewService(s.Endpoint, s.EndpointID())
+	}
+	p := New(s, Deps{
+		Log:      log,
+		Logs:     logsvc.NewClient(s.LogService),
+		List:     instances.NewClient(s.InstanceList),
+		Endpoint: endpoint,
+	})
+	return p.Serve(ctx, traffic, admin)
+}
+
+// Serve serves entries and operators until ctx ends, then drains.
+func (p *Side) Serve(ctx context.Context, traffic, admin net.Listener) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var g errgroup.Group
+	p.Start(background, &g)
+	g.Go(func() error {
+		return program.Serve(background, program.NewServer(program.Admin(p.ready, p.status)), admin, time.Second)
+	})
+	p.log.Info("started", "instance", p.settings.Instance, "listen", traffic.Addr().String())
+	err := program.Serve(ctx, program.NewServer(p.Handler()), traffic, p.settings.DrainTime)
+	stop()
+	if err == nil {
+		err = g.Wait()
+	}
+	return eris.Wrap(err, "side")
+}
+
+// Start starts the control loop and its sources. They end with ctx.
+func (p *Side) Start(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error { p.loop.Run(ctx); return nil })
+	g.Go(func() error { p.followConfig(ctx); return nil })
+}
+
+func (p *Side) followConfig(ctx context.Context) {
+	each := func(b logsvc.Batch) {
+		for _, r := range b.Records {
+			rec, err := config.Decode(r.Data)
+			if err != nil {
+				p.log.Warn("record was skipped", "stream", config.Stream, "offset", r.Offset, "error", err)
+				continue
+			}
+			_ = p.loop.Post(ctx, configRecord{offset: r.Offset, record: rec})
+		}
+	}
+	failed := func(err error) { p.log.Warn("log service cannot be read", "error", err) }
+	logsvc.Follow(ctx, p.deps.Logs, config.Stream, 0, each, failed)
+}
+
+// Handler returns the HTTP interface for entries.
+func (p *Side) Handler() http.Handler {
+	run := pipe.Endpoint(p.trafficPipeline())
+	server := httptransport.NewServer(run, decodeRun, encodeRun, httptransport.ServerErrorEncoder(encodeError))
+	mux := http.NewServeMux()
+	mux.Handle("POST "+wire.PathRun, p.authenticate(server))
+	return mux
+}
+
+// authenticate refuses callers that do not know the shared key.
+func (p *Side) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get(wire.HeaderKey))
+		if subtle.ConstantTimeCompare(got, []byte(p.settings.Key)) != 1 {
+			http.Error(w, "the shared key is wrong", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (p *Side) ready() bool { return p.loop.Snapshot().Config.Offset != config.NoBase }
+
+// Status is the answer of the /status path.
+type Status struct {
+	Instance     string `json:"instance"`
+	Role         string `json:"role"`
+	ConfigOffset int64  `json:"config_offset"`
+	Load         int64  `json:"load"`
+	Running      int    `json:"running"`
+}
+
+func (p *Side) status() any {
+	s := p.loop.Snapshot()
+	return Status{Instance: string(p.settings.Instance), Role: "side", ConfigOffset: s.Config.Offset, Load: s.Load, Running: s.Running}
+}
--- /dev/null
+++ b/internal/side/settings.go
@@ -0,0 +1,79 @@
+package side
+
+import (
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/settings"
+)
+
+// Settings are the settings of one side process.
+type Settings struct {
+	Instance      model.InstanceID // also the id of the endpoint
+	DataCentre    model.DataCentre
+	Region        model.Region
+	Pool          model.Pool
+	Kind          model.EndpointKind
+	Version       model.Version
+	Endpoint      string // base URL of the endpoint
+	Listen        string // address for entries
+	Control       string // control exchange address
+	Admin         string // metrics and status address
+	LogService    string // base URL
+	InstanceList  string // base URL
+	Key           string // shared key of the fleet
+	DrainTime     time.Duration
+	ControlBudget int64 // bytes a second for control traffic
+	AppendBudget  int64 // appends a second of the whole fleet
+}
+
+// Bounds and defaults of the settings.
+const (
+	defaultDrainTime = 60 * time.Second
+	maxDrainTime     = 10 * time.Minute
+	// defaultControlBudget is the limit of control traffic of a node at the
+	// target size, in bytes a second.
+	defaultControlBudget = 11_000
+	minControlBudget     = 1_000
+	maxControlBudget     = 1_000_000
+	// defaultAppendBudget stays below the several hundred appends a second
+	// that the log service takes.
+	defaultAppendBudget = 300
+	maxAppendBudget     = 10_000
+)
+
+// EndpointID returns the id of the endpoint beside this process.
+func (s Settings) EndpointID() model.EndpointID { return model.EndpointID(s.Instance) }
+
+// LoadSettings reads the settings of a side process and reports all faults
+// together.
+func LoadSettings(path string) (Settings, error) {
+	f, err := settings.Open(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return ReadSettings(f)
+}
+
+// ReadSettings reads the settings from f.
+func ReadSettings(f *settings.File) (Settings, error) {
+	s := Settings{
+		Instance:      model.InstanceID(f.Required("side", "instance")),
+		DataCentre:    model.DataCentre(f.Required("side", "data_centre")),
+		Region:        model.Region(f.Required("side", "region")),
+		Pool:          model.Pool(f.Required("side", "pool")),
+		Kind:          model.EndpointKind(f.OneOf("side", "kind", string(model.Engine), string(model.Engine), string(model.Service))),
+		Version:       model.Version(f.String("side", "version", "")),
+		Endpoint:      f.Required("side", "endpoint"),
+		Listen:        f.Address("side", "listen"),
+		Control:       f.Address("side", "control"),
+		Admin:         f.Address("side", "admin"),
+		LogService:    f.Required("platform", "log_service"),
+		InstanceList:  f.Required("platform", "instance_list"),
+		Key:           f.Required("fleet", "key"),
+		DrainTime:     f.Duration("side", "drain_time", defaultDrainTime, time.Second, maxDrainTime),
+		ControlBudget: f.Int("fleet", "control_budget", defaultControlBudget, minControlBudget, maxControlBudget),
+		AppendBudget:  f.Int("fleet", "append_budget", defaultAppendBudget, 1, maxAppendBudget),
+	}
+	return s, f.Err()
+}
