--- a/internal/endpointapi/engine.go
+++ b/internal/endpointapi/engine.go
@@ -70,7 +70,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return model.Refuse(model.ReasonEndpointFailed, "the endpoint cannot be reached")
 	}
-	return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: err.Error()}
+	return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonCrashed, Detail: err.Error()}
 }
 
 // engineFrames turns the lines of an engine into frames.
@@ -113,7 +113,7 @@
 
 func (f *engineFrames) line(out any) error {
 	if !f.scanner.Scan() {
-		return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: "the engine's answer was cut"}
+		return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonCrashed, Detail: "the engine's answer was cut"}
 	}
 	return eris.Wrap(json.Unmarshal(f.scanner.Bytes(), out), "endpointapi: line of the engine is malformed")
 }
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -14,7 +14,12 @@
 
 // chooseEndpoint offers a request to the endpoints of its pool in the order of
 // its chat. It goes on to the next one only after a refusal that was not run.
-type chooseEndpoint struct{ snapshot func() *Snapshot }
+type chooseEndpoint struct {
+	snapshot func() *Snapshot
+	// repeat reports whether a refused request may go to the next endpoint. It
+	// asks the retry budget and pauses before a repeated execution.
+	repeat func(ctx context.Context, req *model.Request, refusal *model.Refusal) bool
+}
 
 func (chooseEndpoint) Name() string { return "choose" }
 
@@ -31,7 +36,7 @@
 			return answer, nil
 		}
 		last = err
-		if model.AsRefusal(err).Outcome != model.NotRun {
+		if i+1 == maxHandOvers || !f.repeat(ctx, req, model.AsRefusal(err)) {
 			break
 		}
 	}
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 )
@@ -16,6 +17,7 @@
 	Logs      logsvc.Log
 	List      instances.List
 	Transport http.RoundTripper // to the side processes
+	Dial      exchange.Dialer   // to control addresses; nil means TCP
 }
 
 // dialTimeout bounds the wait for a connection to a side process. Data centres
--- a/internal/entry/encode.go
+++ b/internal/entry/encode.go
@@ -215,7 +215,7 @@
 		return http.StatusTooManyRequests
 	case model.ReasonDeadline:
 		return http.StatusGatewayTimeout
-	case model.ReasonEndpointFailed, model.ReasonUnreachable, model.ReasonInternal:
+	case model.ReasonEndpointFailed, model.ReasonCrashed, model.ReasonUnreachable, model.ReasonInternal:
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -9,7 +9,9 @@
 func (e *Entry) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
 		identify{e.loop.Snapshot},
-		chooseEndpoint{e.loop.Snapshot},
+		limitRate{e},
+		guard{e.loop.Snapshot},
+		chooseEndpoint{e.loop.Snapshot, e.mayRepeat},
 		forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client},
 	)
 }
@@ -19,6 +21,12 @@
 	return []control.Stage[State]{
 		foldConfig{e.log},
 		foldMembers{},
+		derivePeers{e.settings},
 		derive{},
+		foldSuspects{e.settings.Instance},
+		spend{e.settings.Instance},
+		lend{},
+		budgetRepeats{},
+		sumReports{e.settings, e.node.Meter()},
 	}
 }
--- /dev/null
+++ b/internal/entry/retry.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/retry"
+)
+
+// mayRepeat reports whether a refused request may go to a further endpoint. It
+// pauses before a request is executed again.
+func (e *Entry) mayRepeat(ctx context.Context, req *model.Request, refusal *model.Refusal) bool {
+	ask := repeatRequest{Question: control.NewQuestion[bool](), request: req, refusal: refusal}
+	ok, err := control.Ask(ctx, e.loop, ask)
+	if err != nil {
+		return false
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_repeats_total{outcome=%q,allowed="%t"}`, refusal.Outcome, ok)).Inc()
+	if !ok || refusal.Outcome == model.NotRun {
+		return ok
+	}
+	t := time.NewTimer(retry.Backoff(req.Attempt+1, rand.Float64()))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
@@ -29,11 +30,13 @@
 	log      *slog.Logger
 	client   *http.Client
 	loop     *control.Loop[State, Snapshot]
+	node     *exchange.Node
 }
 
 // New returns an entry. Start starts it.
 func New(s Settings, deps Deps) *Entry {
 	e := &Entry{settings: s, deps: deps, log: deps.Log, client: &http.Client{Transport: deps.Transport}}
+	e.node = e.newNode()
 	e.loop = control.New(control.Config[State, Snapshot]{
 		State:   newState(),
 		Stages:  e.controlPipeline(),
@@ -53,23 +56,28 @@
 	if err != nil {
 		return eris.Wrap(err, "entry: admin address cannot be used")
 	}
+	peers, err := net.Listen("tcp", s.Control)
+	if err != nil {
+		return eris.Wrap(err, "entry: control address cannot be used")
+	}
 	e := New(s, Deps{
 		Log:       log,
 		Logs:      logsvc.NewClient(s.LogService),
 		List:      instances.NewClient(s.InstanceList),
 		Transport: NewTransport(),
 	})
-	return e.Serve(ctx, traffic, admin)
+	return e.Serve(ctx, traffic, admin, peers)
 }
 
 // Serve serves callers and operators until ctx ends, then drains.
-func (e *Entry) Serve(ctx context.Context, traffic, admin net.Listener) error {
+func (e *Entry) Serve(ctx context.Context, traffic, admin, peers net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var g errgroup.Group
 	e.Start(background, &g)
 	g.Go(func() error {
 		return program.Serve(background, program.NewServer(program.Admin(e.ready, e.status)), admin, time.Second)
 	})
+	g.Go(func() error { return e.ServeControl(background, peers) })
 	e.log.Info("started", "instance", e.settings.Instance, "listen", traffic.Addr().String())
 	err := program.Serve(ctx, program.NewServer(e.Handler()), traffic, e.settings.DrainTime)
 	stop()
@@ -90,6 +98,7 @@
 	g.Go(func() error { e.loop.Run(ctx); return nil })
 	g.Go(func() error { e.followConfig(ctx); return nil })
 	g.Go(func() error { e.followInstances(ctx); return nil })
+	e.startExchange(ctx, g)
 }
 
 func (e *Entry) followConfig(ctx context.Context) {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -16,6 +16,7 @@
 	Keys    map[string]model.Workspace       // by hash of the API key; replaced, never changed
 	Pools   map[model.Pool][]member.Endpoint // endpoints that may get new work; replaced, never changed
 	derived bool                             // Keys and Pools belong to Config and Members
+	exchangeState
 }
 
 // Snapshot is the published view of the state. Nobody changes it.
@@ -24,6 +25,8 @@
 	Config *config.Accepted
 	Keys   map[string]model.Workspace
 	Pools  map[model.Pool][]member.Endpoint
+	Peers  *member.Peers // processes of the region in the control exchange
+	exchangeView
 }
 
 // Events of the entry's control pipeline.
@@ -41,9 +44,9 @@
 func (listChanged) EventName() string  { return "list_changed" }
 
 func newState() *State {
-	return &State{Config: config.Empty(), Members: member.NewTable()}
+	return &State{Config: config.Empty(), Members: member.NewTable(), exchangeState: newExchangeState()}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Keys: s.Keys, Pools: s.Pools}
+	return &Snapshot{At: now, Config: s.Config, Keys: s.Keys, Pools: s.Pools, Peers: s.peers, exchangeView: s.view()}
 }
--- /dev/null
+++ b/internal/exchange/codec.go
@@ -0,0 +1,139 @@
+package exchange
+
+import (
+	"bufio"
+	"crypto/subtle"
+	"encoding/gob"
+	"io"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Names of the first call of each connection.
+const (
+	helloService = "H"
+	helloMethod  = "H.Hello"
+)
+
+// Hello is the first message of a connection.
+type Hello struct{ Key string }
+
+// HelloReply accepts a peer.
+type HelloReply struct{}
+
+type greeter struct{}
+
+// Hello accepts a peer. The codec has checked the key before.
+func (*greeter) Hello(Hello, *HelloReply) error { return nil }
+
+// errStranger cuts off a peer whose first call lacks the shared key.
+var errStranger = eris.New("exchange: the first call does not carry the shared key")
+
+// serverCodec is the gob codec of net/rpc with bounds and the key check.
+type serverCodec struct {
+	conn    net.Conn
+	in      *messageReader
+	dec     *gob.Decoder
+	enc     *gob.Encoder
+	out     *bufio.Writer
+	key     string
+	first   string        // method of the first call until its key is accepted
+	known   bool          // the peer sent the shared key
+	pending chan struct{} // one token for each call that runs
+}
+
+func newServerCodec(conn net.Conn, key string) *serverCodec {
+	in := newMessageReader(conn, MaxMessageBytes)
+	out := bufio.NewWriter(conn)
+	return &serverCodec{
+		conn: conn, in: in, dec: gob.NewDecoder(in), enc: gob.NewEncoder(out), out: out,
+		key: key, pending: make(chan struct{}, maxPending),
+	}
+}
+
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	wait := idleTimeout
+	if !c.known {
+		if c.first != "" {
+			return errStranger
+		}
+		wait = helloTimeout
+	}
+	c.pending <- struct{}{}
+	if err := c.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	if err := c.dec.Decode(r); err != nil {
+		return err
+	}
+	c.first = r.ServiceMethod
+	if !c.known && r.ServiceMethod != helloMethod {
+		return errStranger
+	}
+	return c.conn.SetReadDeadline(time.Now().Add(helloTimeout))
+}
+
+func (c *serverCodec) ReadRequestBody(body any) error {
+	if err := c.dec.Decode(body); err != nil || c.known {
+		return err
+	}
+	h, ok := body.(*Hello)
+	c.known = ok && subtle.ConstantTimeCompare([]byte(h.Key), []byte(c.key)) == 1
+	if !c.known {
+		return errStranger
+	}
+	return nil
+}
+
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer func() { <-c.pending }()
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return writeBoth(c.enc, c.out, r, body, c.conn)
+}
+
+func (c *serverCodec) Close() error { return c.conn.Close() }
+
+// writeBoth writes head and body as one segment. A failure leaves the gob
+// stream broken, so the connection is closed.
+func writeBoth(enc *gob.Encoder, out *bufio.Writer, head, body any, conn io.Closer) error {
+	err := enc.Encode(head)
+	if err == nil {
+		err = enc.Encode(body)
+	}
+	if err == nil {
+		err = out.Flush()
+	}
+	if err != nil {
+		conn.Close()
+	}
+	return err
+}
+
+// clientCodec is the client's side of serverCodec.
+type clientCodec struct {
+	conn net.Conn
+	dec  *gob.Decoder
+	enc  *gob.Encoder
+	out  *bufio.Writer
+}
+
+func newClientCodec(conn net.Conn) *clientCodec {
+	out := bufio.NewWriter(conn)
+	return &clientCodec{conn: conn, dec: gob.NewDecoder(newMessageReader(conn, MaxMessageBytes)), enc: gob.NewEncoder(out), out: out}
+}
+
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return writeBoth(c.enc, c.out, r, body, c.conn)
+}
+
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.dec.Decode(r) }
+func (c *clientCodec) ReadResponseBody(body any) error          { return c.dec.Decode(body) }
+func (c *clientCodec) Close() error                             { return c.conn.Close() }
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,164 @@
+package exchange
+
+import (
+	"context"
+	"encoding/gob"
+	"errors"
+	"io"
+	"net"
+	"net/rpc"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type EchoArgs struct{ Text string }
+
+type echoService struct{ wait time.Duration }
+
+func (s *echoService) Say(a EchoArgs, reply *EchoArgs) error {
+	if s.wait > 0 {
+		<-time.After(s.wait)
+	}
+	reply.Text = a.Text
+	return nil
+}
+
+// startPair runs two nodes on in-memory connections: "a" calls, "b" serves.
+func startPair(t *testing.T, wait time.Duration, keyA, keyB string) (*Node, *Node, *PipeNet, context.CancelFunc) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	pipes := NewPipeNet("a", "b")
+	a := New(Config{Key: keyA, Budget: 100_000, Dial: pipes.Dialer("a")})
+	b := New(Config{Key: keyB, Budget: 100_000, Dial: pipes.Dialer("b")})
+	is.New(t).NoErr(b.Register("Echo", &echoService{wait}))
+	go a.Run(ctx)
+	go b.Run(ctx)
+	go func() { _ = b.Serve(ctx, pipes.Listen("b")) }()
+	return a, b, pipes, cancel
+}
+
+// Guards against a call that does not reach the peer, a second connection for
+// the same peer, and bytes that the two ends count differently.
+func TestCallsShareOneConnectionAndAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b, _, cancel := startPair(t, 0, "k", "k")
+		defer cancel()
+		var sizes []int64
+		for range 3 {
+			before := a.Meter().Usage()
+			var reply EchoArgs
+			is.NoErr(a.Call(t.Context(), "b", "Echo.Say", EchoArgs{"hello"}, &reply))
+			is.Equal(reply.Text, "hello")
+			synctest.Wait()
+			sizes = append(sizes, a.Meter().Usage().Total()-before.Total())
+		}
+		is.True(sizes[1] < sizes[0]) // type descriptions and the key are sent once
+		is.Equal(sizes[1], sizes[2])
+		is.Equal(a.Meter().Usage().Out, b.Meter().Usage().In)
+		is.Equal(a.Meter().Usage().In, b.Meter().Usage().Out)
+	})
+}
+
+// Guards against a stranger that calls a method with a wrong key, or without a
+// first call.
+func TestStrangersAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _, pipes, cancel := startPair(t, 0, "wrong", "k")
+		defer cancel()
+		err := a.Call(t.Context(), "b", "Echo.Say", EchoArgs{"hello"}, &EchoArgs{})
+		is.True(err != nil && strings.Contains(err.Error(), "shared key"))
+
+		conn, err := pipes.Dialer("x")(t.Context(), "b")
+		is.NoErr(err)
+		client := rpc.NewClient(conn)
+		is.True(client.Call("Echo.Say", EchoArgs{"hello"}, &EchoArgs{}) != nil)
+		is.True(errors.Is(client.Call("Echo.Say", EchoArgs{}, &EchoArgs{}), rpc.ErrShutdown))
+	})
+}
+
+// Guards against a silent connection that occupies the server for ever.
+func TestSilentPeerIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, _, pipes, cancel := startPair(t, 0, "k", "k")
+		defer cancel()
+		conn, err := pipes.Dialer("x")(t.Context(), "b")
+		is.NoErr(err)
+		start := time.Now()
+		_, err = conn.Read(make([]byte, 1))
+		is.True(err != nil)
+		is.Equal(time.Since(start), helloTimeout)
+	})
+}
+
+// Guards against a peer that never replies and holds its caller for longer than
+// the call timeout, and against a broken connection that is used again.
+func TestCallIsBoundedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _, _, cancel := startPair(t, time.Minute, "k", "k")
+		start := time.Now()
+		is.True(a.Call(t.Context(), "b", "Echo.Say", EchoArgs{"x"}, &EchoArgs{}) != nil)
+		is.Equal(time.Since(start), CallTimeout)
+		is.True(a.Call(t.Context(), "nobody", "Echo.Say", EchoArgs{"x"}, &EchoArgs{}) != nil)
+		time.Sleep(2 * time.Minute) // the handler ends
+		cancel()
+	})
+}
+
+// Guards against a message whose announced size makes the decoder allocate
+// memory, which gob itself allows up to 1 GiB.
+func TestLargeMessageIsRefusedByItsLength(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	go func() {
+		_ = gob.NewEncoder(near).Encode(strings.Repeat("x", 5000))
+		near.Close()
+	}()
+	var s string
+	is.Equal(gob.NewDecoder(newMessageReader(far, 4096)).Decode(&s), errTooLarge)
+	far.Close()
+}
+
+// Guards against a drop order that differs from docs/design.md, D2, and against
+// a period longer than 4 s.
+func TestDropOrder(t *testing.T) {
+	is := is.New(t)
+	m := NewMeter(1000)
+	now := time.Now()
+	state := func() [4]bool {
+		return [4]bool{m.Allow(Detail, now), m.Allow(Evidence, now), m.Stretch(now) == 1, m.Allow(Urgent, now)}
+	}
+	is.Equal(state(), [4]bool{true, true, true, true})
+	m.charge(now, 1200)
+	is.Equal(state(), [4]bool{false, true, true, true})
+	m.charge(now, 500)
+	is.Equal(state(), [4]bool{false, false, true, true})
+	m.charge(now, 800)
+	is.Equal(state(), [4]bool{false, false, false, true})
+	m.charge(now, 100_000)
+	is.Equal(m.Stretch(now), MaxStretch)
+}
+
+// Guards against a reader that panics or passes on a message over the bound.
+func FuzzMessageReader(f *testing.F) {
+	f.Add([]byte{3, 1, 2, 3, 0xfe, 1, 0, 9})
+	f.Add([]byte{0x80, 0xff, 0xff})
+	f.Add([]byte{0xf8, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := newMessageReader(strings.NewReader(string(data)), 64)
+		got, _ := io.ReadAll(r)
+		if !strings.HasPrefix(string(data), string(got)) {
+			t.Fatalf("passed on %x of %x", got, data)
+		}
+		if r.left > 64+9 {
+			t.Fatalf("message of %d bytes was let through", r.left)
+		}
+	})
+}
--- /dev/null
+++ b/internal/exchange/meter.go
@@ -0,0 +1,140 @@
+package exchange
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
+)
+
+// Overhead that a node adds to the bytes of its connections, since the kernel
+// does not tell them: IPv4 and TCP headers with the timestamp option are 52
+// bytes a segment, and every segment is taken to cost one acknowledgement
+// without data in the other direction. Delayed acknowledgements ride on a reply
+// in most exchanges, so the true count lies below.
+const (
+	segmentBytes  = 1448
+	headerBytes   = 52
+	overheadBytes = 2 * headerBytes
+)
+
+// budgetBurst is the time whose budget may be used at once.
+const budgetBurst = 2 * time.Second
+
+// Class is a class of control traffic. Lower classes are dropped first.
+type Class int
+
+// The classes in the order in which they are dropped.
+const (
+	Detail   Class = iota // details for the slow view: dropped
+	Evidence              // deltas of evidence: merged into the next report
+	Regular               // reports: their period is lengthened
+	Urgent                // leaving notices, crashes, verdicts, offsets: never dropped
+)
+
+// Meter counts the bytes of a node's connections and holds them to the budget.
+type Meter struct {
+	in, out, overhead atomic.Int64
+	budget            int64
+	limiter           *rate.Limiter
+	stretch           bool // lengthen the report period; switched off by tests only
+}
+
+// DefaultBudget is the limit of control traffic of a node at the target size,
+// in bytes a second.
+const DefaultBudget = 11_000
+
+var (
+	bytesIn       = metrics.GetOrCreateCounter(`goldcrest_control_bytes_total{direction="in"}`)
+	bytesOut      = metrics.GetOrCreateCounter(`goldcrest_control_bytes_total{direction="out"}`)
+	bytesOverhead = metrics.GetOrCreateCounter(`goldcrest_control_bytes_total{direction="overhead"}`)
+)
+
+// NewMeter returns a meter with a budget in bytes a second; 0 means
+// DefaultBudget.
+func NewMeter(budget int64) *Meter {
+	if budget <= 0 {
+		budget = DefaultBudget
+	}
+	return &Meter{
+		budget: budget, stretch: true,
+		limiter: rate.NewLimiter(rate.Limit(budget), int(float64(budget)*budgetBurst.Seconds())),
+	}
+}
+
+// Usage is a count of bytes.
+type Usage struct{ In, Out, Overhead int64 }
+
+// Total returns all bytes on the wire.
+func (u Usage) Total() int64 { return u.In + u.Out + u.Overhead }
+
+// Usage returns the bytes counted so far.
+func (m *Meter) Usage() Usage { return Usage{m.in.Load(), m.out.Load(), m.overhead.Load()} }
+
+func (m *Meter) count(direction *atomic.Int64, total *metrics.Counter, n int) {
+	if n <= 0 {
+		return
+	}
+	segments := (n + segmentBytes - 1) / segmentBytes
+	extra := segments * overheadBytes
+	direction.Add(int64(n))
+	total.Add(n)
+	m.overhead.Add(int64(extra))
+	bytesOverhead.Add(extra)
+	m.charge(time.Now(), n+extra)
+}
+
+// charge takes n bytes from the budget and goes into debt when it is used up.
+func (m *Meter) charge(now time.Time, n int) {
+	for n > 0 {
+		part := min(n, m.limiter.Burst())
+		m.limiter.ReserveN(now, part)
+		n -= part
+	}
+}
+
+// Allow reports whether a message of class c may be sent at now.
+func (m *Meter) Allow(c Class, now time.Time) bool {
+	left := m.limiter.TokensAt(now) / float64(m.limiter.Burst())
+	switch c {
+	case Detail:
+		return left > 0.5
+	case Evidence:
+		return left > 0.25
+	}
+	return true
+}
+
+// MaxStretch is the longest report period over the regular one. A holder hears
+// from an endpoint every 2 s, so it leads to the longest period of 4 s.
+const MaxStretch = 2.0
+
+// Stretch returns the factor by which the report period must be lengthened at
+// now: 1 within the budget, and one more for each second of debt.
+func (m *Meter) Stretch(now time.Time) float64 {
+	debt := -m.limiter.TokensAt(now) / float64(m.budget)
+	if !m.stretch {
+		return 1
+	}
+	return min(MaxStretch, 1+max(0, debt))
+}
+
+// countedConn counts what passes through a connection.
+type countedConn struct {
+	net.Conn
+	meter *Meter
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.count(&c.meter.in, bytesIn, n)
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.count(&c.meter.out, bytesOut, n)
+	return n, err
+}
--- /dev/null
+++ b/internal/exchange/peers.go
@@ -0,0 +1,167 @@
+package exchange
+
+import (
+	"context"
+	"net/rpc"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrStopped is returned by Call after Run has ended.
+var ErrStopped = eris.New("exchange: node has stopped")
+
+type (
+	peerRequest struct {
+		address string
+		reply   chan peerAnswer
+	}
+	peerAnswer struct {
+		client *rpc.Client
+		err    error
+	}
+	peerBroken struct {
+		address string
+		client  *rpc.Client
+	}
+	peerDialled struct {
+		address string
+		peerAnswer
+	}
+)
+
+// peer is the connection to one address and the calls that wait for it.
+type peer struct {
+	client  *rpc.Client
+	waiting []chan peerAnswer
+	used    time.Time
+}
+
+// Run owns the connections to the peers until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	defer close(n.done)
+	peers := map[string]*peer{}
+	defer func() {
+		for _, p := range peers {
+			p.close()
+		}
+	}()
+	sweep := time.NewTicker(idleTimeout / 2)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-n.asks:
+			n.ask(ctx, peers, r)
+		case d := <-n.dialled:
+			peers[d.address].dialled(d.peerAnswer)
+			if d.err != nil {
+				delete(peers, d.address)
+			}
+		case b := <-n.broken:
+			if p := peers[b.address]; p != nil && p.client == b.client {
+				p.close()
+				delete(peers, b.address)
+			}
+		case now := <-sweep.C:
+			for address, p := range peers {
+				if p.client != nil && now.Sub(p.used) > idleTimeout/2 {
+					p.close()
+					delete(peers, address)
+				}
+			}
+		}
+	}
+}
+
+func (n *Node) ask(ctx context.Context, peers map[string]*peer, r peerRequest) {
+	p := peers[r.address]
+	if p == nil {
+		p = &peer{}
+		peers[r.address] = p
+		go n.dial(ctx, r.address)
+	}
+	p.used = time.Now()
+	if p.client != nil {
+		r.reply <- peerAnswer{client: p.client}
+		return
+	}
+	p.waiting = append(p.waiting, r.reply)
+}
+
+func (p *peer) dialled(a peerAnswer) {
+	p.client = a.client
+	for _, w := range p.waiting {
+		w <- a
+	}
+	p.waiting = nil
+}
+
+func (p *peer) close() {
+	if p.client != nil {
+		p.client.Close()
+	}
+}
+
+// dial connects to a peer and says hello.
+func (n *Node) dial(ctx context.Context, address string) {
+	d := peerDialled{address: address}
+	d.client, d.err = n.connect(ctx, address)
+	select {
+	case n.dialled <- d:
+	case <-n.done:
+		if d.client != nil {
+			d.client.Close()
+		}
+	}
+}
+
+func (n *Node) connect(ctx context.Context, address string) (*rpc.Client, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	conn, err := n.cfg.Dial(ctx, address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "exchange: peer %s cannot be reached", address)
+	}
+	client := rpc.NewClientWithCodec(newClientCodec(&countedConn{Conn: conn, meter: n.meter}))
+	call := client.Go(helloMethod, Hello{Key: n.cfg.Key}, &HelloReply{}, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		client.Close()
+		return nil, eris.Wrapf(err, "exchange: peer %s refused the first call", address)
+	}
+	return client, nil
+}
+
+// client returns the connection to address and opens it if there is none.
+func (n *Node) client(ctx context.Context, address string) (*rpc.Client, error) {
+	r := peerRequest{address: address, reply: make(chan peerAnswer, 1)}
+	select {
+	case n.asks <- r:
+	case <-n.done:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, eris.Wrap(ctx.Err(), "exchange: no connection")
+	}
+	select {
+	case a := <-r.reply:
+		return a.client, a.err
+	case <-n.done:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, eris.Wrap(ctx.Err(), "exchange: no connection")
+	}
+}
+
+func (n *Node) drop(address string, client *rpc.Client) {
+	select {
+	case n.broken <- peerBroken{address, client}:
+	case <-n.done:
+	}
+}
--- /dev/null
+++ b/internal/exchange/pipenet.go
@@ -0,0 +1,80 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+)
+
+// PipeNet is a network of in-memory connections for tests and measurements. A
+// peer is refused while its listener is closed or Cut says so.
+type PipeNet struct {
+	listeners map[string]*pipeListener
+	// Cut reports whether two addresses cannot reach each other; nil means that
+	// all can. It is asked when a connection is made.
+	Cut func(from, to string) bool
+}
+
+// NewPipeNet returns a network with a listener for each address.
+func NewPipeNet(addresses ...string) *PipeNet {
+	p := &PipeNet{listeners: map[string]*pipeListener{}}
+	for _, a := range addresses {
+		p.listeners[a] = &pipeListener{address: a, conns: make(chan net.Conn), closed: make(chan struct{})}
+	}
+	return p
+}
+
+// Listen returns the listener of an address.
+func (p *PipeNet) Listen(address string) net.Listener { return p.listeners[address] }
+
+// Dialer returns the dialer of the node at from.
+func (p *PipeNet) Dialer(from string) Dialer {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		l := p.listeners[to]
+		if l == nil || p.Cut != nil && p.Cut(from, to) {
+			return nil, &net.OpError{Op: "dial", Net: "pipe", Err: syscall.ECONNREFUSED}
+		}
+		near, far := net.Pipe()
+		select {
+		case l.conns <- far:
+			return near, nil
+		case <-l.closed:
+			return nil, &net.OpError{Op: "dial", Net: "pipe", Err: syscall.ECONNREFUSED}
+		case <-ctx.Done():
+			return nil, eris.Wrap(ctx.Err(), "exchange: dial")
+		}
+	}
+}
+
+type pipeListener struct {
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return pipeAddr(l.address) }
+
+type pipeAddr string
+
+func (pipeAddr) Network() string  { return "pipe" }
+func (a pipeAddr) String() string { return string(a) }
--- /dev/null
+++ b/internal/limit/wallet.go
@@ -0,0 +1,133 @@
+package limit
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+const (
+	// useWindow is the time constant of the recent use that sizes a batch.
+	useWindow = time.Second
+	// lapseTime is the time after which unused units of a batch are dropped.
+	// They are not returned: a lost or repeated message could then create
+	// units, while a lapse only wastes about a second of one entry's use.
+	lapseTime = 2 * time.Second
+	// maxWallets bounds the active workspaces of an entry.
+	maxWallets = 16_000
+)
+
+// Wallets keeps the borrowed batches of one entry. It belongs to the control
+// goroutine.
+type Wallets struct {
+	items  map[model.Workspace]*wallet
+	lapses bool // unused units lapse; tests switch it off
+}
+
+type wallet struct {
+	units int64
+	until time.Time // when units lapse
+	use   float64   // decaying count of units used, about one useWindow of use
+	seen  time.Time
+	local *bucket // share of the limit while the home cannot be reached
+}
+
+// NewWallets returns an empty table.
+func NewWallets() *Wallets { return &Wallets{items: map[model.Workspace]*wallet{}, lapses: true} }
+
+// Spend takes cost units from the batch of ws and reports whether it held them.
+func (w *Wallets) Spend(now time.Time, ws model.Workspace, cost int64) bool {
+	it := w.wallet(now, ws)
+	it.note(now, cost)
+	return it.spend(now, cost, w.lapses)
+}
+
+// Retry is Spend for a request whose use was noted before.
+func (w *Wallets) Retry(now time.Time, ws model.Workspace, cost int64) bool {
+	return w.wallet(now, ws).spend(now, cost, w.lapses)
+}
+
+func (w *Wallets) wallet(now time.Time, ws model.Workspace) *wallet {
+	it := w.items[ws]
+	if it == nil {
+		if len(w.items) >= maxWallets {
+			w.Sweep(now)
+		}
+		it = &wallet{seen: now}
+		w.items[ws] = it
+	}
+	return it
+}
+
+func (it *wallet) note(now time.Time, cost int64) {
+	it.use = it.recent(now) + float64(cost)
+	it.seen = now
+}
+
+func (it *wallet) recent(now time.Time) float64 {
+	return it.use * math.Exp(-now.Sub(it.seen).Seconds()/useWindow.Seconds())
+}
+
+func (it *wallet) spend(now time.Time, cost int64, lapses bool) bool {
+	if lapses && !now.Before(it.until) {
+		it.units = 0
+	}
+	if it.units < cost {
+		return false
+	}
+	it.units -= cost
+	return true
+}
+
+// Wish returns how many units to borrow for a request of the given cost: its
+// cost or a second of recent use.
+func (w *Wallets) Wish(now time.Time, ws model.Workspace, cost int64) int64 {
+	it := w.wallet(now, ws)
+	return max(cost, int64(it.recent(now))) - it.units
+}
+
+// Low returns the workspaces of which less than half a second of use is left
+// and how much to borrow for each, so that one call serves all of them.
+func (w *Wallets) Low(now time.Time, of func(model.Workspace) bool) map[model.Workspace]int64 {
+	out := map[model.Workspace]int64{}
+	for ws, it := range w.items {
+		recent := int64(it.recent(now))
+		if recent > 0 && it.units < recent/2 && of(ws) {
+			out[ws] = recent - it.units
+		}
+	}
+	return out
+}
+
+// Credit adds a borrowed batch.
+func (w *Wallets) Credit(now time.Time, ws model.Workspace, units int64) {
+	it := w.wallet(now, ws)
+	it.units += units
+	it.until = now.Add(lapseTime)
+}
+
+// SpendLocal decides by the local share limit/entries while the home cannot be
+// reached. A request larger than the share's burst passes when the share is
+// full, so every workspace gets at least one request.
+func (w *Wallets) SpendLocal(now time.Time, ws model.Workspace, p Plan, entries int, cost int64) Grant {
+	n := int64(max(1, entries))
+	share := Plan{Rate: max(1, p.Rate/n), Burst: max(1, p.Burst/n)}
+	it := w.wallet(now, ws)
+	if it.local == nil {
+		it.local = newBucket(now, share)
+	}
+	it.local.set(now, share)
+	return it.local.take(now, cost, cost)
+}
+
+// Sweep drops wallets that hold nothing.
+func (w *Wallets) Sweep(now time.Time) {
+	maps.DeleteFunc(w.items, func(_ model.Workspace, it *wallet) bool {
+		return (it.units == 0 || !now.Before(it.until)) && it.recent(now) < 1 && (it.local == nil || it.local.full(now))
+	})
+}
+
+// Len returns the number of wallets.
+func (w *Wallets) Len() int { return len(w.items) }
--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -42,9 +42,12 @@
 	ReasonDuplicate      Reason = "duplicate"
 	ReasonDeadline       Reason = "deadline_exceeded"
 	ReasonEndpointFailed Reason = "endpoint_failed"
-	ReasonUnreachable    Reason = "unreachable"
-	ReasonCancelled      Reason = "cancelled"
-	ReasonInternal       Reason = "internal"
+	// ReasonCrashed means that the endpoint's connection ended while the request
+	// ran there.
+	ReasonCrashed     Reason = "endpoint_crashed"
+	ReasonUnreachable Reason = "unreachable"
+	ReasonCancelled   Reason = "cancelled"
+	ReasonInternal    Reason = "internal"
 )
 
 // Refusal is the error that ends a request without a whole answer.
@@ -55,6 +58,7 @@
 	RetryAfter time.Duration // 0 means that no time is suggested
 	LoadRatio  float64       // load of the refusing endpoint over the pool mean
 	Owner      EndpointID    // endpoint to ask instead, with ReasonNotOwner
+	Crash      string        // id of the crash, with ReasonCrashed
 }
 
 // Error implements error.
--- a/internal/side/deps.go
+++ b/internal/side/deps.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 )
@@ -13,4 +14,5 @@
 	Logs     logsvc.Log
 	List     instances.List
 	Endpoint Endpoint
+	Dial     exchange.Dialer // to control addresses; nil means TCP
 }
--- /dev/null
+++ b/internal/side/exchange.go
@@ -0,0 +1,143 @@
+package side
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+	"github.com/goldcrestturn/goldcrestturn/internal/summary"
+	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
+)
+
+func (p *Side) newNode() *exchange.Node {
+	return exchange.New(exchange.Config{Key: p.settings.Key, Budget: p.settings.ControlBudget, Dial: p.deps.Dial})
+}
+
+// Meter returns the byte counts of the control exchange.
+func (p *Side) Meter() *exchange.Meter { return p.node.Meter() }
+
+// ServeControl serves the peers of the control exchange until ctx ends.
+func (p *Side) ServeControl(ctx context.Context, l net.Listener) error { return p.node.Serve(ctx, l) }
+
+func (p *Side) startExchange(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error { p.node.Run(ctx); return nil })
+	g.Go(func() error { p.reportLoad(ctx); return nil })
+	g.Go(func() error { p.appendCrashes(ctx); return nil })
+	g.Go(func() error { p.followSuspects(ctx); return nil })
+}
+
+func (p *Side) followInstances(ctx context.Context) {
+	each := func(ch instances.Changes) { _ = p.loop.Post(ctx, listChanged{ch}) }
+	failed := func(err error) { p.log.Warn("instance list cannot be read", "error", err) }
+	instances.Follow(ctx, p.deps.List, each, failed)
+}
+
+// reportPeriod is the interval of the reports. They go to the two holders in
+// turn, so each hears from the endpoint every 2 s and the side hears the mean
+// every second; both at once would double the bytes for no fresher mean.
+const reportPeriod = time.Second
+
+// reportLoad reports to the holders until ctx ends.
+func (p *Side) reportLoad(ctx context.Context) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	asked := map[string]float64{} // stretch that each holder asked for
+	for turn := 0; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		plan, err := control.Ask(ctx, p.loop, takeReport{Question: control.NewQuestion[reportPlan]()})
+		if err != nil {
+			return
+		}
+		used := map[string]float64{}
+		for i := range plan.holders {
+			address := plan.holders[(turn+i)%len(plan.holders)]
+			used[address] = asked[address]
+			if stretch, err := p.report(ctx, address, plan); err == nil {
+				used[address] = stretch
+				break
+			}
+		}
+		for _, address := range plan.holders {
+			if _, now := used[address]; !now {
+				used[address] = asked[address]
+			}
+		}
+		asked = used
+		t.Reset(time.Duration(float64(reportPeriod) * p.stretch(asked)))
+	}
+}
+
+// stretch returns the largest factor that a holder or the own budget asks for.
+func (p *Side) stretch(asked map[string]float64) float64 {
+	factor := p.node.Meter().Stretch(time.Now())
+	for _, f := range asked {
+		factor = max(factor, f)
+	}
+	return min(factor, exchange.MaxStretch)
+}
+
+// report sends one report and posts what the reply brings. It returns the
+// stretch that the holder asks for.
+func (p *Side) report(ctx context.Context, address string, plan reportPlan) (float64, error) {
+	args := exchange.FromReport(plan.report)
+	args.News.Crashes = exchange.FromCrashes(plan.crashes, time.Now())
+	sent := time.Now()
+	var reply exchange.ReportReply
+	if err := p.node.Call(ctx, address, exchange.MethodReport, args, &reply); err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	mean, err := reply.Mean.Model()
+	if err != nil {
+		return 0, err
+	}
+	crashes, err := reply.News.Model(now)
+	if err != nil {
+		return 0, err
+	}
+	if mean.Endpoints > 0 {
+		// The mean may be as old as the call, so its age counts from the sending.
+		_ = p.loop.Post(ctx, meanReceived{PoolMean{PerEndpoint: mean.PerEndpoint, Endpoints: mean.Endpoints, MeasuredAt: sent.Add(-mean.Age)}})
+	}
+	_ = p.loop.Post(ctx, newsHeard{offset: reply.News.ConfigOffset, verdicts: reply.News.Verdicts, crashes: crashes})
+	return float64(reply.Percent) / 100, nil
+}
+
+// AnnounceLeaving makes the side leave: it tells all entries at once.
+func (p *Side) AnnounceLeaving(ctx context.Context) {
+	_ = p.loop.Post(ctx, leavingStarted{})
+	peers := p.loop.Snapshot().Peers
+	notice := "leaving/" + string(p.settings.Instance)
+	for tree := range summary.SpreadTrees {
+		first := peers.Addresses(summary.SpreadNext(notice, tree, p.settings.Instance, peers.Entries))
+		args := exchange.LeavingArgs{Instance: string(p.settings.Instance), Tree: tree}
+		p.node.Spread(ctx, first, exchange.MethodLeaving, args, exchange.CallTimeout)
+	}
+}
+
+// followSuspects reads the crashes that sides appended to the log.
+func (p *Side) followSuspects(ctx context.Context) {
+	each := func(b logsvc.Batch) {
+		var crashes []suspect.Crash
+		for _, r := range b.Records {
+			c, err := suspect.Decode(r.Data, time.UnixMilli(r.AppendedMS))
+			if err != nil {
+				p.log.Warn("record was skipped", "stream", suspect.Stream, "offset", r.Offset, "error", err)
+				continue
+			}
+			crashes = append(crashes, c)
+		}
+		_ = p.loop.Post(ctx, newsHeard{offset: -1, crashes: crashes})
+	}
+	logsvc.Follow(ctx, p.deps.Logs, suspect.Stream, 0, each, func(error) {})
+}
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -8,7 +8,9 @@
 // trafficPipeline lists the filters between decode and encode.
 func (p *Side) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
+		guard{p.loop.Snapshot},
 		admit{p.loop},
+		watchCrash{p},
 		run{p.deps.Endpoint},
 	)
 }
@@ -17,7 +19,11 @@
 func (p *Side) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
 		foldConfig{p.log},
+		foldMembers{},
+		derivePeers{p.settings},
 		foldMean{},
+		foldSuspects{p.settings.Instance},
 		decideAdmission{p.settings},
+		draftReport{p.settings},
 	}
 }
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -15,11 +15,13 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/endpointapi"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
 	"github.com/goldcrestturn/goldcrestturn/internal/program"
+	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 	"github.com/goldcrestturn/goldcrestturn/internal/wire"
 )
 
@@ -32,17 +34,20 @@
 	deps     Deps
 	log      *slog.Logger
 	loop     *control.Loop[State, Snapshot]
+	node     *exchange.Node
+	crashes  chan suspect.Crash // to the log
 }
 
 // New returns a side process. Start starts it.
 func New(s Settings, deps Deps) *Side {
-	p := &Side{settings: s, deps: deps, log: deps.Log}
+	p := &Side{settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue)}
 	p.loop = control.New(control.Config[State, Snapshot]{
 		State:   newState(),
 		Stages:  p.controlPipeline(),
 		Publish: publish,
 		Tick:    controlTick,
 	})
+	p.node = p.newNode()
 	return p
 }
 
@@ -56,6 +61,10 @@
 	if err != nil {
 		return eris.Wrap(err, "side: admin address cannot be used")
 	}
+	peers, err := net.Listen("tcp", s.Control)
+	if err != nil {
+		return eris.Wrap(err, "side: control address cannot be used")
+	}
 	var endpoint Endpoint = endpointapi.NewEngine(s.Endpoint, s.EndpointID())
 	if s.Kind == model.Service {
 		endpoint = endpointapi.NewService(s.Endpoint, s.EndpointID())
@@ -66,17 +75,18 @@
 		List:     instances.NewClient(s.InstanceList),
 		Endpoint: endpoint,
 	})
-	return p.Serve(ctx, traffic, admin)
+	return p.Serve(ctx, traffic, admin, peers)
 }
 
 // Serve serves entries and operators until ctx ends, then drains.
-func (p *Side) Serve(ctx context.Context, traffic, admin net.Listener) error {
+func (p *Side) Serve(ctx context.Context, traffic, admin, peers net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var g errgroup.Group
 	p.Start(background, &g)
 	g.Go(func() error {
 		return program.Serve(background, program.NewServer(program.Admin(p.ready, p.status)), admin, time.Second)
 	})
+	g.Go(func() error { return p.ServeControl(background, peers) })
 	p.log.Info("started", "instance", p.settings.Instance, "listen", traffic.Addr().String())
 	err := program.Serve(ctx, program.NewServer(p.Handler()), traffic, p.settings.DrainTime)
 	stop()
@@ -90,6 +100,8 @@
 func (p *Side) Start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { p.loop.Run(ctx); return nil })
 	g.Go(func() error { p.followConfig(ctx); return nil })
+	g.Go(func() error { p.followInstances(ctx); return nil })
+	p.startExchange(ctx, g)
 }
 
 func (p *Side) followConfig(ctx context.Context) {
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -5,6 +5,8 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -15,6 +17,8 @@
 	Running map[model.RequestID]model.Cost // admitted and not yet finished
 	Load    int64                          // cost units of Running
 	Mean    PoolMean                       // last known mean load of the pool
+	Members *member.Table
+	exchangeState
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -31,6 +35,8 @@
 	Config  *config.Accepted
 	Load    int64
 	Running int
+	Peers   *member.Peers // processes of the region in the control exchange
+	exchangeView
 }
 
 // Events of the side's control pipeline.
@@ -47,6 +53,8 @@
 	}
 	// meanReceived carries a new pool mean from a summary holder.
 	meanReceived struct{ mean PoolMean }
+	// listChanged carries changes of the platform's instance list.
+	listChanged struct{ changes instances.Changes }
 	// workDone ends the work of an admitted request.
 	workDone struct{ id model.RequestID }
 )
@@ -55,11 +63,12 @@
 func (admitRequest) EventName() string { return "admit_request" }
 func (workDone) EventName() string     { return "work_done" }
 func (meanReceived) EventName() string { return "mean_received" }
+func (listChanged) EventName() string  { return "list_changed" }
 
 func newState() *State {
-	return &State{Config: config.Empty(), Running: map[model.RequestID]model.Cost{}}
+	return &State{Config: config.Empty(), Running: map[model.RequestID]model.Cost{}, Members: member.NewTable(), exchangeState: newExchangeState()}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running)}
+	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running), Peers: s.peers, exchangeView: s.view()}
 }
--- /dev/null
+++ b/internal/summary/place.go
@@ -0,0 +1,87 @@
+package summary
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Key names the endpoints that share a mean. Regions are separate, so that a
+// partition between them changes nothing.
+type Key struct {
+	Pool   model.Pool
+	Region model.Region
+}
+
+const (
+	// groupSize is the average number of endpoints of a group. Larger groups
+	// load their holder more, smaller ones the roots.
+	groupSize = 12
+	// maxSingleGroup is the largest pool whose group holders are its roots. It
+	// saves the second hop at the first users' sizes.
+	maxSingleGroup = 16
+	// holders is the number of holders of a group and of roots of a pool, so
+	// that the loss of one leaves a complete sum.
+	holders = 2
+)
+
+// Groups returns the number of groups for a pool of n endpoints in a region.
+func Groups(n int) int {
+	if n <= maxSingleGroup {
+		return 1
+	}
+	return int(math.Round(float64(n) / groupSize))
+}
+
+// Group returns the group of an endpoint by rendezvous over the groups, so a
+// change of their number moves as few endpoints as possible.
+func Group(id model.EndpointID, groups int) int {
+	best, high := 0, uint64(0)
+	for g := range groups {
+		if h := xxhash.Sum64String("group\x00" + string(id) + "\x00" + strconv.Itoa(g)); h > high {
+			best, high = g, h
+		}
+	}
+	return best
+}
+
+// Holders returns the entries that sum up a group, the first one preferred.
+func Holders(k Key, group int, entries []model.InstanceID) []model.InstanceID {
+	return Rendezvous("holder\x00"+k.name()+"\x00"+strconv.Itoa(group), entries, holders)
+}
+
+// Roots returns the entries that merge the groups of a pool. With one group
+// they are its holders.
+func Roots(k Key, groups int, entries []model.InstanceID) []model.InstanceID {
+	if groups == 1 {
+		return Holders(k, 0, entries)
+	}
+	return Rendezvous("root\x00"+k.name(), entries, holders)
+}
+
+func (k Key) name() string { return string(k.Pool) + "\x00" + string(k.Region) }
+
+// Rendezvous returns the first n ids in the rendezvous order of key.
+func Rendezvous(key string, ids []model.InstanceID, n int) []model.InstanceID {
+	type scored struct {
+		id   model.InstanceID
+		hash uint64
+	}
+	list := make([]scored, len(ids))
+	for i, id := range ids {
+		list[i] = scored{id, xxhash.Sum64String(key + "\x00" + string(id))}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.id, b.id))
+	})
+	out := make([]model.InstanceID, 0, n)
+	for _, s := range list[:min(n, len(list))] {
+		out = append(out, s.id)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/suspect/record.go
@@ -0,0 +1,40 @@
+package suspect
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Stream is the name of the stream of crashes in the log service.
+const Stream = "suspects"
+
+type record struct {
+	ID           string           `json:"id"`
+	Endpoint     model.EndpointID `json:"endpoint"`
+	Fingerprints []uint64         `json:"fingerprints"`
+}
+
+// Encode returns the log record of a crash. The log adds the time.
+func Encode(c Crash) ([]byte, error) {
+	data, err := json.Marshal(record{c.ID, c.Endpoint, c.Fingerprints})
+	return data, eris.Wrap(err, "suspect: record cannot be encoded")
+}
+
+// maxIDBytes bounds the identifiers in a record.
+const maxIDBytes = 128
+
+// Decode decodes a log record that was appended at the given time.
+func Decode(data []byte, appended time.Time) (Crash, error) {
+	var r record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Crash{}, eris.Wrap(err, "suspect: record is malformed")
+	}
+	if r.ID == "" || len(r.ID) > maxIDBytes || len(r.Endpoint) > maxIDBytes || len(r.Fingerprints) > MaxPerCrash {
+		return Crash{}, eris.New("suspect: record is out of its bounds")
+	}
+	return Crash{ID: r.ID, Endpoint: r.Endpoint, At: appended, Fingerprints: r.Fingerprints}, nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -109,13 +109,14 @@
 	RetryAfterMS int64            `json:"retry_after_ms,omitempty"`
 	LoadRatio    float64          `json:"load_ratio,omitempty"`
 	Owner        model.EndpointID `json:"owner,omitempty"`
+	Crash        string           `json:"crash,omitempty"`
 }
 
 // FromRefusal returns the encoded form of r.
 func FromRefusal(r *model.Refusal) Refusal {
 	return Refusal{
 		Outcome: r.Outcome, Reason: r.Reason, Detail: r.Detail,
-		RetryAfterMS: r.RetryAfter.Milliseconds(), LoadRatio: r.LoadRatio, Owner: r.Owner,
+		RetryAfterMS: r.RetryAfter.Milliseconds(), LoadRatio: r.LoadRatio, Owner: r.Owner, Crash: r.Crash,
 	}
 }
 
@@ -123,7 +124,7 @@
 func (w Refusal) Model() *model.Refusal {
 	return &model.Refusal{
 		Outcome: w.Outcome, Reason: w.Reason, Detail: w.Detail,
-		RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond, LoadRatio: w.LoadRatio, Owner: w.Owner,
+		RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond, LoadRatio: w.LoadRatio, Owner: w.Owner, Crash: w.Crash,
 	}
 }
 
