Measure control bytes and the age of the mean on real connections

Cause: nothing showed what the exchange costs at the first users' sizes.

Change: scenarios exchange/bytes and exchange/age run real entries and sides over in-memory connections with delays in virtual time. One borrow serves all workspaces of a home that run low; the overhead counts the acknowledgement of a request as part of its reply; a holder passes a root's mean on only up to 4 s of age; a crash notice reaches the sides of the pool too; equal requests without a chat share one endpoint order.

--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -18,6 +18,7 @@
 	List      instances.List
 	Transport http.RoundTripper // to the side processes
 	Dial      exchange.Dialer   // to control addresses; nil means TCP
+	Jitter    func() float64    // uniform in [0, 1); nil means math/rand
 }
 
 // dialTimeout bounds the wait for a connection to a side process. Data centres
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -21,7 +20,7 @@
 
 func (e *Entry) newNode() *exchange.Node {
 	n := exchange.New(exchange.Config{Key: e.settings.Key, Budget: e.settings.ControlBudget, Dial: e.deps.Dial})
-	if err := n.Register(exchange.EntryService, &peerService{e}); err != nil {
+	if err := n.Register(exchange.Service, &peerService{e}); err != nil {
 		panic(err) // the method set does not fit net/rpc: a fault in the program
 	}
 	return n
@@ -124,10 +123,6 @@
 	return err
 }
 
-// hopTime is the time by which each hop of a crash notice shortens the wait for
-// the next one, so that a dead entry far down does not fail the hops before it.
-const hopTime = 200 * time.Millisecond
-
 // Crash takes a crash notice, passes it on and waits until the entries behind
 // it have it, so that the request cannot come back before the notice.
 func (s *peerService) Crash(a exchange.CrashArgs, _ *exchange.Ack) error {
@@ -135,10 +130,8 @@
 	if err != nil {
 		return err
 	}
-	next, err := askPeer(s, crashHeard{Question: control.NewQuestion[[]string](), crash: crash, tree: a.Tree})
-	wait := time.Duration(a.WaitMS) * time.Millisecond
-	a.WaitMS -= hopTime.Milliseconds()
-	s.e.node.Spread(context.Background(), next, exchange.MethodCrash, a, min(wait, exchange.CallTimeout))
+	next, err := askPeer(s, crashHeard{Question: control.NewQuestion[[]string](), crash: crash, pool: model.Pool(a.Pool), tree: a.Tree})
+	s.e.node.PassOn(next, a)
 	return err
 }
 
@@ -195,10 +188,10 @@
 	firstPull = time.Second
 )
 
-// pullCrashes asks a random entry for crashes: after the start for all, later
+// pullCrashes asks the other entries in turn for crashes: after the start for all, later
 // for those of the last periods.
 func (e *Entry) pullCrashes(ctx context.Context) {
-	within, pause := suspect.Lifetime, firstPull
+	within, pause, turn := suspect.Lifetime, firstPull, 0
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
@@ -207,19 +200,20 @@
 			return
 		case <-t.C:
 		}
-		if e.pullFrom(ctx, e.loop.Snapshot().Peers, within) {
+		turn++
+		if e.pullFrom(ctx, e.loop.Snapshot().Peers, turn, within) {
 			within, pause = 4*pullPeriod, pullPeriod
 		}
 		t.Reset(pause)
 	}
 }
 
-func (e *Entry) pullFrom(ctx context.Context, peers *member.Peers, within time.Duration) bool {
+func (e *Entry) pullFrom(ctx context.Context, peers *member.Peers, turn int, within time.Duration) bool {
 	others := slices.DeleteFunc(slices.Clone(peers.Entries), func(id model.InstanceID) bool { return id == e.settings.Instance })
 	if len(others) == 0 {
 		return false
 	}
-	address := peers.Address(others[rand.IntN(len(others))])
+	address := peers.Address(others[turn%len(others)])
 	var reply exchange.News
 	err := e.node.Call(ctx, address, exchange.MethodCrashes, exchange.CrashesArgs{WithinMS: within.Milliseconds()}, &reply)
 	return err == nil && e.hear(reply) == nil
--- a/internal/entry/limit.go
+++ b/internal/entry/limit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -40,7 +39,7 @@
 	if !verdict.allowed {
 		limitRefused.Inc()
 		r := model.Refuse(model.ReasonLimit, fmt.Sprintf("the plan allows %d cost units a second", plan.Rate))
-		r.RetryAfter = retry.After(verdict.retryAfter, rand.Float64())
+		r.RetryAfter = retry.After(verdict.retryAfter, f.entry.jitter())
 		return nil, r
 	}
 	return next(ctx, req)
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -25,7 +25,7 @@
 	if !ok || refusal.Outcome == model.NotRun {
 		return ok
 	}
-	t := time.NewTimer(retry.Backoff(req.Attempt+1, rand.Float64()))
+	t := time.NewTimer(retry.Backoff(req.Attempt+1, e.jitter()))
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -34,3 +34,10 @@
 		return false
 	}
 }
+
+func (e *Entry) jitter() float64 {
+	if e.deps.Jitter != nil {
+		return e.deps.Jitter()
+	}
+	return rand.Float64()
+}
--- a/internal/entry/stage_summary.go
+++ b/internal/entry/stage_summary.go
@@ -43,34 +43,14 @@
 		return st.leaving(s, now, ev)
 	case control.Tick:
 		s.holder.Sweep(now)
-		for n, at := range s.notices {
-			if now.Sub(at) > noticeTime {
-				delete(s.notices, n)
-			}
-		}
+		s.notices.Sweep(now)
 	}
 	return false
 }
 
-// noticeTime is how long a notice is remembered, so that it passes an entry
-// once in each tree.
-const noticeTime = time.Minute
-
-// maxNotices bounds the notices that are remembered.
-const maxNotices = 4096
-
-// passOn returns where a notice goes on in its tree, or nothing if it has
-// passed before.
-func (s *exchangeState) passOn(now time.Time, n notice, self model.InstanceID) []string {
-	if _, passed := s.notices[n]; passed || len(s.notices) >= maxNotices {
-		return nil
-	}
-	s.notices[n] = now
-	return s.peers.Addresses(summary.SpreadNext(n.id, n.tree, self, s.peers.Entries))
-}
-
 func (st sumReports) leaving(s *State, now time.Time, ev leavingHeard) bool {
-	ev.Reply(s.passOn(now, notice{"leaving/" + string(ev.instance), ev.tree}, st.settings.Instance))
+	next := s.notices.PassOn(now, "leaving/"+string(ev.instance), ev.tree, st.settings.Instance, s.peers.Entries)
+	ev.Reply(s.peers.Addresses(next))
 	s.holder.Add(now, summary.Report{Endpoint: model.EndpointID(ev.instance), Leaving: true})
 	s.Members.NoteLeaving(ev.instance, now)
 	s.derived = false
@@ -93,7 +73,7 @@
 	}
 	var out []groupsPlan
 	for _, k := range keys {
-		groups := summary.Groups(s.peers.Endpoints[k.Pool])
+		groups := summary.Groups(s.peers.Count(k.Pool))
 		if groups == 1 {
 			continue
 		}
--- a/internal/entry/stage_suspects.go
+++ b/internal/entry/stage_suspects.go
@@ -27,7 +27,8 @@
 		}
 	case crashHeard:
 		changed = s.suspects.Add(now, ev.crash) || changed
-		ev.Reply(s.passOn(now, notice{"crash/" + ev.crash.ID, ev.tree}, st.self))
+		next := s.notices.PassOn(now, "crash/"+ev.crash.ID, ev.tree, st.self, s.peers.Around(ev.pool, model.InstanceID(ev.crash.Endpoint)))
+		ev.Reply(s.peers.Addresses(next))
 	case crashesAsked:
 		ev.Reply(s.suspects.Recent(now, ev.within))
 	case repeatRequest:
--- a/internal/entry/state_exchange.go
+++ b/internal/entry/state_exchange.go
@@ -26,24 +26,18 @@
 	suspects  *suspect.Table
 	refused   suspect.View     // replaced, never changed
 	released  *config.Accepted // whose released fingerprints suspects knows
-	notices   map[notice]time.Time
+	notices   summary.Notices
 }
 
 // exchangeView is the part of the snapshot that the exchange feeds.
 type exchangeView struct{ Suspects suspect.View }
 
-// notice names a spread notice in one tree.
-type notice struct {
-	id   string
-	tree int
-}
-
 func newExchangeState() exchangeState {
 	return exchangeState{
 		peers: &member.Peers{}, holder: summary.NewHolder(), verdicts: summary.Verdicts{},
 		home: limit.NewHome(), wallets: limit.NewWallets(), borrowing: map[model.Workspace][]spendRequest{},
 		homeDown: map[model.InstanceID]time.Time{}, budgets: retry.NewBudgets(),
-		suspects: suspect.NewTable(), notices: map[notice]time.Time{},
+		suspects: suspect.NewTable(), notices: summary.Notices{},
 	}
 }
 
@@ -103,6 +97,7 @@
 	crashHeard struct {
 		control.Question[[]string]
 		crash suspect.Crash
+		pool  model.Pool
 		tree  int
 	}
 	// leavingHeard is a leaving notice on its way through a tree.
--- a/internal/exchange/messages.go
+++ b/internal/exchange/messages.go
@@ -11,10 +11,10 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
-// Methods of the exchange. The service names are short since every call carries
-// them.
+// Methods of the exchange. The service name is short since every call carries
+// it. Entries serve all of them, sides serve Crash only.
 const (
-	EntryService  = "E"
+	Service       = "E"
 	MethodReport  = "E.Report"
 	MethodGroups  = "E.Groups"
 	MethodBorrow  = "E.Borrow"
@@ -254,6 +254,7 @@
 // CrashArgs spreads a crash.
 type CrashArgs struct {
 	Crash  Crash
+	Pool   string
 	Tree   int
 	WaitMS int64 // time to wait for the acknowledgements of the next hop
 }
--- a/internal/exchange/meter.go
+++ b/internal/exchange/meter.go
@@ -11,13 +11,14 @@
 
 // Overhead that a node adds to the bytes of its connections, since the kernel
 // does not tell them: IPv4 and TCP headers with the timestamp option are 52
-// bytes a segment, and every segment is taken to cost one acknowledgement
-// without data in the other direction. Delayed acknowledgements ride on a reply
-// in most exchanges, so the true count lies below.
+// bytes a segment. The acknowledgement of a request rides on its reply, which
+// comes within the 40 ms for which Linux delays it; that of the reply is a
+// segment of its own. So two segments with data cost one without, half of which
+// is charged to each.
 const (
 	segmentBytes  = 1448
 	headerBytes   = 52
-	overheadBytes = 2 * headerBytes
+	overheadBytes = headerBytes + headerBytes/2
 )
 
 // budgetBurst is the time whose budget may be used at once.
--- a/internal/exchange/pipenet.go
+++ b/internal/exchange/pipenet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -15,6 +17,8 @@
 	// Cut reports whether two addresses cannot reach each other; nil means that
 	// all can. It is asked when a connection is made.
 	Cut func(from, to string) bool
+	// Delay is the time one way; nil means none.
+	Delay func(from, to string) time.Duration
 }
 
 // NewPipeNet returns a network with a listener for each address.
@@ -36,22 +40,35 @@
 		if l == nil || p.Cut != nil && p.Cut(from, to) {
 			return nil, &net.OpError{Op: "dial", Net: "pipe", Err: syscall.ECONNREFUSED}
 		}
-		near, far := net.Pipe()
+		near, far := p.pair(from, to)
 		select {
 		case l.conns <- far:
 			return near, nil
 		case <-l.closed:
+			near.Close()
+			far.Close()
 			return nil, &net.OpError{Op: "dial", Net: "pipe", Err: syscall.ECONNREFUSED}
 		case <-ctx.Done():
+			near.Close()
+			far.Close()
 			return nil, eris.Wrap(ctx.Err(), "exchange: dial")
 		}
 	}
 }
 
+func (p *PipeNet) pair(from, to string) (near, far net.Conn) {
+	near, far = net.Pipe()
+	if p.Delay == nil {
+		return near, far
+	}
+	return newDelayedConn(near, p.Delay(from, to)), newDelayedConn(far, p.Delay(to, from))
+}
+
 type pipeListener struct {
 	address string
 	conns   chan net.Conn
 	closed  chan struct{}
+	once    sync.Once
 }
 
 func (l *pipeListener) Accept() (net.Conn, error) {
@@ -64,11 +81,7 @@
 }
 
 func (l *pipeListener) Close() error {
-	select {
-	case <-l.closed:
-	default:
-		close(l.closed)
-	}
+	l.once.Do(func() { close(l.closed) })
 	return nil
 }
 
--- a/internal/exchange/spread.go
+++ b/internal/exchange/spread.go
@@ -30,3 +30,15 @@
 		}
 	}
 }
+
+// hopTime is the time by which each hop of a crash notice shortens the wait for
+// the next one, so that a dead process far down does not fail the hops before.
+const hopTime = 200 * time.Millisecond
+
+// PassOn passes a crash notice on and waits until the processes behind have it,
+// so that the request cannot come back before the notice.
+func (n *Node) PassOn(addresses []string, a CrashArgs) {
+	wait := min(millis(a.WaitMS), CallTimeout)
+	a.WaitMS -= hopTime.Milliseconds()
+	n.Spread(context.Background(), addresses, MethodCrash, a, wait)
+}
--- a/internal/limit/wallet.go
+++ b/internal/limit/wallet.go
@@ -31,6 +31,7 @@
 	until time.Time // when units lapse
 	use   float64   // decaying count of units used, about one useWindow of use
 	seen  time.Time
+	last  int64 // cost of the last request
 	local *bucket // share of the limit while the home cannot be reached
 }
 
@@ -63,7 +64,7 @@
 
 func (it *wallet) note(now time.Time, cost int64) {
 	it.use = it.recent(now) + float64(cost)
-	it.seen = now
+	it.seen, it.last = now, cost
 }
 
 func (it *wallet) recent(now time.Time) float64 {
@@ -85,26 +86,36 @@
 // cost or a second of recent use.
 func (w *Wallets) Wish(now time.Time, ws model.Workspace, cost int64) int64 {
 	it := w.wallet(now, ws)
-	return max(cost, int64(it.recent(now))) - it.units
+	return max(cost, int64(it.recent(now))) - it.held(now, w.lapses)
 }
 
-// Low returns the workspaces of which less than half a second of use is left
-// and how much to borrow for each, so that one call serves all of them.
+// Low returns the workspaces whose batch runs low and how much to borrow for
+// each, so that one call serves all of them: a second of recent use, at least
+// one request like the last one. Workspaces without recent use are left out.
 func (w *Wallets) Low(now time.Time, of func(model.Workspace) bool) map[model.Workspace]int64 {
 	out := map[model.Workspace]int64{}
 	for ws, it := range w.items {
 		recent := int64(it.recent(now))
-		if recent > 0 && it.units < recent/2 && of(ws) {
-			out[ws] = recent - it.units
+		want := max(recent, it.last)
+		held := it.held(now, w.lapses)
+		if recent >= it.last/4 && held < want && of(ws) {
+			out[ws] = want - held
 		}
 	}
 	return out
 }
 
+func (it *wallet) held(now time.Time, lapses bool) int64 {
+	if lapses && !now.Before(it.until) {
+		return 0
+	}
+	return it.units
+}
+
 // Credit adds a borrowed batch.
 func (w *Wallets) Credit(now time.Time, ws model.Workspace, units int64) {
 	it := w.wallet(now, ws)
-	it.units += units
+	it.units = it.held(now, w.lapses) + units
 	it.until = now.Add(lapseTime)
 }
 
--- /dev/null
+++ b/internal/measure/exchange.go
@@ -0,0 +1,163 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Targets of the control exchange from docs/design.md, sections 1 and D2.
+const (
+	exMaxBytes = exBudget // bytes a second and node at the first users' sizes
+	exMaxAge   = 6        // seconds; the staleness limit
+)
+
+// exchangeScenarios lists the scenarios of the control exchange.
+func exchangeScenarios() []Scenario {
+	return []Scenario{
+		{Name: "exchange/bytes", Run: exchangeBytes},
+		{Name: "exchange/age", Run: exchangeAge},
+	}
+}
+
+// exchangeBytes counts control bytes on the wire while every workspace is busy
+// at every entry.
+func exchangeBytes(env Env) []Figure {
+	var out []Figure
+	for _, u := range exUsers {
+		env.Bubble(func() {
+			f := newExFleet(env, u)
+			const span = 60 * time.Second
+			stop := f.load(span)
+			f.wait(5 * time.Second) // the buckets of the budget settle
+			before := f.usage()
+			f.wait(span - 10*time.Second)
+			entry, side := 0.0, 0.0
+			for id, total := range f.usage() {
+				rate := float64(total-before[id]) / (span - 10*time.Second).Seconds()
+				if strings.HasPrefix(id, "entry") {
+					entry = max(entry, rate)
+				} else {
+					side = max(side, rate)
+				}
+			}
+			stop()
+			f.end()
+			out = append(out,
+				Figure{Name: "exchange/bytes/" + u.name + "/entry", Value: exRound(entry), Unit: "B/s", Relation: AtMost, Target: exMaxBytes},
+				Figure{Name: "exchange/bytes/" + u.name + "/side", Value: exRound(side), Unit: "B/s", Relation: AtMost, Target: exMaxBytes},
+			)
+		})
+	}
+	return out
+}
+
+// exRound rounds bytes up to tens: the length of a gob number differs by a byte
+// with its value.
+func exRound(v float64) float64 { return math.Ceil(v/10) * 10 }
+
+// usage returns the bytes of all processes so far.
+func (f *exFleet) usage() map[string]int64 {
+	out := map[string]int64{}
+	for _, e := range f.entries {
+		out[e.id] = e.entry.Meter().Usage().Total()
+	}
+	for _, s := range f.sides {
+		out[s.id] = s.side.Meter().Usage().Total()
+	}
+	return out
+}
+
+// load sends about one request a second of each workspace through each entry.
+func (f *exFleet) load(span time.Duration) (wait func()) {
+	done := make(chan struct{})
+	n := 0
+	for _, e := range f.entries {
+		for ws := range exWorkspaces {
+			n++
+			start := time.Duration(f.rng.IntN(1_000_000)) * time.Microsecond
+			gaps := make([]time.Duration, int(span/time.Second))
+			for i := range gaps {
+				gaps[i] = time.Duration(500_000+f.rng.IntN(1_000_000)) * time.Microsecond
+			}
+			go func() {
+				f.wait(start)
+				for i, gap := range gaps {
+					id := fmt.Sprintf("%s-%d-%d", e.id, ws, i)
+					e.send(f.ctx, ws, "/v1/chat/completions", id, fmt.Sprintf("chat-%d-%d", ws, i%7), fmt.Sprintf(exChatBody, id))
+					f.wait(gap)
+				}
+				done <- struct{}{}
+			}()
+		}
+	}
+	return func() {
+		for range n {
+			select {
+			case <-done:
+			case <-f.ctx.Done():
+			}
+		}
+	}
+}
+
+// exchangeAge samples the age of the mean at all sides through faults, with
+// the log down.
+func exchangeAge(env Env) []Figure {
+	var out []Figure
+	for _, u := range exUsers {
+		env.Bubble(func() {
+			f := newExFleet(env, u)
+			f.lag = func(id string) time.Duration { return time.Duration(len(id)*37%50) * 100 * time.Millisecond }
+			f.logDown.Store(true)
+			f.wait(5 * time.Second)
+			worst := 0.0
+			worstRun := func(span time.Duration) {
+				for end := time.Now().Add(span); time.Now().Before(end); f.wait(97 * time.Millisecond) {
+					for _, s := range f.sides {
+						worst = max(worst, s.side.MeanAge(time.Now()).Seconds())
+					}
+				}
+			}
+			worstRun(5 * time.Second)
+			f.replaceHolders(worstRun)
+			f.flapEntry(worstRun)
+			f.end()
+			out = append(out, Figure{Name: "exchange/age/" + u.name, Value: math.Ceil(worst*10) / 10, Unit: "s", Relation: AtMost, Target: exMaxAge})
+		})
+	}
+	return out
+}
+
+// replaceHolders kills one entry after another and starts a new one for each.
+// The list tells of both seconds later.
+func (f *exFleet) replaceHolders(run func(time.Duration)) {
+	for i, old := range f.entries[:f.user.entries-1] {
+		old.stop()
+		run(3 * time.Second)
+		f.listEntry(old.id, i, instances.Gone)
+		n := f.user.entries + i
+		f.addEntry(fmt.Sprintf("entry-%d", n), n)
+		run(8 * time.Second)
+	}
+}
+
+// flapEntry lets the list report one live entry as gone and back, and every
+// process hears of it at another time.
+func (f *exFleet) flapEntry(run func(time.Duration)) {
+	last := f.entries[len(f.entries)-1]
+	for range 4 {
+		f.listEntry(last.id, 0, instances.Gone)
+		run(2 * time.Second)
+		f.listEntry(last.id, 0, instances.Live)
+		run(2 * time.Second)
+	}
+}
+
+func (f *exFleet) listEntry(id string, i int, status instances.Status) {
+	f.put(instances.Instance{ID: model.InstanceID(id), Role: instances.RoleEntry, DataCentre: f.dc(i), Status: status})
+}
--- a/internal/member/entries.go
+++ b/internal/member/entries.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
@@ -11,15 +10,24 @@
 // Peers is the immutable view of the processes of one region that take part in
 // the control exchange.
 type Peers struct {
-	Entries   []model.InstanceID // usable entries, sorted
-	Endpoints map[model.Pool]int // endpoints by pool, leaving ones included
+	Entries   []model.InstanceID                // usable entries, sorted
+	Sides     map[model.Pool][]model.InstanceID // sides by pool, leaving ones included, sorted
 	addresses map[model.InstanceID]string
 }
 
-// Address returns the control address of an entry, or "" if it is not known.
+// Count returns the number of endpoints of a pool.
+func (p *Peers) Count(pool model.Pool) int { return len(p.Sides[pool]) }
+
+// Around returns the entries and the other sides of the pool around one side:
+// those that may hand over or run a request of the pool.
+func (p *Peers) Around(pool model.Pool, side model.InstanceID) []model.InstanceID {
+	return slices.DeleteFunc(slices.Concat(p.Entries, p.Sides[pool]), func(id model.InstanceID) bool { return id == side })
+}
+
+// Address returns the control address of a process, or "" if it is not known.
 func (p *Peers) Address(id model.InstanceID) string { return p.addresses[id] }
 
-// Addresses returns the control addresses of entries, in order.
+// Addresses returns the control addresses of processes, in order.
 func (p *Peers) Addresses(ids []model.InstanceID) []string {
 	var out []string
 	for _, id := range ids {
@@ -33,17 +41,21 @@
 // PeersOf returns the peers whose data centre is in the region according to
 // inRegion.
 func (t *Table) PeersOf(inRegion func(model.DataCentre) bool) *Peers {
-	p := &Peers{Endpoints: map[model.Pool]int{}, addresses: map[model.InstanceID]string{}}
+	p := &Peers{Sides: map[model.Pool][]model.InstanceID{}, addresses: map[model.InstanceID]string{}}
 	for id, e := range t.items {
 		switch {
 		case !inRegion(e.DataCentre):
 		case e.Role == instances.RoleEndpoint:
-			p.Endpoints[e.Pool]++
+			p.Sides[e.Pool] = append(p.Sides[e.Pool], id)
+			p.addresses[id] = e.Control
 		case e.Usable() && e.Control != "":
 			p.Entries = append(p.Entries, id)
 			p.addresses[id] = e.Control
 		}
 	}
-	slices.SortFunc(p.Entries, func(a, b model.InstanceID) int { return cmp.Compare(a, b) })
+	slices.Sort(p.Entries)
+	for _, list := range p.Sides {
+		slices.Sort(list)
+	}
 	return p
 }
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Cost is the work of one request in tokens.
 type Cost struct {
@@ -45,8 +48,13 @@
 }
 
 // HashKey returns the string that decides the endpoint order of the request.
-// Requests of one chat share it at every entry.
+// Requests of one chat share it at every entry. Without a chat, equal requests
+// share it, so that copies of a request that crashes endpoints meet at one
+// endpoint instead of crashing one each.
 func (r *Request) HashKey() string {
+	if r.Chat == "" && r.Fingerprint != 0 {
+		return string(r.Workspace) + "\x00" + strconv.FormatUint(r.Fingerprint, 16)
+	}
 	if r.Chat == "" {
 		return string(r.Workspace) + "\x00" + string(r.ID)
 	}
--- a/internal/side/crash.go
+++ b/internal/side/crash.go
@@ -67,7 +67,7 @@
 	if askErr != nil || v.crash.ID == "" {
 		return err
 	}
-	if v.first {
+	if v.mine {
 		crashesSeen.Inc()
 		p.log.Warn("endpoint crashed", "crash", v.crash.ID, "requests", len(v.crash.Fingerprints))
 		p.spreadCrash(ctx, v)
@@ -86,22 +86,23 @@
 // hear of a crash. Three hops within a region take a few milliseconds.
 const spreadWait = 800 * time.Millisecond
 
-// spreadCrash tells the entries over the trees, and the log.
+// spreadCrash tells the entries and the other sides of the pool over the trees,
+// and the log.
 func (p *Side) spreadCrash(ctx context.Context, v crashVerdict) {
 	ctx = context.WithoutCancel(ctx)
 	select {
 	case p.crashes <- v.crash:
 	default: // the log is down and the queue full; the exchange carries the crash
 	}
-	spread := make(chan struct{}, len(v.entry))
-	for tree, address := range v.entry {
+	spread := make(chan struct{}, len(v.first))
+	for tree, address := range v.first {
 		go func() {
-			args := exchange.CrashArgs{Crash: exchange.FromCrash(v.crash, time.Now()), Tree: tree, WaitMS: (spreadWait - spreadWait/4).Milliseconds()}
+			args := exchange.CrashArgs{Crash: exchange.FromCrash(v.crash, time.Now()), Pool: string(p.settings.Pool), Tree: tree, WaitMS: (spreadWait - spreadWait/4).Milliseconds()}
 			p.node.Spread(ctx, []string{address}, exchange.MethodCrash, args, spreadWait)
 			spread <- struct{}{}
 		}()
 	}
-	for range v.entry {
+	for range v.first {
 		<-spread
 	}
 	_ = p.loop.Post(ctx, crashSpread{id: v.crash.ID})
--- a/internal/side/exchange.go
+++ b/internal/side/exchange.go
@@ -16,12 +16,37 @@
 )
 
 func (p *Side) newNode() *exchange.Node {
-	return exchange.New(exchange.Config{Key: p.settings.Key, Budget: p.settings.ControlBudget, Dial: p.deps.Dial})
+	n := exchange.New(exchange.Config{Key: p.settings.Key, Budget: p.settings.ControlBudget, Dial: p.deps.Dial})
+	if err := n.Register(exchange.Service, &peerService{p}); err != nil {
+		panic(err) // the method set does not fit net/rpc: a fault in the program
+	}
+	return n
+}
+
+// peerService turns the messages of peers into events and questions.
+type peerService struct{ p *Side }
+
+// Crash takes a crash notice and passes it on.
+func (s *peerService) Crash(a exchange.CrashArgs, _ *exchange.Ack) error {
+	ctx, cancel := context.WithTimeout(context.Background(), exchange.CallTimeout)
+	defer cancel()
+	crash, err := a.Crash.Model(time.Now())
+	if err != nil {
+		return err
+	}
+	next, err := control.Ask(ctx, s.p.loop, crashHeard{Question: control.NewQuestion[[]string](), crash: crash, tree: a.Tree})
+	s.p.node.PassOn(next, a)
+	return err
 }
 
 // Meter returns the byte counts of the control exchange.
 func (p *Side) Meter() *exchange.Meter { return p.node.Meter() }
 
+// MeanAge returns the age of the pool mean at now.
+func (p *Side) MeanAge(now time.Time) time.Duration {
+	return now.Sub(p.loop.Snapshot().Mean.MeasuredAt)
+}
+
 // ServeControl serves the peers of the control exchange until ctx ends.
 func (p *Side) ServeControl(ctx context.Context, l net.Listener) error { return p.node.Serve(ctx, l) }
 
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -22,7 +22,7 @@
 		foldMembers{},
 		derivePeers{p.settings},
 		foldMean{},
-		foldSuspects{p.settings.Instance},
+		foldSuspects{p.settings},
 		decideAdmission{p.settings},
 		draftReport{p.settings},
 	}
--- a/internal/side/stage_suspects.go
+++ b/internal/side/stage_suspects.go
@@ -13,7 +13,7 @@
 
 // foldSuspects knows which requests are at the endpoint and which fingerprints
 // were there at crashes.
-type foldSuspects struct{ self model.InstanceID }
+type foldSuspects struct{ settings Settings }
 
 func (foldSuspects) Name() string { return "fold_suspects" }
 
@@ -32,8 +32,12 @@
 		delete(s.crashOf, ev.id)
 	case crashSeen:
 		v := st.crashed(s, now, ev)
-		changed = v.first
+		changed = v.mine
 		ev.Reply(v)
+	case crashHeard:
+		changed = s.suspects.Add(now, ev.crash)
+		next := s.notices.PassOn(now, "crash/"+ev.crash.ID, ev.tree, st.settings.Instance, s.peers.Around(st.settings.Pool, model.InstanceID(ev.crash.Endpoint)))
+		ev.Reply(s.peers.Addresses(next))
 	case crashSpread:
 		if done := s.spreads[ev.id]; done != nil {
 			close(done)
@@ -45,6 +49,7 @@
 			changed = s.suspects.Add(now, c) || changed
 		}
 	case control.Tick:
+		s.notices.Sweep(now)
 		changed = s.suspects.Sweep(now)
 	}
 	if changed {
@@ -62,7 +67,7 @@
 	if !ev.ran {
 		delete(s.inFlight, ev.id)
 	}
-	c := suspect.Crash{Endpoint: model.EndpointID(st.self), At: now}
+	c := suspect.Crash{Endpoint: st.settings.EndpointID(), At: now}
 	for _, f := range s.inFlight {
 		if f != 0 && !slices.Contains(c.Fingerprints, f) {
 			c.Fingerprints = append(c.Fingerprints, f)
@@ -73,16 +78,17 @@
 	}
 	slices.Sort(c.Fingerprints)
 	s.crashes++
-	c.ID = fmt.Sprintf("%s-%d-%x", st.self, s.crashes, now.UnixMilli())
+	c.ID = fmt.Sprintf("%s-%d-%x", st.settings.Instance, s.crashes, now.UnixMilli())
 	for id := range s.inFlight {
 		s.crashOf[id] = c
 	}
 	clear(s.inFlight)
 	s.suspects.Add(now, c)
 	s.spreads[c.ID] = make(chan struct{})
-	v := crashVerdict{crash: c, first: true, done: s.spreads[c.ID]}
+	v := crashVerdict{crash: c, mine: true, done: s.spreads[c.ID]}
 	for tree := range summary.SpreadTrees {
-		v.entry = append(v.entry, s.peers.Addresses(summary.SpreadNext("crash/"+c.ID, tree, st.self, s.peers.Entries))...)
+		others := s.peers.Around(st.settings.Pool, st.settings.Instance)
+		v.first = append(v.first, s.peers.Addresses(summary.SpreadNext("crash/"+c.ID, tree, st.settings.Instance, others))...)
 	}
 	return v
 }
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -35,6 +35,7 @@
 	Config  *config.Accepted
 	Load    int64
 	Running int
+	Mean    PoolMean
 	Peers   *member.Peers // processes of the region in the control exchange
 	exchangeView
 }
@@ -70,5 +71,5 @@
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running), Peers: s.peers, exchangeView: s.view()}
+	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running), Mean: s.Mean, Peers: s.peers, exchangeView: s.view()}
 }
--- a/internal/side/state_exchange.go
+++ b/internal/side/state_exchange.go
@@ -25,6 +25,7 @@
 	released  *config.Accepted // whose released fingerprints suspects knows
 	crashes   int              // crashes of the endpoint since the start
 	isLeaving bool
+	notices   summary.Notices
 }
 
 // exchangeView is the part of the snapshot that the exchange feeds.
@@ -39,7 +40,7 @@
 	return exchangeState{
 		peers: &member.Peers{}, verdicts: summary.Verdicts{}, offset: config.NoBase,
 		inFlight: map[model.RequestID]uint64{}, spreads: map[string]chan struct{}{},
-		crashOf: map[model.RequestID]suspect.Crash{}, suspects: suspect.NewTable(),
+		crashOf: map[model.RequestID]suspect.Crash{}, suspects: suspect.NewTable(), notices: summary.Notices{},
 	}
 }
 
@@ -77,6 +78,13 @@
 		id  model.RequestID
 		ran bool // false if the endpoint refused the connection
 	}
+	// crashHeard is a crash notice on its way through a tree. The reply lists
+	// the addresses to which it goes on.
+	crashHeard struct {
+		control.Question[[]string]
+		crash suspect.Crash
+		tree  int
+	}
 	// crashSpread ends the spreading of a crash.
 	crashSpread struct{ id string }
 	// leavingStarted makes the side leave.
@@ -88,15 +96,16 @@
 func (runStarted) EventName() string     { return "run_started" }
 func (runEnded) EventName() string       { return "run_ended" }
 func (crashSeen) EventName() string      { return "crash_seen" }
+func (crashHeard) EventName() string     { return "crash_heard" }
 func (crashSpread) EventName() string    { return "crash_spread" }
 func (leavingStarted) EventName() string { return "leaving_started" }
 
 // crashVerdict answers crashSeen.
 type crashVerdict struct {
 	crash suspect.Crash // zero if nothing was in flight
-	first bool          // the asker spreads the notice
+	mine  bool          // the asker spreads the notice
 	done  chan struct{} // closed when the notice is spread
-	entry []string      // control addresses of the first entry of each tree
+	first []string      // control address of the first process of each tree
 }
 
 // newsWindow is the time for which reports repeat the endpoint's own crashes.
--- a/internal/summary/holder.go
+++ b/internal/summary/holder.go
@@ -193,6 +193,11 @@
 	return Sum{other.Load, other.Endpoints, now.Sub(other.at)}
 }
 
+// maxRootAge is the age up to which a root's mean is passed on. A side hears
+// the next one within 2 s, so its mean stays within Staleness. Beyond it the
+// mean of the own group, about 12 endpoints, is the better estimate.
+const maxRootAge = 4 * time.Second
+
 // Mean returns the best known mean: a root's that covers more groups than this
 // holder, or the own one.
 func (h *Holder) Mean(now time.Time, k Key) Mean {
@@ -201,6 +206,9 @@
 	if !ok || h.stale(now, m.at) || m.Endpoints < own.Endpoints {
 		return own
 	}
+	if own.Endpoints > 0 && now.Sub(m.at) > maxRootAge {
+		return own
+	}
 	if m.Endpoints == own.Endpoints && own.Age <= now.Sub(m.at) {
 		return own
 	}
