--- a/internal/measure/exchange_fleet.go
+++ b/internal/measure/exchange_fleet.go
@@ -291,6 +291,7 @@
 	poison  func(body []byte) bool
 	delay   time.Duration // from the hand-over to the crash
 	down    time.Duration // from the crash to the restart
+	touched func(body []byte) // called for an innocent request in flight at a crash
 	crashes atomic.Int64
 	state   atomic.Pointer[exLife]
 	fail    func() bool // answers with a failure after the run
@@ -341,6 +342,9 @@
 	select {
 	case <-t.C:
 	case <-l.ended:
+		if e.touched != nil && !poisoned {
+			e.touched(req.Body)
+		}
 		return nil, crashed
 	case <-ctx.Done():
 		return nil, &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonCancelled}
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -75,6 +75,7 @@
 func Scenarios() []Scenario {
 	return slices.Concat(
 		exchangeScenarios(),
+		suspectScenarios(),
 	)
 }
 
