Parse and check the operators' lists

Cause: operators had no lists to edit and records with broken references were accepted. Change: plans.ini and usage.ini are parsed into lists.Lists with all findings of both files reported together. Lists.Check holds the cross-references that readers also need.

--- /dev/null
+++ b/internal/lists/check.go
@@ -0,0 +1,157 @@
+package lists
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/finding"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Bounds on one item.
+const (
+	MaxNameBytes = 64      // of a name in the lists
+	MaxItems     = 100_000 // of one kind, well above 16,000 workspaces
+)
+
+// Check returns what makes the lists unusable: references to items that do not
+// exist, values that no program can work with and API keys held twice. Every
+// reader applies it to a record before it accepts the record, so it depends on
+// nothing but l. The parser checks more: presence and ranges.
+func (l *Lists) Check() finding.List {
+	c := checker{l: l}
+	c.plans()
+	c.workspaces()
+	c.pools()
+	c.routes()
+	c.dataCentres()
+	c.rollouts()
+	slices.SortFunc(c.findings, func(a, b finding.Finding) int {
+		return cmp.Or(cmp.Compare(a.Section, b.Section), cmp.Compare(a.Key, b.Key), cmp.Compare(a.Problem, b.Problem))
+	})
+	return c.findings
+}
+
+type checker struct {
+	l        *Lists
+	findings finding.List
+}
+
+func (c *checker) add(kind Kind, name, key, problem, allowed string) {
+	c.findings.Add(finding.Finding{File: "lists", Section: section(kind, name), Key: key, Problem: problem, Allowed: allowed})
+}
+
+// section returns the INI section of an item.
+func section(kind Kind, name string) string { return string(kind) + " " + name }
+
+func (c *checker) plans() {
+	c.count(KindPlan, len(c.l.Plans))
+	for name, p := range c.l.Plans {
+		if p.Rate < 0 || p.Burst < 0 {
+			c.add(KindPlan, string(name), "rate", "or burst is negative", "0 or more")
+		}
+	}
+}
+
+func (c *checker) workspaces() {
+	c.count(KindWorkspace, len(c.l.Workspaces))
+	holder := make(map[string]model.Workspace, len(c.l.Workspaces))
+	for name, w := range c.l.Workspaces {
+		if _, ok := c.l.Plans[w.Plan]; !ok {
+			c.add(KindWorkspace, string(name), "plan", fmt.Sprintf("names the unknown plan %q", w.Plan), c.planNames())
+		}
+		if w.KeyHash == "" {
+			c.add(KindWorkspace, string(name), "key_hash", "is missing", "hex SHA-256 of the API key")
+			continue
+		}
+		other, twice := holder[w.KeyHash]
+		if !twice {
+			holder[w.KeyHash] = name
+			continue
+		}
+		// The finding names the two in alphabetical order, since maps have none.
+		first, second := min(name, other), max(name, other)
+		c.add(KindWorkspace, string(second), "key_hash", fmt.Sprintf("is also held by workspace %q", first), "one workspace for each key")
+		holder[w.KeyHash] = first
+	}
+}
+
+func (c *checker) pools() {
+	c.count(KindPool, len(c.l.Pools))
+	for name, p := range c.l.Pools {
+		if p.Kind != model.Engine && p.Kind != model.Service {
+			c.add(KindPool, string(name), "kind", fmt.Sprintf("has the value %q", p.Kind), "engine, service")
+		}
+		for _, plan := range p.Plans {
+			if _, ok := c.l.Plans[plan]; !ok {
+				c.add(KindPool, string(name), "plans", fmt.Sprintf("names the unknown plan %q", plan), c.planNames())
+			}
+		}
+		if p.Slots < 0 || p.ColdLimit < 0 || p.WarmTime < 0 || p.LoadSpacing < 0 || p.KeyLifetime < 0 || p.ReturnTime < 0 {
+			c.add(KindPool, string(name), "", "has a negative value", "0 or more")
+		}
+		// A bound below the mean could never be met by all endpoints at once.
+		if p.LoadMultiple != 0 && !(p.LoadMultiple >= 1) {
+			c.add(KindPool, string(name), "load_multiple", fmt.Sprintf("has the value %g", p.LoadMultiple), "1 or more")
+		}
+	}
+}
+
+func (c *checker) routes() {
+	c.count(KindRoute, len(c.l.Routes))
+	for name, r := range c.l.Routes {
+		if _, ok := c.l.Pools[r.Pool]; !ok {
+			c.add(KindRoute, string(name), "pool", fmt.Sprintf("names the unknown pool %q", r.Pool), names(c.l.Pools))
+		}
+	}
+}
+
+func (c *checker) dataCentres() {
+	c.count(KindDataCentre, len(c.l.DataCentres))
+	for name, d := range c.l.DataCentres {
+		if d.State != In && d.State != Out {
+			c.add(KindDataCentre, string(name), "state", fmt.Sprintf("has the value %q", d.State), "in, out")
+		}
+	}
+}
+
+func (c *checker) rollouts() {
+	c.count(KindRollout, len(c.l.Rollouts))
+	for name, r := range c.l.Rollouts {
+		if _, ok := c.l.Pools[r.Pool]; !ok && r.State == RolloutActive {
+			c.add(KindRollout, name, "pool", fmt.Sprintf("names the unknown pool %q", r.Pool), names(c.l.Pools))
+		}
+		if !(r.FirstShare >= 0 && r.FirstShare <= 1) {
+			c.add(KindRollout, name, "first_share", fmt.Sprintf("has the value %g", r.FirstShare), "0 to 1")
+		}
+	}
+}
+
+func (c *checker) count(kind Kind, n int) {
+	if n > MaxItems {
+		c.add(kind, "", "", fmt.Sprintf("occurs %d times", n), fmt.Sprintf("up to %d", MaxItems))
+	}
+}
+
+func (c *checker) planNames() string { return names(c.l.Plans) }
+
+// maxNamesShown keeps a finding to one readable line.
+const maxNamesShown = 10
+
+// names lists the keys of m for the "allowed" part of a finding.
+func names[K ~string, V any](m map[K]V) string {
+	all := slices.Sorted(maps.Keys(m))
+	out := ""
+	for i, n := range all {
+		if i == maxNamesShown {
+			return out + ", ..."
+		}
+		if i > 0 {
+			out += ", "
+		}
+		out += string(n)
+	}
+	return out
+}
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -32,8 +32,20 @@
 	KeyLifetime  time.Duration      `json:"key_lifetime"`  // time for which an idempotency key is honoured
 	ReturnTime   time.Duration      `json:"return_time"`   // time over which a data centre gets its chats back
 	HonoursFence bool               `json:"honours_fence"` // endpoints refuse an old fencing number
+	Adapters     []string           `json:"adapters,omitempty"`
+	Role         EngineRole         `json:"role,omitempty"` // empty leaves the engines' role alone
 }
 
+// EngineRole is the part of a generation that an engine does.
+type EngineRole string
+
+// The roles of engines.
+const (
+	RoleBoth    EngineRole = "both"
+	RolePrefill EngineRole = "prefill"
+	RoleDecode  EngineRole = "decode"
+)
+
 // Route is one kind of call.
 type Route struct {
 	Pool       model.Pool `json:"pool"`
--- /dev/null
+++ b/internal/lists/parse.go
@@ -0,0 +1,241 @@
+package lists
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/finding"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/settings"
+)
+
+// Names of the two lists in the operators' directory.
+const (
+	PlansFile = "plans.ini"
+	UsageFile = "usage.ini"
+)
+
+// Ranges of the values in the lists.
+const (
+	maxPriority     = 1000
+	maxRate         = 1_000_000_000
+	maxLoadMultiple = 10
+	maxSlots        = 10_000
+	maxColdLimit    = 1_000_000_000
+	maxWarmTime     = 10 * time.Minute
+	maxLoadSpacing  = time.Hour
+	maxKeyLifetime  = 7 * 24 * time.Hour
+	maxReturnTime   = time.Hour
+	maxAdapters     = 256
+)
+
+// File is one list as it was read.
+type File struct {
+	Name string // as shown in findings
+	Data []byte
+}
+
+// Parse reads both lists. Its error is a finding.List with all faults of both.
+// The result has no rollouts and no releases, which are not declared in files.
+func Parse(plans, usage File) (*Lists, error) {
+	p := parser{lists: New()}
+	p.plans = p.open(plans)
+	p.usage = p.open(usage)
+	if p.plans == nil || p.usage == nil {
+		return nil, p.broken
+	}
+	p.readPlans()
+	p.readUsage()
+	p.crossCheck()
+	all := append(slices.Clone(p.plans.Findings()), p.usage.Findings()...)
+	if err := all.Err(); err != nil {
+		return nil, err
+	}
+	return p.lists, nil
+}
+
+type parser struct {
+	lists  *Lists
+	plans  *settings.File
+	usage  *settings.File
+	broken finding.List
+}
+
+func (p *parser) open(f File) *settings.File {
+	file, err := settings.Parse(f.Name, f.Data)
+	var findings finding.List
+	if errors.As(err, &findings) {
+		p.broken = append(p.broken, findings...)
+	}
+	return file
+}
+
+// item splits a section such as "pool chat" and checks the name.
+func item(f *settings.File, sec string, kinds ...Kind) (Kind, string, bool) {
+	kind, name, _ := strings.Cut(sec, " ")
+	name = strings.TrimSpace(name)
+	if !slices.Contains(kinds, Kind(kind)) {
+		allowed := make([]string, len(kinds))
+		for i, k := range kinds {
+			allowed[i] = fmt.Sprintf("[%s NAME]", k)
+		}
+		f.Fault(sec, "", "is not a known section", strings.Join(allowed, ", "))
+		return "", "", false
+	}
+	if !validName(name) {
+		f.Fault(sec, "", fmt.Sprintf("has the name %q", name), "1 to 64 letters, digits and -_./")
+		return "", "", false
+	}
+	return Kind(kind), name, true
+}
+
+func validName(name string) bool {
+	ok := func(r rune) bool {
+		return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_./", r)
+	}
+	return name != "" && len(name) <= MaxNameBytes && strings.IndexFunc(name, func(r rune) bool { return !ok(r) }) < 0
+}
+
+func (p *parser) readPlans() {
+	f := p.plans
+	for _, sec := range f.Sections() {
+		kind, name, ok := item(f, sec, KindPlan, KindWorkspace)
+		switch {
+		case !ok:
+		case kind == KindPlan:
+			p.lists.Plans[model.Plan(name)] = Plan{
+				Priority: int(number(f, sec, "priority", 0, maxPriority)),
+				Rate:     number(f, sec, "rate", 1, maxRate),
+				Burst:    number(f, sec, "burst", 1, maxRate),
+			}
+		case kind == KindWorkspace:
+			p.lists.Workspaces[model.Workspace(name)] = Workspace{
+				Plan:    model.Plan(f.Required(sec, "plan")),
+				KeyHash: keyHash(f, sec),
+			}
+		}
+	}
+}
+
+func keyHash(f *settings.File, sec string) string {
+	v := f.Required(sec, "key_hash")
+	sum, err := hex.DecodeString(v)
+	if v != "" && (err != nil || len(sum) != 32 || strings.ToLower(v) != v) {
+		f.Fault(sec, "key_hash", fmt.Sprintf("has the value %q", v), "64 lower-case hex digits, the SHA-256 of the API key")
+	}
+	return v
+}
+
+func (p *parser) readUsage() {
+	f := p.usage
+	for _, sec := range f.Sections() {
+		kind, name, ok := item(f, sec, KindPool, KindRoute, KindDataCentre)
+		switch {
+		case !ok:
+		case kind == KindPool:
+			p.lists.Pools[model.Pool(name)] = readPool(f, sec)
+		case kind == KindRoute:
+			p.lists.Routes[model.Route(name)] = Route{
+				Pool:       model.Pool(f.Required(sec, "pool")),
+				Idempotent: yes(f, sec, "idempotent"),
+			}
+		case kind == KindDataCentre:
+			p.lists.DataCentres[model.DataCentre(name)] = DataCentre{
+				Region: model.Region(f.Required(sec, "region")),
+				State:  DataCentreState(oneOf(f, sec, "state", string(In), string(Out))),
+			}
+		}
+	}
+}
+
+// readPool reads a pool. The keys that only engines or only services use are
+// required for these and unknown for the others.
+func readPool(f *settings.File, sec string) Pool {
+	pool := Pool{
+		Kind:         model.EndpointKind(oneOf(f, sec, "kind", string(model.Engine), string(model.Service))),
+		LoadMultiple: decimal(f, sec, "load_multiple", 1, maxLoadMultiple),
+		Slots:        int(number(f, sec, "slots", 1, maxSlots)),
+		ColdLimit:    number(f, sec, "cold_limit", 1, maxColdLimit),
+		WarmTime:     span(f, sec, "warm_time", time.Millisecond, maxWarmTime),
+		ReturnTime:   span(f, sec, "return_time", 0, maxReturnTime),
+	}
+	f.Required(sec, "plans")
+	for _, plan := range f.List(sec, "plans") {
+		pool.Plans = append(pool.Plans, model.Plan(plan))
+	}
+	if pool.Kind == model.Service {
+		pool.KeyLifetime = span(f, sec, "key_lifetime", time.Second, maxKeyLifetime)
+		return pool
+	}
+	pool.KeyLifetime = f.Duration(sec, "key_lifetime", 0, time.Second, maxKeyLifetime)
+	pool.Version = model.Version(f.Required(sec, "version"))
+	pool.LoadSpacing = span(f, sec, "load_spacing", time.Second, maxLoadSpacing)
+	pool.HonoursFence = yes(f, sec, "honours_fence")
+	pool.Adapters = f.List(sec, "adapters")
+	if len(pool.Adapters) > maxAdapters {
+		f.Fault(sec, "adapters", fmt.Sprintf("has %d items", len(pool.Adapters)), fmt.Sprintf("up to %d", maxAdapters))
+	}
+	if f.Has(sec, "role") {
+		pool.Role = EngineRole(oneOf(f, sec, "role", string(RoleBoth), string(RolePrefill), string(RoleDecode)))
+	}
+	return pool
+}
+
+// crossCheck checks what needs both lists.
+func (p *parser) crossCheck() {
+	used := map[model.Pool]bool{}
+	for name, r := range p.lists.Routes {
+		used[r.Pool] = true
+		pool, ok := p.lists.Pools[r.Pool]
+		if ok && !r.Idempotent && pool.KeyLifetime == 0 {
+			p.usage.Fault(section(KindRoute, string(name)), "idempotent", "is no, but the pool has no key_lifetime", "yes, or a key_lifetime in the pool")
+		}
+	}
+	for name := range p.lists.Pools {
+		if !used[name] {
+			p.usage.Fault(section(KindPool, string(name)), "", "has no route", "one or more [route NAME] with this pool")
+		}
+	}
+	if len(p.lists.DataCentres) == 0 {
+		p.usage.Fault("", "", "has no data centre", "one or more [data-centre NAME]")
+	}
+	for _, fd := range p.lists.Check() {
+		kind, _, _ := strings.Cut(fd.Section, " ")
+		f := p.usage
+		if kind == string(KindPlan) || kind == string(KindWorkspace) {
+			f = p.plans
+		}
+		// A missing key has its own finding already.
+		if fd.Key == "" || f.Has(fd.Section, fd.Key) && f.String(fd.Section, fd.Key, "") != "" && !f.Faulty(fd.Section, fd.Key) {
+			f.Fault(fd.Section, fd.Key, fd.Problem, fd.Allowed)
+		}
+	}
+}
+
+func number(f *settings.File, sec, key string, low, high int64) int64 {
+	f.Required(sec, key)
+	return f.Int(sec, key, 0, low, high)
+}
+
+func decimal(f *settings.File, sec, key string, low, high float64) float64 {
+	f.Required(sec, key)
+	return f.Float(sec, key, 0, low, high)
+}
+
+func span(f *settings.File, sec, key string, low, high time.Duration) time.Duration {
+	f.Required(sec, key)
+	return f.Duration(sec, key, 0, low, high)
+}
+
+func oneOf(f *settings.File, sec, key string, allowed ...string) string {
+	if f.Required(sec, key) == "" {
+		return ""
+	}
+	return f.OneOf(sec, key, "", allowed...)
+}
+
+func yes(f *settings.File, sec, key string) bool { return oneOf(f, sec, key, "yes", "no") == "yes" }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,9 +24,17 @@
 	ini      *ini.File
 	lines    map[place]int
 	known    map[place]bool
+	repeated []repeat
 	findings finding.List
 }
 
+// repeat is a section or key that occurs twice, of which the INI library
+// would silently keep the last.
+type repeat struct {
+	place
+	line int
+}
+
 type place struct{ section, key string }
 
 // Open parses the file at path.
@@ -44,13 +52,21 @@
 	if err != nil {
 		return nil, finding.List{{File: name, Problem: "is not INI: " + err.Error()}}
 	}
-	return &File{name: name, ini: f, lines: lineIndex(data), known: map[place]bool{}}, nil
+	lines, repeated := lineIndex(data)
+	return &File{name: name, ini: f, lines: lines, repeated: repeated, known: map[place]bool{}}, nil
 }
 
 // lineIndex finds the line of each section and key, which the INI library does
-// not keep.
-func lineIndex(data []byte) map[place]int {
+// not keep, and those that occur again.
+func lineIndex(data []byte) (map[place]int, []repeat) {
 	idx := map[place]int{}
+	var repeated []repeat
+	note := func(p place, line int) {
+		if idx[p] != 0 {
+			repeated = append(repeated, repeat{p, line})
+		}
+		idx[p] = line
+	}
 	section := ""
 	for i, line := range strings.Split(string(data), "\n") {
 		line = strings.TrimSpace(line)
@@ -58,14 +74,14 @@
 		case line == "" || line[0] == '#' || line[0] == ';':
 		case line[0] == '[':
 			section = strings.TrimSpace(strings.Trim(line, "[]"))
-			idx[place{section, ""}] = i + 1
+			note(place{section, ""}, i+1)
 		default:
 			if key, _, ok := strings.Cut(line, "="); ok {
-				idx[place{section, strings.TrimSpace(key)}] = i + 1
+				note(place{section, strings.TrimSpace(key)}, i+1)
 			}
 		}
 	}
-	return idx
+	return idx, repeated
 }
 
 // Sections returns the names of the sections in file order, without the
@@ -89,13 +105,19 @@
 	f.findings.Add(finding.Finding{File: f.name, Line: line, Section: section, Key: key, Problem: problem, Allowed: allowed})
 }
 
+// Faulty reports whether the key has a finding.
+func (f *File) Faulty(section, key string) bool {
+	return slices.ContainsFunc(f.findings, func(fd finding.Finding) bool { return fd.Section == section && fd.Key == key })
+}
+
 // value returns the trimmed value of a key, or false if it is absent or empty.
 func (f *File) value(section, key string) (string, bool) {
 	f.known[place{section, key}] = true
 	if !f.Has(section, key) {
 		return "", false
 	}
-	v := strings.TrimSpace(f.ini.Section(section).Key(key).String())
+	// Value does not expand %(name)s, which takes exponential time on bad input.
+	v := strings.TrimSpace(f.ini.Section(section).Key(key).Value())
 	return v, v != ""
 }
 
@@ -225,8 +247,16 @@
 	return b
 }
 
-// Err reports all findings together, with every key that nothing asked for.
-func (f *File) Err() error {
+// Err reports all findings together, with every key that nothing asked for and
+// every section or key that occurs twice.
+func (f *File) Err() error { return f.Findings().Err() }
+
+// Findings returns what Err reports.
+func (f *File) Findings() finding.List {
+	for _, r := range f.repeated {
+		f.findings.Add(finding.Finding{File: f.name, Line: r.line, Section: r.section, Key: r.key, Problem: "occurs twice", Allowed: "once"})
+	}
+	f.repeated = nil
 	for _, s := range f.ini.Sections() {
 		name := s.Name()
 		if name == ini.DefaultSection {
@@ -239,5 +269,5 @@
 		}
 	}
 	slices.SortStableFunc(f.findings, func(a, b finding.Finding) int { return a.Line - b.Line })
-	return f.findings.Err()
+	return f.findings
 }
