--- /dev/null
+++ b/internal/config/follower_test.go
@@ -0,0 +1,166 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/lists"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// world returns lists with n workspaces.
+func world(n int) *lists.Lists {
+	l := lists.New()
+	l.Plans["gold"] = lists.Plan{Priority: 1, Rate: 1, Burst: 1}
+	l.DataCentres["akl-1"] = lists.DataCentre{Region: "akl", State: lists.In}
+	for i := range n {
+		l.Workspaces[model.Workspace(fmt.Sprintf("ws-%05d", i))] = lists.Workspace{Plan: "gold", KeyHash: fmt.Sprintf("hash-%05d", i)}
+	}
+	return l
+}
+
+func change(t testing.TB, id string, base int64, kind lists.Kind, name string, value any) config.Record {
+	t.Helper()
+	c, err := lists.NewChange(kind, name, value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config.Record{ID: id, Base: base, Changes: []lists.Change{c}}
+}
+
+func batch(first int64, from int64, recs ...config.Record) config.Batch {
+	b := config.Batch{First: first}
+	for i, r := range recs {
+		b.Entries = append(b.Entries, config.Entry{Offset: from + int64(i), Record: r, At: time.Unix(from, 0)})
+	}
+	return b
+}
+
+// Guards against two winners of a race and against a record that passes
+// although its result fails the list checks.
+func TestStaleAndUnsuitableRecordsAreSkipped(t *testing.T) {
+	is := is.New(t)
+	f := config.NewFollower()
+	skipped, changed := f.ApplyLog(batch(0, 0,
+		config.Record{ID: "a", Base: config.NoBase, Snapshot: world(1)},
+		change(t, "b", 0, lists.KindWorkspace, "one", lists.Workspace{Plan: "gold", KeyHash: "h1"}),
+		change(t, "c", 0, lists.KindWorkspace, "two", lists.Workspace{Plan: "gold", KeyHash: "h2"}),
+		change(t, "d", 1, lists.KindWorkspace, "bad", lists.Workspace{Plan: "none", KeyHash: "h3"}),
+		change(t, "e", 1, lists.KindWorkspace, "twin", lists.Workspace{Plan: "gold", KeyHash: "h1"}),
+	))
+	is.True(changed)
+	is.Equal(f.Accepted.ID, "b")
+	is.Equal(len(skipped), 2)
+	is.Equal(skipped[0].Offset, int64(3))
+	is.Equal(f.Skipped, int64(2))
+}
+
+// Guards against a start from a snapshot that lost its race.
+func TestUnprovenSnapshotIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	// Records 0 to 4 are trimmed. The snapshot at 5 is based on 2, so a record
+	// at 3 or 4 may have won against it.
+	f := config.NewFollower()
+	_, changed := f.ApplyLog(batch(5, 5, config.Record{ID: "s", Base: 2, Snapshot: world(1)}))
+	is.True(!changed)
+	is.True(f.Proving())
+	// A later record that names 5 proves it.
+	_, changed = f.ApplyLog(batch(5, 6, change(t, "n", 5, lists.KindDataCentre, "akl-1", lists.DataCentre{Region: "akl", State: lists.Out})))
+	is.True(changed)
+	is.Equal(f.Accepted.Offset, int64(6))
+	is.Equal(f.Accepted.Lists.DataCentres["akl-1"].State, lists.Out)
+
+	// All records since the base are retained, and none of them came first.
+	f = config.NewFollower()
+	_, changed = f.ApplyLog(batch(5, 5, change(t, "lost", 3, lists.KindPlan, "x", lists.Plan{}), config.Record{ID: "s", Base: 4, Snapshot: world(1)}))
+	is.True(changed)
+	is.Equal(f.Accepted.ID, "s")
+
+	// The same with another record on the same base before it.
+	f = config.NewFollower()
+	_, changed = f.ApplyLog(batch(5, 5, change(t, "won", 4, lists.KindPlan, "x", lists.Plan{}), config.Record{ID: "s", Base: 4, Snapshot: world(1)}))
+	is.True(!changed)
+}
+
+// Guards against a process that goes on as if nothing were missing after the
+// log trimmed records that it had not read.
+func TestTrimmedRecordsAreNoticed(t *testing.T) {
+	is := is.New(t)
+	f := config.NewFollower()
+	f.ApplyLog(batch(0, 0, config.Record{ID: "a", Base: config.NoBase, Snapshot: world(1)}))
+	_, changed := f.ApplyLog(batch(3, 3, change(t, "z", 0, lists.KindPlan, "x", lists.Plan{})))
+	is.True(!changed)
+	is.True(f.Proving())
+	is.Equal(f.Accepted.ID, "a") // stays in force meanwhile
+	_, changed = f.ApplyLog(batch(3, 4, config.Record{ID: "s", Base: 2, Snapshot: world(2)}, change(t, "y", 4, lists.KindPlan, "y", lists.Plan{})))
+	is.True(changed)
+	is.Equal(f.Accepted.ID, "y")
+}
+
+// leader returns a follower with n workspaces and a few changes.
+func leader(t testing.TB, n int) *config.Follower {
+	f := config.NewFollower()
+	f.ApplyLog(batch(0, 0, config.Record{ID: "a", Base: config.NoBase, Snapshot: world(n)}))
+	return f
+}
+
+// Guards against a load in pages that ends with other workspaces than the
+// peer's, while changes arrive and pages come from a peer that lags.
+func TestLoadInPagesWhileChangesArrive(t *testing.T) {
+	is := is.New(t)
+	ahead, behind, f := leader(t, 1000), leader(t, 1000), config.NewFollower()
+	offset := int64(0)
+	for step := 0; step < 50; step++ {
+		offset++
+		name := fmt.Sprintf("ws-%05d", step*37%1000)
+		c := change(t, fmt.Sprint("c", offset), offset-1, lists.KindWorkspace, name, lists.Workspace{Plan: "gold", KeyHash: fmt.Sprint("new-", offset)})
+		if step%3 == 0 {
+			c.Changes[0].Value = nil
+		}
+		ahead.ApplyLog(batch(0, offset, c))
+		if step%2 == 0 {
+			f.ApplyPeer(f.View().Next(), ahead.View().Answer(f.View().Next()))
+		}
+		f.ApplyPeer(f.View().Next(), behind.View().Answer(f.View().Next()))
+		if step%5 == 0 {
+			behind.ApplyPeer(behind.View().Next(), ahead.View().Answer(behind.View().Next()))
+		}
+	}
+	f.ApplyPeer(f.View().Next(), ahead.View().Answer(f.View().Next()))
+	is.Equal(f.Accepted.Offset, ahead.Accepted.Offset)
+	is.True(!f.Accepted.Loading)
+	is.Equal(f.Accepted.Lists, ahead.Accepted.Lists)
+}
+
+// Guards against a panic or an accepted record without an id.
+func FuzzDecode(f *testing.F) {
+	rec := config.Record{ID: "a", Base: config.NoBase, Snapshot: world(200)}
+	packed, err := rec.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
+	f.Add([]byte(`{"id":"b","base":3,"changes":[{"kind":"plan","name":"x","value":{"rate":1}}]}`))
+	f.Add([]byte{0x1f, 0x8b, 8, 0})
+	f.Add([]byte(`{"id":"b","snapshot":{"plans":null}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		rec, err := config.Decode(data)
+		if err != nil {
+			return
+		}
+		if rec.ID == "" {
+			t.Fatal("accepted a record without id")
+		}
+		next, err := config.Empty().Next(0, rec)
+		if err == nil {
+			if _, err := json.Marshal(next.Lists); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,140 @@
+package config
+
+import (
+	"maps"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/lists"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// load is a load of the workspaces in pages from peers.
+type load struct {
+	after   model.Workspace           // last workspace of the last page
+	changed map[model.Workspace]int64 // offset of the last change during the load
+}
+
+// nextRequest returns the request that brings the process forward.
+func (f *Follower) nextRequest() FetchRequest {
+	req := FetchRequest{From: f.Accepted.Offset}
+	if f.load != nil {
+		req.Want, req.After = WantPage, f.load.after
+	}
+	return req
+}
+
+// ApplyPeer applies the answer of a peer to req. It reports whether the
+// accepted configuration changed; the error is ErrNotNewer if the answer has
+// nothing for this process.
+func (f *Follower) ApplyPeer(req FetchRequest, r FetchReply) (changed bool, err error) {
+	before := f.Accepted
+	for _, e := range r.Entries {
+		if err := f.applyPeerEntry(e); err != nil {
+			return f.Accepted != before, err
+		}
+	}
+	if r.Core != nil && (r.Offset > f.Accepted.Offset || f.without == Monotone) {
+		f.startLoad(r)
+		req = FetchRequest{Want: WantPage}
+	}
+	if len(r.Entries) > 0 || f.Accepted != before {
+		f.SnapshotAt = r.SnapshotAt
+	}
+	if f.load != nil && r.Offset <= f.Accepted.Offset {
+		switch {
+		case req.Want == WantPage && req.After == f.load.after && (len(r.Page) > 0 || r.Last):
+			f.mergePage(req.After, r)
+		case req.Want == WantKey:
+			f.merge(r, nil)
+		}
+	}
+	if f.load == nil {
+		f.resume()
+	}
+	if f.Accepted == before {
+		return false, ErrNotNewer
+	}
+	return true, nil
+}
+
+func (f *Follower) applyPeerEntry(e Entry) error {
+	if e.Offset <= f.Accepted.Offset {
+		return nil
+	}
+	var next *Accepted
+	var err error
+	if f.load == nil {
+		next, err = f.Accepted.Next(e.Offset, e.Record)
+	} else if e.Record.Base != f.Accepted.Offset {
+		err = ErrStale
+	} else {
+		next, err = f.Accepted.apply(e.Offset, e.Record, false)
+		for _, c := range e.Record.Changes {
+			if c.Kind == lists.KindWorkspace {
+				f.load.changed[model.Workspace(c.Name)] = e.Offset
+			}
+		}
+	}
+	if err != nil {
+		return err
+	}
+	f.take(next, e)
+	return nil
+}
+
+// startLoad puts the core of a peer's state in force. Workspaces known so far
+// stay until the pages replace them.
+func (f *Follower) startLoad(r FetchReply) {
+	core := *r.Core
+	core.Workspaces = f.Accepted.Lists.Workspaces
+	f.accept(&Accepted{Offset: r.Offset, Lists: &core, Loading: true})
+	f.history.restart()
+	f.proof = nil
+	f.load = &load{changed: map[model.Workspace]int64{}}
+}
+
+// mergePage replaces the workspaces of the page's range of names.
+func (f *Follower) mergePage(after model.Workspace, r FetchReply) {
+	last := after
+	if n := len(r.Page); n > 0 {
+		last = r.Page[n-1].Name
+	}
+	var gone []model.Workspace
+	for name := range f.Accepted.Lists.Workspaces {
+		if name > after && (r.Last || name <= last) {
+			gone = append(gone, name)
+		}
+	}
+	f.merge(r, gone)
+	f.load.after = last
+	if r.Last {
+		done := *f.Accepted
+		done.Loading = false
+		f.accept(&done)
+		f.load = nil
+		f.next = done.Offset + 1
+	}
+}
+
+// merge adds the workspaces of an answer, and removes those in gone that it
+// lacks. A workspace that changed after the peer's offset keeps its value.
+func (f *Follower) merge(r FetchReply, gone []model.Workspace) {
+	l := *f.Accepted.Lists
+	l.Workspaces = maps.Clone(l.Workspaces)
+	if l.Workspaces == nil {
+		l.Workspaces = map[model.Workspace]lists.Workspace{}
+	}
+	kept := func(name model.Workspace) bool { return f.load.changed[name] > r.Offset }
+	for _, name := range gone {
+		if !kept(name) {
+			delete(l.Workspaces, name)
+		}
+	}
+	for _, w := range r.Page {
+		if !kept(w.Name) {
+			l.Workspaces[w.Name] = w.Workspace
+		}
+	}
+	next := *f.Accepted
+	next.Lists = &l
+	f.accept(&next)
+}
--- /dev/null
+++ b/internal/configsync/source.go
@@ -0,0 +1,220 @@
+package configsync
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+)
+
+// Peers reaches the other processes of the fleet.
+type Peers interface {
+	// Addresses returns the control addresses of live peers, entries first.
+	Addresses() []string
+	// Fetch asks the peer at address and returns its answer and the bytes that
+	// the exchange took.
+	Fetch(ctx context.Context, address string, req config.FetchRequest) (config.FetchReply, int, error)
+}
+
+// Options are the parts and settings of a Source.
+type Options struct {
+	Log    *slog.Logger
+	Logs   logsvc.Log
+	Loop   control.Poster
+	View   func() config.View // published by the loop
+	Peers  Peers              // nil without peers
+	Pick   func(n int) int    // random choice below n
+	Budget int64              // bytes a second of control traffic
+}
+
+// Source brings configuration from the log and from peers to the control loop.
+type Source struct {
+	o     Options
+	heard chan string // address of a peer that is ahead
+	pages *rate.Limiter
+}
+
+// Times of a source.
+const (
+	// pullPeriod is the time between questions to a random peer. Asked in both
+	// directions, 28 processes learn a record in about five rounds, which stays
+	// within 4 s even if the log hangs without an error.
+	pullPeriod = 400 * time.Millisecond
+	// startWait is how long a new process looks for peers before it reads the
+	// log, whose snapshots are far larger than what one peer sends.
+	startWait  = 2 * time.Second
+	startCheck = 100 * time.Millisecond
+	// startPeers is the number of peers whose state a new process compares, so
+	// that one that lags does not decide.
+	startPeers = 3
+)
+
+// loadShare is the part of the control budget that a load of workspaces may
+// take; reports need the rest.
+const loadShare = 0.75
+
+// NewSource returns a source. Run starts it.
+func NewSource(o Options) *Source {
+	share := loadShare * float64(o.Budget)
+	return &Source{o: o, heard: make(chan string, 1), pages: rate.NewLimiter(rate.Limit(share), maxPageBytes)}
+}
+
+// maxPageBytes bounds one page on the network.
+const maxPageBytes = 64 << 10
+
+// Heard tells the source that the peer at address has accepted offset. It may
+// be called from any goroutine and does not wait.
+func (s *Source) Heard(address string, offset int64) {
+	if address == "" || offset <= s.o.View().Accepted.Offset {
+		return
+	}
+	select {
+	case s.heard <- address:
+	default:
+	}
+}
+
+// Run keeps the configuration up to date until ctx ends.
+func (s *Source) Run(ctx context.Context) {
+	if s.o.Peers == nil {
+		s.followLog(ctx)
+		return
+	}
+	s.start(ctx)
+	s.loadPages(ctx)
+	stop := s.startLog(ctx)
+	defer func() { stop() }()
+	timer := time.NewTimer(pullPeriod)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-s.heard:
+			s.pull(ctx, address)
+		case <-timer.C:
+			timer.Reset(pullPeriod)
+			s.pullAny(ctx)
+		}
+		if s.o.View().Accepted.Loading {
+			stop()
+			s.loadPages(ctx)
+			stop = s.startLog(ctx)
+		}
+	}
+}
+
+// start asks a few peers for their state.
+func (s *Source) start(ctx context.Context) {
+	limit, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	check := time.NewTicker(startCheck)
+	defer check.Stop()
+	for asked := 0; asked < startPeers; {
+		if s.pullAny(limit) {
+			asked++
+			continue
+		}
+		select {
+		case <-limit.Done():
+			return
+		case <-check.C:
+		}
+	}
+}
+
+// pullAny asks a random peer and reports whether there is one.
+func (s *Source) pullAny(ctx context.Context) bool {
+	addresses := s.o.Peers.Addresses()
+	if len(addresses) == 0 {
+		return false
+	}
+	s.pull(ctx, addresses[s.o.Pick(len(addresses))])
+	return true
+}
+
+// pull asks one peer for what this process lacks.
+func (s *Source) pull(ctx context.Context, address string) {
+	s.ask(ctx, address, config.FetchRequest{From: s.o.View().Accepted.Offset})
+}
+
+// ask sends one request and has the loop apply its answer.
+func (s *Source) ask(ctx context.Context, address string, req config.FetchRequest) (bool, config.FetchReply) {
+	reply, size, err := s.o.Peers.Fetch(ctx, address, req)
+	if err != nil {
+		return false, reply
+	}
+	s.pages.AllowN(time.Now(), min(size, maxPageBytes))
+	if reply.Offset < req.From || reply.Offset == req.From && req.Want == config.WantChanges {
+		return false, reply
+	}
+	changed, err := control.Ask(ctx, s.o.Loop, PeerReplied{Question: control.NewQuestion[bool](), Request: req, Reply: reply})
+	return err == nil && changed, reply
+}
+
+// loadPages loads the workspaces that are still missing, paced by the budget.
+func (s *Source) loadPages(ctx context.Context) {
+	for ctx.Err() == nil {
+		view := s.o.View()
+		if !view.Accepted.Loading {
+			return
+		}
+		if !s.loadPage(ctx, view) {
+			pause(ctx, startCheck)
+		}
+	}
+}
+
+func (s *Source) loadPage(ctx context.Context, view config.View) bool {
+	addresses := s.o.Peers.Addresses()
+	if len(addresses) == 0 || s.pages.WaitN(ctx, minPageBytes) != nil {
+		return false
+	}
+	changed, _ := s.ask(ctx, addresses[s.o.Pick(len(addresses))], view.Next())
+	return changed
+}
+
+// minPageBytes is what must be available before the next page is asked for;
+// its real size is taken off afterwards.
+const minPageBytes = 4 << 10
+
+// startLog follows the log in its own goroutine until stop is called.
+func (s *Source) startLog(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	g.Go(func() error { s.followLog(ctx); return nil })
+	return func() { cancel(); _ = g.Wait() }
+}
+
+func (s *Source) followLog(ctx context.Context) {
+	each := func(b logsvc.Batch) {
+		_ = s.o.Loop.Post(ctx, LogRead{decode(b)})
+	}
+	failed := func(err error) { s.o.Log.Warn("log service cannot be read", "stream", config.Stream, "error", err) }
+	logsvc.Follow(ctx, s.o.Logs, config.Stream, s.o.View().Accepted.Offset+1, each, failed)
+}
+
+// decode decodes the records of a read outside the control loop.
+func decode(b logsvc.Batch) config.Batch {
+	out := config.Batch{First: b.First}
+	for _, r := range b.Records {
+		rec, err := config.Decode(r.Data)
+		out.Entries = append(out.Entries, config.Entry{Offset: r.Offset, At: time.UnixMilli(r.AppendedMS), Record: rec, Err: err})
+	}
+	return out
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -17,7 +17,7 @@
 // controlPipeline lists the stages between the sources and the snapshot.
 func (e *Entry) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
-		foldConfig{e.log},
+		foldConfig(e.log),
 		foldMembers{},
 		derive{},
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -88,25 +88,10 @@
 // Start starts the control loop and its sources. They end with ctx.
 func (e *Entry) Start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { e.loop.Run(ctx); return nil })
-	g.Go(func() error { e.followConfig(ctx); return nil })
+	g.Go(func() error { e.configSource().Run(ctx); return nil })
 	g.Go(func() error { e.followInstances(ctx); return nil })
 }
 
-func (e *Entry) followConfig(ctx context.Context) {
-	each := func(b logsvc.Batch) {
-		for _, r := range b.Records {
-			rec, err := config.Decode(r.Data)
-			if err != nil {
-				e.log.Warn("record was skipped", "stream", config.Stream, "offset", r.Offset, "error", err)
-				continue
-			}
-			_ = e.loop.Post(ctx, configRecord{offset: r.Offset, record: rec})
-		}
-	}
-	failed := func(err error) { e.log.Warn("log service cannot be read", "error", err) }
-	logsvc.Follow(ctx, e.deps.Logs, config.Stream, 0, each, failed)
-}
-
 func (e *Entry) followInstances(ctx context.Context) {
 	each := func(ch instances.Changes) { _ = e.loop.Post(ctx, listChanged{ch}) }
 	failed := func(err error) { e.log.Warn("instance list cannot be read", "error", err) }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -12,6 +12,7 @@
 // State is the control state of an entry. Only its control loop touches it.
 type State struct {
 	Config  *config.Accepted
+	Follow  *config.Follower // gives Config
 	Members *member.Table
 	Keys    map[string]model.Workspace       // by hash of the API key; replaced, never changed
 	Pools   map[model.Pool][]member.Endpoint // endpoints that may get new work; replaced, never changed
@@ -22,28 +23,24 @@
 type Snapshot struct {
 	At     time.Time
 	Config *config.Accepted
+	View   config.View // answers peers
 	Keys   map[string]model.Workspace
 	Pools  map[model.Pool][]member.Endpoint
 }
 
 // Events of the entry's control pipeline.
 type (
-	// configRecord is one record of the configuration stream.
-	configRecord struct {
-		offset int64
-		record config.Record
-	}
 	// listChanged carries changes of the platform's instance list.
 	listChanged struct{ changes instances.Changes }
 )
 
-func (configRecord) EventName() string { return "config_record" }
-func (listChanged) EventName() string  { return "list_changed" }
+func (listChanged) EventName() string { return "list_changed" }
 
 func newState() *State {
-	return &State{Config: config.Empty(), Members: member.NewTable()}
+	f := config.NewFollower()
+	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable()}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Keys: s.Keys, Pools: s.Pools}
+	return &Snapshot{At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Pools: s.Pools}
 }
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -16,7 +16,7 @@
 // controlPipeline lists the stages between the sources and the snapshot.
 func (p *Side) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
-		foldConfig{p.log},
+		foldConfig(p.log),
 		foldMean{},
 		decideAdmission{p.settings},
 	}
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -89,22 +89,7 @@
 // Start starts the control loop and its sources. They end with ctx.
 func (p *Side) Start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { p.loop.Run(ctx); return nil })
-	g.Go(func() error { p.followConfig(ctx); return nil })
-}
-
-func (p *Side) followConfig(ctx context.Context) {
-	each := func(b logsvc.Batch) {
-		for _, r := range b.Records {
-			rec, err := config.Decode(r.Data)
-			if err != nil {
-				p.log.Warn("record was skipped", "stream", config.Stream, "offset", r.Offset, "error", err)
-				continue
-			}
-			_ = p.loop.Post(ctx, configRecord{offset: r.Offset, record: rec})
-		}
-	}
-	failed := func(err error) { p.log.Warn("log service cannot be read", "error", err) }
-	logsvc.Follow(ctx, p.deps.Logs, config.Stream, 0, each, failed)
+	g.Go(func() error { p.configSource().Run(ctx); return nil })
 }
 
 // Handler returns the HTTP interface for entries.
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -12,6 +12,7 @@
 // it.
 type State struct {
 	Config  *config.Accepted
+	Follow  *config.Follower               // gives Config
 	Running map[model.RequestID]model.Cost // admitted and not yet finished
 	Load    int64                          // cost units of Running
 	Mean    PoolMean                       // last known mean load of the pool
@@ -29,17 +30,13 @@
 type Snapshot struct {
 	At      time.Time
 	Config  *config.Accepted
+	View    config.View // answers peers
 	Load    int64
 	Running int
 }
 
 // Events of the side's control pipeline.
 type (
-	// configRecord is one record of the configuration stream.
-	configRecord struct {
-		offset int64
-		record config.Record
-	}
 	// admitRequest asks for admission. The reply is nil if req may run.
 	admitRequest struct {
 		control.Question[*model.Refusal]
@@ -51,15 +48,15 @@
 	workDone struct{ id model.RequestID }
 )
 
-func (configRecord) EventName() string { return "config_record" }
 func (admitRequest) EventName() string { return "admit_request" }
 func (workDone) EventName() string     { return "work_done" }
 func (meanReceived) EventName() string { return "mean_received" }
 
 func newState() *State {
-	return &State{Config: config.Empty(), Running: map[model.RequestID]model.Cost{}}
+	f := config.NewFollower()
+	return &State{Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{}}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running)}
+	return &Snapshot{At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running)}
 }
