--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -8,7 +8,7 @@
 // before a quarter has passed, so that a dead first entry is replaced and every
 // retained stretch of the log holds at least three snapshots.
 func (v View) SnapshotDue(now time.Time, rank int, retention time.Duration) bool {
-	if v.Accepted.Offset == NoBase || v.Accepted.Loading {
+	if retention <= 0 || v.Accepted.Offset == NoBase || v.Accepted.Loading {
 		return false
 	}
 	wait := retention/5 + time.Duration(min(rank, 4))*retention/100
--- a/internal/configsync/source.go
+++ b/internal/configsync/source.go
@@ -35,9 +35,10 @@
 
 // Source brings configuration from the log and from peers to the control loop.
 type Source struct {
-	o     Options
-	heard chan string // address of a peer that is ahead
-	pages *rate.Limiter
+	o       Options
+	heard   chan string // address of a peer that is ahead
+	pages   *rate.Limiter
+	lookups *rate.Limiter
 }
 
 // Times of a source.
@@ -62,7 +63,7 @@
 // NewSource returns a source. Run starts it.
 func NewSource(o Options) *Source {
 	share := loadShare * float64(o.Budget)
-	return &Source{o: o, heard: make(chan string, 1), pages: rate.NewLimiter(rate.Limit(share), maxPageBytes)}
+	return &Source{o: o, heard: make(chan string, 1), pages: rate.NewLimiter(rate.Limit(share), maxPageBytes), lookups: newLookupLimit()}
 }
 
 // maxPageBytes bounds one page on the network.
--- a/internal/entry/identify.go
+++ b/internal/entry/identify.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
@@ -13,7 +14,13 @@
 
 // identify finds the workspace, plan, pool and route of a request and checks
 // that the plan may use the pool.
-type identify struct{ snapshot func() *Snapshot }
+type identify struct {
+	snapshot func() *Snapshot
+	lookup   func(ctx context.Context, keyHash string) bool // asks a peer while the configuration is loading
+}
+
+// loadRetryAfter is suggested to callers whose workspace is not loaded yet.
+const loadRetryAfter = 2 * time.Second
 
 func (identify) Name() string { return "identify" }
 
@@ -22,7 +29,15 @@
 	if s.Config.Offset == config.NoBase {
 		return nil, model.Refuse(model.ReasonNotConfigured, "no configuration has been accepted yet")
 	}
-	name, ok := s.Keys[hashKey(req.APIKey)]
+	hash := hashKey(req.APIKey)
+	name, ok := s.Keys[hash]
+	if !ok && s.Config.Loading && f.lookup(ctx, hash) {
+		s = f.snapshot()
+		name, ok = s.Keys[hash]
+	}
+	if !ok && s.Config.Loading {
+		return nil, &model.Refusal{Outcome: model.NotRun, Reason: model.ReasonNotConfigured, Detail: "the workspaces are still being loaded", RetryAfter: loadRetryAfter}
+	}
 	if !ok {
 		return nil, model.Refuse(model.ReasonUnauthorised, "the API key is not known")
 	}
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -8,7 +8,7 @@
 // trafficPipeline lists the filters between decode and encode.
 func (e *Entry) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
-		identify{e.loop.Snapshot},
+		identify{snapshot: e.loop.Snapshot, lookup: e.configs.Lookup},
 		chooseEndpoint{e.loop.Snapshot},
 		forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client},
 	)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
@@ -29,6 +30,7 @@
 	log      *slog.Logger
 	client   *http.Client
 	loop     *control.Loop[State, Snapshot]
+	configs  *configsync.Source
 }
 
 // New returns an entry. Start starts it.
@@ -40,6 +42,7 @@
 		Publish: publish,
 		Tick:    controlTick,
 	})
+	e.configs = e.configSource()
 	return e
 }
 
@@ -88,7 +91,8 @@
 // Start starts the control loop and its sources. They end with ctx.
 func (e *Entry) Start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { e.loop.Run(ctx); return nil })
-	g.Go(func() error { e.configSource().Run(ctx); return nil })
+	g.Go(func() error { e.configs.Run(ctx); return nil })
+	g.Go(func() error { e.snapshotter().Run(ctx); return nil })
 	g.Go(func() error { e.followInstances(ctx); return nil })
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -12,12 +12,13 @@
 	Instance      model.InstanceID
 	DataCentre    model.DataCentre
 	Region        model.Region
-	Listen        string // callers' address
-	Control       string // control exchange address
-	Admin         string // metrics and status address
-	LogService    string // base URL
-	InstanceList  string // base URL
-	Key           string // shared key of the fleet
+	Listen        string        // callers' address
+	Control       string        // control exchange address
+	Admin         string        // metrics and status address
+	LogService    string        // base URL
+	InstanceList  string        // base URL
+	Key           string        // shared key of the fleet
+	LogRetention  time.Duration // time for which the log service keeps records
 	DrainTime     time.Duration
 	ControlBudget int64 // bytes a second for control traffic
 	MaxBody       int64 // bytes of one caller's body
@@ -34,8 +35,13 @@
 	minControlBudget     = 1_000
 	maxControlBudget     = 1_000_000
 	defaultMaxBody       = 2 << 20
-	defaultTimeout       = 2 * time.Minute
-	maxTimeout           = time.Hour
+	// defaultLogRetention is short, so that a wrong default only costs a few
+	// more snapshots, not the start of a fleet without peers.
+	defaultLogRetention = 4 * time.Hour
+	minLogRetention     = time.Minute
+	maxLogRetention     = 90 * 24 * time.Hour
+	defaultTimeout      = 2 * time.Minute
+	maxTimeout          = time.Hour
 )
 
 // LoadSettings reads the settings of an entry and reports all faults together.
@@ -59,6 +65,7 @@
 		LogService:    f.Required("platform", "log_service"),
 		InstanceList:  f.Required("platform", "instance_list"),
 		Key:           f.Required("fleet", "key"),
+		LogRetention:  f.Duration("platform", "log_retention", defaultLogRetention, minLogRetention, maxLogRetention),
 		DrainTime:     f.Duration("entry", "drain_time", defaultDrainTime, time.Second, maxDrainTime),
 		ControlBudget: f.Int("fleet", "control_budget", defaultControlBudget, minControlBudget, maxControlBudget),
 		MaxBody:       f.Int("entry", "max_body", defaultMaxBody, 1, 64<<20),
--- a/internal/entry/source_config.go
+++ b/internal/entry/source_config.go
@@ -5,6 +5,7 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
 // configSource returns the source of the configuration stage.
@@ -18,3 +19,15 @@
 		Budget: e.settings.ControlBudget,
 	})
 }
+
+// snapshotter returns the source of snapshot records.
+func (e *Entry) snapshotter() configsync.Snapshotter {
+	return configsync.NewSnapshotter(configsync.SnapshotOptions{
+		Log:       e.log,
+		Logs:      e.deps.Logs,
+		View:      func() config.View { return e.loop.Snapshot().View },
+		Instance:  e.settings.Instance,
+		Entries:   func() []model.InstanceID { return e.loop.Snapshot().Entries },
+		Retention: e.settings.LogRetention,
+	})
+}
--- a/internal/entry/stage_derive.go
+++ b/internal/entry/stage_derive.go
@@ -26,8 +26,12 @@
 	for name, w := range s.Config.Lists.Workspaces {
 		s.Keys[w.KeyHash] = name
 	}
+	s.Entries = nil
 	s.Pools = map[model.Pool][]member.Endpoint{}
 	for _, e := range s.Members.All() {
+		if e.Role == instances.RoleEntry && e.Usable() {
+			s.Entries = append(s.Entries, e.ID)
+		}
 		out := s.Config.Lists.DataCentres[e.DataCentre].State == lists.Out
 		if e.Role == instances.RoleEndpoint && e.Usable() && !out {
 			s.Pools[e.Pool] = append(s.Pools[e.Pool], e)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -16,16 +16,18 @@
 	Members *member.Table
 	Keys    map[string]model.Workspace       // by hash of the API key; replaced, never changed
 	Pools   map[model.Pool][]member.Endpoint // endpoints that may get new work; replaced, never changed
+	Entries []model.InstanceID               // live entries; replaced, never changed
 	derived bool                             // Keys and Pools belong to Config and Members
 }
 
 // Snapshot is the published view of the state. Nobody changes it.
 type Snapshot struct {
-	At     time.Time
-	Config *config.Accepted
-	View   config.View // answers peers
-	Keys   map[string]model.Workspace
-	Pools  map[model.Pool][]member.Endpoint
+	At      time.Time
+	Config  *config.Accepted
+	View    config.View // answers peers
+	Keys    map[string]model.Workspace
+	Entries []model.InstanceID // live entries, this one included
+	Pools   map[model.Pool][]member.Endpoint
 }
 
 // Events of the entry's control pipeline.
@@ -42,5 +44,5 @@
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Pools: s.Pools}
+	return &Snapshot{At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Entries: s.Entries, Pools: s.Pools}
 }
