Add goldcrestctl: check, diff, apply, status, drain, restore, rollout, release

Cause: operators had no way to put lists in force or to see where they are. Change: cmd/goldcrestctl over internal/ctl: each command is a pipeline of filters (read, check, diff, append, wait). An append whose answer is lost is repeated with the same id until the log shows a winner on its base. apply refuses lists that would restore a drained data centre or change a version during a rollout as a side effect.

--- a/internal/config/fetch.go
+++ b/internal/config/fetch.go
@@ -61,6 +61,16 @@
 // Next returns the request that brings the process forward.
 func (v View) Next() FetchRequest { return v.next }
 
+// First returns the record that was accepted on base, as far as the last
+// accepted records reach back.
+func (v View) First(base int64) (Entry, bool) {
+	entries, ok := v.history.since(base)
+	if !ok {
+		return Entry{}, false
+	}
+	return entries[0], true
+}
+
 // Answer answers a peer. A process that is loading answers only with records,
 // since it has no whole state to give.
 func (v View) Answer(req FetchRequest) FetchReply {
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,196 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/lists"
+	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
+)
+
+// memoryLog is a log whose next append answers can be lost, before or after
+// the append took effect.
+type memoryLog struct {
+	records    []logsvc.Record
+	loseAfter  int    // appends that take effect without an answer
+	loseBefore int    // appends that do not arrive
+	before     func() // runs before the next append
+}
+
+var errNoAnswer = eris.New("no answer")
+
+func (l *memoryLog) Append(_ context.Context, _ string, data []byte) (int64, error) {
+	if f := l.before; f != nil {
+		l.before = nil
+		f()
+	}
+	if l.loseBefore > 0 {
+		l.loseBefore--
+		return 0, errNoAnswer
+	}
+	l.records = append(l.records, logsvc.Record{Offset: int64(len(l.records)), Data: data})
+	if l.loseAfter > 0 {
+		l.loseAfter--
+		return 0, errNoAnswer
+	}
+	return int64(len(l.records) - 1), nil
+}
+
+func (l *memoryLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (logsvc.Batch, error) {
+	from = min(from, int64(len(l.records)))
+	return logsvc.Batch{Next: int64(len(l.records)), Records: l.records[from:]}, nil
+}
+
+type fixedList []instances.Instance
+
+func (l fixedList) Since(context.Context, int64, time.Duration) (instances.Changes, error) {
+	return instances.Changes{Seq: 1, Instances: l}, nil
+}
+
+// do runs a command against the log and returns its error.
+func do(t *testing.T, log *memoryLog, cmd Command, args ...string) (*Job, error) {
+	t.Helper()
+	job := newJob()
+	job.Options = Options{Lists: "../../examples/kauri", Author: "test", Timeout: 5 * time.Second}
+	job.Args, job.Logs = args, log
+	return job, run(context.Background(), job, cmd.Filters(job))
+}
+
+func accepted(t *testing.T, log *memoryLog) *config.Accepted {
+	t.Helper()
+	job := newJob()
+	job.Logs = log
+	is.New(t).NoErr(readAccepted{}.Run(context.Background(), job))
+	return job.Follower.Accepted
+}
+
+// Guards against an apply that leaves out a part of the lists.
+func TestApplyPutsTheListsInForce(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{}
+	job, err := do(t, log, applyCommand())
+	is.NoErr(err)
+	is.Equal(job.Offset, int64(0))
+	l := accepted(t, log).Lists
+	is.Equal(len(l.Workspaces), 10)
+	is.Equal(len(l.DataCentres), 3)
+	job, err = do(t, log, diffCommand())
+	is.NoErr(err)
+	is.Equal(len(job.Changes), 0)
+}
+
+// Guards against a record that counts twice, or not at all, after its append
+// answer was lost.
+func TestLostAppendAnswerIsResolved(t *testing.T) {
+	for _, lose := range []memoryLog{{loseAfter: 1}, {loseBefore: 1}, {loseAfter: 2}, {loseBefore: 2}} {
+		is := is.New(t)
+		log := &lose
+		_, err := do(t, log, applyCommand())
+		is.NoErr(err)
+		is.Equal(accepted(t, log).Offset, int64(0))
+	}
+}
+
+// Guards against two operators who both believe that they won.
+func TestLostRaceIsReportedAndChangesNothing(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{}
+	_, err := do(t, log, applyCommand())
+	is.NoErr(err)
+	log.before = func() {
+		_, err := do(t, log, drainCommand(), "akl-2")
+		is.NoErr(err)
+	}
+	_, err = do(t, log, drainCommand(), "akl-1")
+	is.True(eris.Is(err, ErrLost))
+	l := accepted(t, log).Lists
+	is.Equal(l.DataCentres["akl-1"].State, lists.In)
+	is.Equal(l.DataCentres["akl-2"].State, lists.Out)
+}
+
+// Guards against an apply that returns a drained data centre to service as a
+// side effect.
+func TestApplyDoesNotRestoreADrainedDataCentre(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{}
+	_, err := do(t, log, applyCommand())
+	is.NoErr(err)
+	_, err = do(t, log, drainCommand(), "akl-1")
+	is.NoErr(err)
+	_, err = do(t, log, applyCommand())
+	is.True(strings.Contains(err.Error(), "out of service"))
+	_, err = do(t, log, restoreCommand(), "akl-1")
+	is.NoErr(err)
+	_, err = do(t, log, applyCommand())
+	is.NoErr(err)
+}
+
+// Guards against a second rollout of a pool beside an active one, and against
+// a verdict that is changed afterwards.
+func TestRolloutCommands(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{}
+	_, err := do(t, log, applyCommand())
+	is.NoErr(err)
+	start := func() (*Job, error) {
+		cmd := rolloutStartCommand()
+		cmd.Filters = func(job *Job) []Filter {
+			job.Rollout = rolloutFlags{share: defaultFirstShare, steps: defaultSteps, window: defaultWindow}
+			return rolloutStartCommand().Filters(job)
+		}
+		return do(t, log, cmd, "summaries", "2026.12")
+	}
+	job, err := start()
+	is.NoErr(err)
+	_, err = start()
+	is.True(err != nil) // still active
+	_, err = do(t, log, rolloutTakeBackCommand(), job.Changes[0].Name)
+	is.NoErr(err)
+	is.Equal(accepted(t, log).Lists.Rollouts[job.Changes[0].Name].State, lists.RolloutTakenBack)
+	_, err = do(t, log, rolloutTakeBackCommand(), job.Changes[0].Name)
+	is.True(err != nil) // has ended
+}
+
+// Guards against a wait that counts an instance that lacks the configuration.
+func TestInForceNamesTheMissing(t *testing.T) {
+	is := is.New(t)
+	offset := 4
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(map[string]any{"config_offset": offset, "load": 7})
+	}))
+	defer srv.Close()
+	job := newJob()
+	job.HTTP = srv.Client()
+	job.List = fixedList{
+		{ID: "entry-1", Role: instances.RoleEntry, Admin: srv.Listener.Addr().String()},
+		{ID: "engine-1", Role: instances.RoleEndpoint, Status: instances.Live},
+		{ID: "engine-2", Role: instances.RoleEndpoint, Status: instances.Gone},
+	}
+	is.NoErr(readFleet{}.Run(context.Background(), job))
+	var out bytes.Buffer
+	printInForce(&out, job.Fleet, 4)
+	is.Equal(out.String(), "in force on 1 of 2\nmissing: engine-1 (endpoint, ) does not answer\n")
+}
+
+// Guards against exit codes that a script cannot tell apart.
+func TestExitCodes(t *testing.T) {
+	is := is.New(t)
+	var out, errOut bytes.Buffer
+	is.Equal(Main([]string{"check", "-lists", "../../examples/kalesa"}, &out, &errOut), program.ExitOK)
+	is.Equal(Main([]string{"drain"}, &out, &errOut), program.ExitSettings)
+	is.Equal(Main([]string{"check"}, &out, &errOut), program.ExitSettings)
+	is.Equal(Main([]string{"diff", "-lists", "../../examples/kalesa", "-log-service", "http://127.0.0.1:1"}, &out, &errOut), program.ExitFailure)
+	is.Equal(Main([]string{"nothing"}, &out, &errOut), program.ExitSettings)
+}
