Give the log service stand-in retention, a rate limit and faults

Cause: claims and configuration rest on the behaviour of the log service in outages, under its append limit and when an answer is lost after the append took effect; the stand-in only appended and read. Change: retention by age and count, an append rate for all streams, PUT and GET /faults with down, slow, lost answers by count or by seeded share.

--- a/internal/standin/logservice.go
+++ b/internal/standin/logservice.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
+
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 )
@@ -15,14 +19,44 @@
 // LogService is a fake of the platform's log service. It implements
 // logsvc.Log.
 type LogService struct {
-	loop *control.Loop[logState, struct{}]
+	loop *control.Loop[logState, logSnapshot]
+}
+
+// LogConfig bounds what the log service takes and keeps. The zero value has no
+// bounds.
+type LogConfig struct {
+	RetainAge   time.Duration // records older than this are removed; 0 keeps them
+	RetainCount int           // records kept in each stream; 0 keeps them all
+	AppendRate  float64       // appends a second for all streams together; 0 means no limit
+	Seed        uint64        // decides which answers LoseShare loses
 }
 
+// LogServiceFaults are the faults that can be switched on.
+type LogServiceFaults struct {
+	Down        bool    `json:"down"`         // every call fails without effect
+	SlowMS      int64   `json:"slow_ms"`      // delay of every call, in milliseconds
+	LoseAnswers int     `json:"lose_answers"` // so many of the next appends take effect and report a failure
+	LoseShare   float64 `json:"lose_share"`   // share of appends that take effect and report a failure, 0 to 1
+}
+
+// Errors of the log service.
+var (
+	ErrDown       = eris.New("standin: service is down")
+	ErrRate       = eris.New("standin: too many calls a second")
+	ErrAnswerLost = eris.New("standin: answer was lost after the call took effect")
+)
+
 type logState struct {
+	cfg     LogConfig
+	faults  LogServiceFaults
+	random  *rand.Rand
+	limiter *rate.Limiter
 	streams map[string]*logStream
 	waiting []logRead
 }
 
+type logSnapshot struct{ faults LogServiceFaults }
+
 type logStream struct {
 	first   int64
 	records []logsvc.Record
@@ -50,20 +84,36 @@
 		batch logsvc.Batch
 		err   error
 	}
+	logFaultsSet struct {
+		control.Question[bool]
+		faults LogServiceFaults
+	}
 )
 
-func (logAppend) EventName() string { return "log_append" }
-func (logRead) EventName() string   { return "log_read" }
+func (logAppend) EventName() string    { return "log_append" }
+func (logRead) EventName() string      { return "log_read" }
+func (logFaultsSet) EventName() string { return "log_faults_set" }
 
 // logTick bounds how late a read without records returns.
 const logTick = 100 * time.Millisecond
 
-// NewLogService returns an empty log service. Run must run for it to answer.
-func NewLogService() *LogService {
-	return &LogService{loop: control.New(control.Config[logState, struct{}]{
-		State:   &logState{streams: map[string]*logStream{}},
-		Stages:  []control.Stage[logState]{logAppends{}, logReads{}},
-		Publish: func(*logState, time.Time) *struct{} { return &struct{}{} },
+// NewLogService returns an empty log service without bounds. Run must run for
+// it to answer.
+func NewLogService() *LogService { return NewLogServiceWith(LogConfig{}) }
+
+// NewLogServiceWith returns an empty log service with the bounds of cfg.
+func NewLogServiceWith(cfg LogConfig) *LogService {
+	limit := rate.Inf
+	if cfg.AppendRate > 0 {
+		limit = rate.Limit(cfg.AppendRate)
+	}
+	return &LogService{loop: control.New(control.Config[logState, logSnapshot]{
+		State: &logState{
+			cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0)),
+			limiter: rate.NewLimiter(limit, max(1, int(cfg.AppendRate))), streams: map[string]*logStream{},
+		},
+		Stages:  []control.Stage[logState]{switchLogFaults{}, logAppends{}, logRetention{}, logReads{}},
+		Publish: func(s *logState, _ time.Time) *logSnapshot { return &logSnapshot{s.faults} },
 		Tick:    logTick,
 	})}
 }
@@ -71,8 +121,20 @@
 // Run serves appends and reads until ctx ends.
 func (l *LogService) Run(ctx context.Context) { l.loop.Run(ctx) }
 
+// Faults returns the faults that are switched on.
+func (l *LogService) Faults() LogServiceFaults { return l.loop.Snapshot().faults }
+
+// SetFaults replaces the faults.
+func (l *LogService) SetFaults(ctx context.Context, f LogServiceFaults) error {
+	_, err := control.Ask(ctx, l.loop, logFaultsSet{Question: control.NewQuestion[bool](), faults: f})
+	return err
+}
+
 // Append implements logsvc.Log.
 func (l *LogService) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	if err := delay(ctx, l.Faults().SlowMS); err != nil {
+		return 0, err
+	}
 	r, err := control.Ask(ctx, l.loop, logAppend{Question: control.NewQuestion[logAppended](), stream: stream, data: data})
 	if err != nil {
 		return 0, err
@@ -82,6 +144,9 @@
 
 // Read implements logsvc.Log.
 func (l *LogService) Read(ctx context.Context, stream string, from int64, wait time.Duration) (logsvc.Batch, error) {
+	if err := delay(ctx, l.Faults().SlowMS); err != nil {
+		return logsvc.Batch{}, err
+	}
 	r, err := control.Ask(ctx, l.loop, logRead{Defer: control.NewDeferred[logBatch](), stream: stream, from: from, until: time.Now().Add(wait)})
 	if err != nil {
 		return logsvc.Batch{}, err
@@ -89,6 +154,19 @@
 	return r.batch, r.err
 }
 
+// switchLogFaults switches faults.
+type switchLogFaults struct{}
+
+func (switchLogFaults) Name() string { return "log_faults" }
+
+func (switchLogFaults) Apply(s *logState, _ time.Time, ev control.Event) bool {
+	f, ok := ev.(logFaultsSet)
+	if ok {
+		s.faults = f.faults
+	}
+	return ok
+}
+
 // logAppends adds records.
 type logAppends struct{}
 
@@ -99,13 +177,56 @@
 	if !ok {
 		return false
 	}
+	switch {
+	case s.faults.Down:
+		a.Reply(logAppended{err: ErrDown})
+		return false
+	case !s.limiter.AllowN(now, 1):
+		a.Reply(logAppended{err: ErrRate})
+		return false
+	}
 	st := s.stream(a.stream)
 	offset := st.next()
 	st.records = append(st.records, logsvc.Record{Offset: offset, AppendedMS: now.UnixMilli(), Data: a.data})
+	if s.losesAnswer() {
+		a.Reply(logAppended{err: ErrAnswerLost})
+		return true
+	}
 	a.Reply(logAppended{offset: offset})
 	return false
 }
 
+func (s *logState) losesAnswer() bool {
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return true
+	}
+	return s.faults.LoseShare > 0 && s.random.Float64() < s.faults.LoseShare
+}
+
+// logRetention removes records that are too old or too many.
+type logRetention struct{}
+
+func (logRetention) Name() string { return "log_retention" }
+
+func (logRetention) Apply(s *logState, now time.Time, ev control.Event) bool {
+	if _, read := ev.(logRead); read {
+		return false
+	}
+	for _, st := range s.streams {
+		drop := 0
+		if s.cfg.RetainCount > 0 {
+			drop = max(0, len(st.records)-s.cfg.RetainCount)
+		}
+		for s.cfg.RetainAge > 0 && drop < len(st.records) && now.UnixMilli()-st.records[drop].AppendedMS > s.cfg.RetainAge.Milliseconds() {
+			drop++
+		}
+		st.records = st.records[drop:]
+		st.first += int64(drop)
+	}
+	return false
+}
+
 // logReads answers reads that have records or have waited long enough.
 type logReads struct{}
 
@@ -118,12 +239,16 @@
 	kept := s.waiting[:0]
 	for _, r := range s.waiting {
 		b := s.stream(r.stream).read(r.from)
-		if len(b.Records) > 0 || !now.Before(r.until) {
+		switch {
+		case s.faults.Down:
+			r.Reply(logBatch{err: ErrDown})
+		case len(b.Records) > 0 || !now.Before(r.until):
 			r.Reply(logBatch{batch: b})
-			continue
+		default:
+			kept = append(kept, r)
 		}
-		kept = append(kept, r)
 	}
+	clear(s.waiting[len(kept):])
 	s.waiting = kept
 	return false
 }
@@ -162,6 +287,9 @@
 			return
 		}
 		offset, err := l.Append(r.Context(), r.PathValue("name"), data)
+		if errors.Is(err, ErrAnswerLost) {
+			panic(http.ErrAbortHandler)
+		}
 		respond(w, logsvc.Appended{Offset: offset}, err)
 	})
 	mux.HandleFunc("GET /streams/{name}", func(w http.ResponseWriter, r *http.Request) {
@@ -170,15 +298,6 @@
 		batch, err := l.Read(r.Context(), r.PathValue("name"), from, time.Duration(wait)*time.Millisecond)
 		respond(w, batch, err)
 	})
+	serveFaults(mux, l.Faults, l.SetFaults)
 	return mux
 }
-
-// respond writes v as JSON, or err with status 503.
-func respond(w http.ResponseWriter, v any, err error) {
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
