Make engine, plain service and weight store stand-ins with faults

Cause: routing, admission, rollouts, orders and at-most-once calls are proved against these stand-ins, which had neither a batch, a cache, cold starts nor faults. Change: the engine is one control loop with slots, priorities, an LRU prefix cache, cold starts with counted overloads, crash by marker, version faults, orders with or without fencing, cancel, load, events and KV transfer; the plain service counts runs by idempotency key; a rate-limited weight store. Engines and services now need Run; in-process use goes through Generate and Call. The route is part of GenerateRequest, so that a fault can hold on one route only.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -48,9 +48,12 @@
 	t.Cleanup(func() { cancel(); _ = f.group.Wait() })
 	f.group.Go(func() error { f.logs.Run(ctx); return nil })
 	f.group.Go(func() error { f.list.Run(ctx); return nil })
+	f.group.Go(func() error { f.service.Run(ctx); return nil })
 	f.apply(config.NoBase, sampleLists())
 	for i := range engines {
-		f.addSide(fmt.Sprintf("engine-%d", i), "chat", model.Engine, standin.NewEngine("v1", 0).Handler())
+		engine := standin.NewEngine("v1", 0)
+		f.group.Go(func() error { engine.Run(ctx); return nil })
+		f.addSide(fmt.Sprintf("engine-%d", i), "chat", model.Engine, engine.Handler())
 	}
 	f.addSide("service-0", "tracker", model.Service, f.service.Handler())
 	for i := range entries {
--- a/internal/endpointapi/engine.go
+++ b/internal/endpointapi/engine.go
@@ -34,12 +34,12 @@
 func (e *Engine) Run(ctx context.Context, req *model.Request) (*model.Answer, error) {
 	body, err := json.Marshal(GenerateRequest{
 		ID: req.ID, Chat: req.HashKey(), Priority: req.Priority, Prefill: req.Cost.Prefill,
-		MaxTokens: req.Cost.Generate, From: req.From, Version: req.Version, Body: req.Body,
+		MaxTokens: req.Cost.Generate, From: req.From, Version: req.Version, Route: req.Route, Body: req.Body,
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "endpointapi: request cannot be encoded")
 	}
-	call, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/generate", bytes.NewReader(body))
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+PathGenerate, bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrap(err, "endpointapi: request cannot be made")
 	}
--- a/internal/endpointapi/format.go
+++ b/internal/endpointapi/format.go
@@ -13,6 +13,7 @@
 	MaxTokens int64           `json:"max_tokens"` // tokens to generate
 	From      int             `json:"from"`       // tokens already delivered; generation resumes after them
 	Version   model.Version   `json:"version,omitempty"`
+	Route     model.Route     `json:"route,omitempty"`
 	Body      []byte          `json:"body"`
 }
 
@@ -29,6 +30,57 @@
 	Error string `json:"error,omitempty"`
 }
 
+// Paths of an engine besides the orders interface.
+const (
+	PathGenerate = "/generate" // POST a GenerateRequest; the answer is a GenerateHead and GenerateLines
+	PathCancel   = "/cancel/"  // POST, followed by the request id; 204 whether or not the request runs
+	PathLoad     = "/load"     // GET the Load
+	PathEvents   = "/events"   // GET ?since=N&wait_ms=M the CacheEvents
+	PathKV       = "/kv/"      // GET and PUT the KV of a chat, followed by the chat
+)
+
+// Load is an engine's own report of its load. It lags behind the truth.
+type Load struct {
+	Running     int   `json:"running"`      // requests in the batch
+	Waiting     int   `json:"waiting"`      // requests without a slot
+	Slots       int   `json:"slots"`        // largest batch; 0 means no bound
+	Units       int64 `json:"units"`        // cost units of running and waiting requests
+	CacheTokens int64 `json:"cache_tokens"` // tokens in the prefix cache
+	CacheLimit  int64 `json:"cache_limit"`  // tokens that the prefix cache holds
+	UptimeMS    int64 `json:"uptime_ms"`    // time since the engine process started
+}
+
+// CacheEventKind tells what happened to a chat's prefix.
+type CacheEventKind string
+
+// The kinds of cache event.
+const (
+	CacheStored  CacheEventKind = "stored"
+	CacheRemoved CacheEventKind = "removed"
+)
+
+// CacheEvent is one change of the prefix cache.
+type CacheEvent struct {
+	Seq    int64          `json:"seq"`
+	Kind   CacheEventKind `json:"kind"`
+	Chat   string         `json:"chat"`
+	Tokens int64          `json:"tokens"`
+}
+
+// CacheEvents is the answer to a read of the events. They come late, and some
+// never come: a step of more than 1 between sequence numbers is a gap.
+type CacheEvents struct {
+	Next   int64        `json:"next"` // value of since for the next read
+	Events []CacheEvent `json:"events"`
+}
+
+// KV is the cached prefix of a chat. Only engines of the same version can use it.
+type KV struct {
+	Chat    string        `json:"chat"`
+	Version model.Version `json:"version"`
+	Tokens  int64         `json:"tokens"`
+}
+
 // Headers of a call to a plain service.
 const (
 	HeaderRequest = "Request-Id"
--- a/internal/standin/logservice_test.go
+++ b/internal/standin/logservice_test.go
@@ -15,9 +15,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
 		f(ctx, is.New(t))
-		cancel()
-		synctest.Wait()
 	})
 }
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -1,29 +1,202 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
+	"io"
+	"maps"
 	"net/http"
-	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/endpointapi"
 )
 
-// Service is a fake of a plain service that counts every run.
+// Service is a fake of a plain service with ticket assignment, reservation and
+// transfer. It knows no idempotency: it counts every run by key, so that a
+// duplicate shows.
 type Service struct {
-	runs atomic.Int64
+	loop *control.Loop[serviceState, serviceSnapshot]
+}
+
+// ServiceFaults are the faults that can be switched on.
+type ServiceFaults struct {
+	Down        bool    `json:"down"`         // calls fail before they run
+	SlowMS      int64   `json:"slow_ms"`      // time of a call after it ran, in milliseconds
+	LoseAnswers int     `json:"lose_answers"` // so many of the next calls run and lose their answer
+	FailShare   float64 `json:"fail_share"`   // share of calls that run and answer with status 500; every 1/FailShare-th
+}
+
+// ServiceStats counts the calls that ran.
+type ServiceStats struct {
+	Runs       int64            `json:"runs"`
+	Routes     map[string]int64 `json:"routes"`     // runs by route
+	Keys       map[string]int64 `json:"keys"`       // runs by idempotency key
+	Duplicates int64            `json:"duplicates"` // runs of a key beyond its first
+}
+
+// RunResult is the answer of a call. Run differs for every run.
+type RunResult struct {
+	Route  string          `json:"route"`
+	Run    int64           `json:"run"`
+	Key    string          `json:"key,omitempty"`
+	Result json.RawMessage `json:"result,omitempty"`
+}
+
+type serviceState struct {
+	faults ServiceFaults
+	stats  ServiceStats
+	failed float64
+}
+
+type serviceSnapshot struct {
+	faults ServiceFaults
+	runs   int64
+	dups   int64
+}
+
+type (
+	runCall struct {
+		control.Question[runAnswer]
+		route, key string
+		body       []byte
+	}
+	runAnswer struct {
+		result RunResult
+		err    error
+	}
+	readServiceStats struct{ control.Question[ServiceStats] }
+	serviceFaultsSet struct {
+		control.Question[bool]
+		faults ServiceFaults
+	}
+)
+
+func (runCall) EventName() string          { return "run_call" }
+func (readServiceStats) EventName() string { return "read_stats" }
+func (serviceFaultsSet) EventName() string { return "service_faults_set" }
+
+// NewService returns a service without runs. Run must run for it to answer.
+func NewService() *Service {
+	return &Service{loop: control.New(control.Config[serviceState, serviceSnapshot]{
+		State:  &serviceState{stats: ServiceStats{Routes: map[string]int64{}, Keys: map[string]int64{}}},
+		Stages: []control.Stage[serviceState]{serviceRuns{}},
+		Publish: func(s *serviceState, _ time.Time) *serviceSnapshot {
+			return &serviceSnapshot{s.faults, s.stats.Runs, s.stats.Duplicates}
+		},
+	})}
 }
 
-// NewService returns a service without runs.
-func NewService() *Service { return &Service{} }
+// Run serves calls until ctx ends.
+func (s *Service) Run(ctx context.Context) { s.loop.Run(ctx) }
 
 // Runs returns the number of calls that ran.
-func (s *Service) Runs() int64 { return s.runs.Load() }
+func (s *Service) Runs() int64 { return s.loop.Snapshot().runs }
+
+// Duplicates returns the number of runs of a key beyond its first.
+func (s *Service) Duplicates() int64 { return s.loop.Snapshot().dups }
+
+// Stats returns the counts of all keys.
+func (s *Service) Stats(ctx context.Context) (ServiceStats, error) {
+	return control.Ask(ctx, s.loop, readServiceStats{control.NewQuestion[ServiceStats]()})
+}
+
+// Faults returns the faults that are switched on.
+func (s *Service) Faults() ServiceFaults { return s.loop.Snapshot().faults }
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(ctx context.Context, f ServiceFaults) error {
+	_, err := control.Ask(ctx, s.loop, serviceFaultsSet{Question: control.NewQuestion[bool](), faults: f})
+	return err
+}
+
+// Call runs a route. After ErrAnswerLost or ErrFailed the call has run.
+func (s *Service) Call(ctx context.Context, route, key string, body []byte) (RunResult, error) {
+	a, err := control.Ask(ctx, s.loop, runCall{Question: control.NewQuestion[runAnswer](), route: route, key: key, body: body})
+	if err != nil {
+		return RunResult{}, err
+	}
+	if err := delay(ctx, s.Faults().SlowMS); err != nil {
+		return RunResult{}, err
+	}
+	return a.result, a.err
+}
+
+// serviceRuns counts runs.
+type serviceRuns struct{}
+
+func (serviceRuns) Name() string { return "service_runs" }
+
+func (st serviceRuns) Apply(s *serviceState, _ time.Time, ev control.Event) bool {
+	switch ev := ev.(type) {
+	case serviceFaultsSet:
+		s.faults = ev.faults
+	case runCall:
+		ev.Reply(st.run(s, ev))
+	case readServiceStats:
+		out := s.stats
+		out.Routes, out.Keys = maps.Clone(out.Routes), maps.Clone(out.Keys)
+		ev.Reply(out)
+		return false
+	}
+	return true
+}
+
+func (serviceRuns) run(s *serviceState, ev runCall) runAnswer {
+	if s.faults.Down {
+		return runAnswer{err: ErrDown}
+	}
+	s.stats.Runs++
+	s.stats.Routes[ev.route]++
+	if ev.key != "" {
+		s.stats.Keys[ev.key]++
+		if s.stats.Keys[ev.key] > 1 {
+			s.stats.Duplicates++
+		}
+	}
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return runAnswer{err: ErrAnswerLost}
+	}
+	if s.failed += s.faults.FailShare; s.failed >= 1 {
+		s.failed--
+		return runAnswer{err: ErrFailed}
+	}
+	out := RunResult{Route: ev.route, Run: s.stats.Runs, Key: ev.key}
+	if json.Valid(ev.body) {
+		out.Result = ev.body
+	}
+	return runAnswer{result: out}
+}
+
+// maxServiceBody bounds the body of one call.
+const maxServiceBody = 1 << 20
 
 // Handler serves the service's HTTP interface: any route runs.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /{route}", func(w http.ResponseWriter, r *http.Request) {
-		n := s.runs.Add(1)
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(map[string]any{"route": r.PathValue("route"), "run": n})
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxServiceBody))
+		if err != nil {
+			http.Error(w, "body cannot be read", http.StatusBadRequest)
+			return
+		}
+		result, err := s.Call(r.Context(), r.PathValue("route"), r.Header.Get(endpointapi.HeaderKey), body)
+		switch {
+		case eris.Is(err, ErrAnswerLost):
+			panic(http.ErrAbortHandler)
+		case eris.Is(err, ErrFailed):
+			http.Error(w, "the call failed", http.StatusInternalServerError)
+		default:
+			respond(w, result, err)
+		}
+	})
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, r *http.Request) {
+		stats, err := s.Stats(r.Context())
+		respond(w, stats, err)
 	})
+	serveFaults(mux, s.Faults, s.SetFaults)
 	return mux
 }
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -28,15 +28,23 @@
 type Settings struct {
 	Role      string
 	Listen    string
-	Version   model.Version
-	TokenTime time.Duration
+	Log       LogConfig
+	Weights   WeightConfig
+	Engine    EngineConfig
 	Instances []instances.Instance // first content of the instance list
 }
 
+// Bounds and defaults of the settings.
 const (
 	defaultTokenTime = 5 * time.Millisecond
-	maxTokenTime     = 10 * time.Second
+	maxTime          = time.Hour
+	maxCount         = 1 << 40
 	instanceSection  = "instance "
+	// defaultCacheTokens holds some hundred long chats.
+	defaultCacheTokens = 2 << 20
+	// defaultAppendRate is below the several hundred appends a second that the
+	// platform's log service takes.
+	defaultAppendRate = 400
 )
 
 // LoadSettings reads the settings of a stand-in and reports all faults together.
@@ -46,10 +54,15 @@
 		return Settings{}, err
 	}
 	s := Settings{
-		Role:      f.OneOf("standin", "role", "", rolePlatform, roleEngine, roleService),
-		Listen:    f.Address("standin", "listen"),
-		Version:   model.Version(f.String("standin", "version", "v1")),
-		TokenTime: f.Duration("standin", "token_time", defaultTokenTime, 0, maxTokenTime),
+		Role:   f.OneOf("standin", "role", "", rolePlatform, roleEngine, roleService),
+		Listen: f.Address("standin", "listen"),
+	}
+	seed := uint64(f.Int("standin", "seed", 1, 0, maxCount))
+	switch s.Role {
+	case rolePlatform:
+		s.Log, s.Weights = readLog(f, seed), readWeights(f)
+	case roleEngine:
+		s.Engine = readEngine(f, seed)
 	}
 	for _, section := range f.Sections() {
 		if name, ok := strings.CutPrefix(section, instanceSection); ok {
@@ -59,6 +72,46 @@
 	return s, f.Err()
 }
 
+func readLog(f *settings.File, seed uint64) LogConfig {
+	return LogConfig{
+		RetainAge:   f.Duration("log", "retain_age", 0, 0, 365*24*time.Hour),
+		RetainCount: int(f.Int("log", "retain_count", 0, 0, maxCount)),
+		AppendRate:  f.Float("log", "append_rate", defaultAppendRate, 0, maxCount),
+		Seed:        seed,
+	}
+}
+
+func readWeights(f *settings.File) WeightConfig {
+	return WeightConfig{
+		LoadsPerMinute: f.Float("weights", "loads_per_minute", 0, 0, maxCount),
+		LoadTime:       f.Duration("weights", "load_time", 0, 0, maxTime),
+	}
+}
+
+func readEngine(f *settings.File, seed uint64) EngineConfig {
+	cfg := EngineConfig{
+		Version:       model.Version(f.String("engine", "version", "v1")),
+		TokenTime:     f.Duration("engine", "token_time", defaultTokenTime, 0, maxTime),
+		PrefillTime:   f.Duration("engine", "prefill_time", 0, 0, maxTime),
+		Slots:         int(f.Int("engine", "slots", 0, 0, maxCount)),
+		BatchSlowdown: f.Float("engine", "batch_slowdown", 0, 0, maxCount),
+		CacheTokens:   f.Int("engine", "cache_tokens", defaultCacheTokens, 0, maxCount),
+		StartCold:     f.Bool("engine", "start_cold", false),
+		ColdTime:      f.Duration("engine", "cold_time", 0, 0, maxTime),
+		ColdBears:     f.Int("engine", "cold_bears", 0, 0, maxCount),
+		WarmAfter:     int(f.Int("engine", "warm_after", defaultWarmAfter, 1, maxCount)),
+		LoadLag:       f.Duration("engine", "load_lag", 0, 0, maxTime),
+		EventLag:      f.Duration("engine", "event_lag", 0, 0, maxTime),
+		EventGap:      f.Int("engine", "event_gap", 0, 0, maxCount),
+		IgnoresFence:  f.Bool("engine", "ignores_fence", false),
+		Seed:          seed,
+	}
+	if base := f.String("engine", "weight_store", ""); base != "" {
+		cfg.Weights = weightClient{base}
+	}
+	return cfg
+}
+
 func readInstance(f *settings.File, section, name string) instances.Instance {
 	return instances.Instance{
 		ID:         model.InstanceID(name),
@@ -76,29 +129,44 @@
 
 // Run serves the stand-in of the given settings until ctx ends.
 func Run(ctx context.Context, log *slog.Logger, s Settings) error {
-	listener, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return eris.Wrap(err, "standin: address cannot be used")
-	}
 	var g errgroup.Group
-	var h http.Handler
+	log.Info("started", "role", s.Role, "listen", s.Listen)
 	switch s.Role {
-	case rolePlatform:
-		h = startPlatform(ctx, &g, s)
 	case roleEngine:
-		h = NewEngine(s.Version, s.TokenTime).Handler()
+		e := NewEngineWith(s.Engine)
+		g.Go(func() error { e.Run(ctx); return nil })
+		g.Go(func() error { return e.Serve(ctx, s.Listen) })
 	case roleService:
-		h = NewService().Handler()
+		sv := NewService()
+		g.Go(func() error { sv.Run(ctx); return nil })
+		g.Go(func() error { return serve(ctx, s.Listen, sv.Handler()) })
+	case rolePlatform:
+		h := startPlatform(ctx, &g, s)
+		g.Go(func() error { return serve(ctx, s.Listen, h) })
 	}
-	log.Info("started", "role", s.Role, "listen", listener.Addr().String())
-	g.Go(func() error { return program.Serve(ctx, program.NewServer(h), listener, time.Second) })
 	return g.Wait()
 }
 
+func serve(ctx context.Context, address string, h http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "standin: address cannot be used")
+	}
+	srv := program.NewServer(h)
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(listener); err != nil && ctx.Err() == nil {
+		return eris.Wrap(err, "standin: server failed")
+	}
+	return nil
+}
+
 func startPlatform(ctx context.Context, g *errgroup.Group, s Settings) http.Handler {
-	logs, list := NewLogService(), NewInstanceList()
+	logs, list := NewLogServiceWith(s.Log), NewInstanceList()
+	store, loads := NewWeightStore(s.Weights)
 	g.Go(func() error { logs.Run(ctx); return nil })
 	g.Go(func() error { list.Run(ctx); return nil })
+	g.Go(func() error { store.Run(ctx); return nil })
 	g.Go(func() error {
 		for _, in := range s.Instances {
 			if err := list.Put(ctx, in); err != nil {
@@ -108,7 +176,12 @@
 		return nil
 	})
 	mux := http.NewServeMux()
+	for name, h := range map[string]http.Handler{"log": logs.Handler(), "list": list.Handler(), "weights": store.Handler(loads)} {
+		mux.Handle("/"+name+"/faults", http.StripPrefix("/"+name, h))
+		mux.Handle("/"+name+"/stats", http.StripPrefix("/"+name, h))
+	}
 	mux.Handle("/streams/", logs.Handler())
 	mux.Handle("/instances", list.Handler())
+	mux.Handle("/weights/{item}", store.Handler(loads))
 	return mux
 }
