--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -42,6 +42,15 @@
 	fs.BoolVar(&o.version, "version", false, "print the version and exit")
 }
 
+// PrintVersion prints the version of the binary called name if the flags ask
+// for it, and reports whether they do.
+func (o *Options) PrintVersion(w io.Writer, name string) bool {
+	if o.version {
+		fmt.Fprintln(w, name, Version)
+	}
+	return o.version
+}
+
 // Main runs one daemon: it parses the flags, loads the settings with load,
 // sets up logs with prefix and calls run until SIGTERM or SIGINT ends ctx. It
 // returns the exit code.
@@ -55,8 +64,7 @@
 		}
 		return ExitSettings
 	}
-	if o.version {
-		fmt.Println(name, Version)
+	if o.PrintVersion(os.Stdout, name) {
 		return ExitOK
 	}
 	settings, err := load(o.Settings)
