--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -18,6 +18,7 @@
 	Pools   map[model.Pool][]member.Endpoint // endpoints that may get new work; replaced, never changed
 	Entries []model.InstanceID               // live entries; replaced, never changed
 	derived bool                             // Keys and Pools belong to Config and Members
+	exchangeState
 }
 
 // Snapshot is the published view of the state. Nobody changes it.
@@ -28,6 +29,8 @@
 	Keys    map[string]model.Workspace
 	Entries []model.InstanceID // live entries, this one included
 	Pools   map[model.Pool][]member.Endpoint
+	Peers   *member.Peers // processes of the region in the control exchange
+	exchangeView
 }
 
 // Events of the entry's control pipeline.
@@ -40,9 +43,12 @@
 
 func newState() *State {
 	f := config.NewFollower()
-	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable()}
+	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable(), exchangeState: newExchangeState()}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Entries: s.Entries, Pools: s.Pools}
+	return &Snapshot{
+		At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Entries: s.Entries, Pools: s.Pools,
+		Peers: s.peers, exchangeView: s.view(),
+	}
 }
