Fetch configuration from peers over the control exchange

Cause: a process behind or starting in a log outage had no other source. Change: C.Fetch, served by entries and sides, carries accepted records, the core lists and pages of workspaces; a request also tells the asked peer when it is behind. A source that knows that it has no peers reads the log at once.

--- a/internal/configsync/lookup.go
+++ b/internal/configsync/lookup.go
@@ -27,12 +27,12 @@
 		return false
 	}
 	for range lookupPeers {
-		addresses := s.o.Peers.Addresses()
-		if len(addresses) == 0 || s.lookups.Wait(ctx) != nil {
+		address := s.anyPeer()
+		if address == "" || s.lookups.Wait(ctx) != nil {
 			return false
 		}
 		req := config.FetchRequest{Want: config.WantKey, From: s.o.View().Accepted.Offset, KeyHash: hash}
-		_, reply := s.ask(ctx, addresses[s.o.Pick(len(addresses))], req)
+		_, reply := s.ask(ctx, address, req)
 		for _, w := range reply.Page {
 			if w.KeyHash == hash {
 				return true
--- /dev/null
+++ b/internal/configsync/peers.go
@@ -0,0 +1,66 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
+	"github.com/goldcrestturn/goldcrestturn/internal/member"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// ExchangePeers reaches the entries of the region over the control exchange.
+type ExchangePeers struct {
+	Node    *exchange.Node
+	Self    model.InstanceID
+	Address string               // own control address
+	Peers   func() *member.Peers // published by the loop; may return nil
+}
+
+// Addresses implements Peers.
+func (p ExchangePeers) Addresses() ([]string, bool) {
+	peers := p.Peers()
+	if peers == nil {
+		return nil, false
+	}
+	others := make([]model.InstanceID, 0, len(peers.Entries))
+	for _, id := range peers.Entries {
+		if id != p.Self {
+			others = append(others, id)
+		}
+	}
+	return peers.Addresses(others), len(peers.Entries)+len(peers.Endpoints) > 0
+}
+
+// Fetch implements Peers.
+func (p ExchangePeers) Fetch(ctx context.Context, address string, req config.FetchRequest) (config.FetchReply, int, error) {
+	var reply exchange.FetchReply
+	if err := p.Node.Call(ctx, address, exchange.MethodFetch, exchange.FromFetchRequest(req, p.Address), &reply); err != nil {
+		return config.FetchReply{}, 0, err
+	}
+	m, err := reply.Model(time.Now())
+	return m, reply.Size(), err
+}
+
+// Service answers peers that ask for configuration.
+type Service struct {
+	view  func() config.View
+	heard func(address string, offset int64)
+}
+
+// Register makes node answer with the view of s.
+func (s *Source) Register(node *exchange.Node) error {
+	return node.Register(exchange.ConfigService, &Service{s.o.View, s.Heard})
+}
+
+// Fetch answers one peer. A peer that is ahead is asked in turn.
+func (s *Service) Fetch(a exchange.FetchArgs, reply *exchange.FetchReply) error {
+	req, err := a.Model()
+	if err != nil {
+		return err
+	}
+	s.heard(a.Address, req.From)
+	*reply, err = exchange.FromFetchReply(s.view().Answer(req), time.Now())
+	return err
+}
--- a/internal/configsync/source.go
+++ b/internal/configsync/source.go
@@ -15,8 +15,9 @@
 
 // Peers reaches the other processes of the fleet.
 type Peers interface {
-	// Addresses returns the control addresses of live peers, entries first.
-	Addresses() []string
+	// Addresses returns the control addresses of live peers, and false as long
+	// as nothing is known about the fleet.
+	Addresses() ([]string, bool)
 	// Fetch asks the peer at address and returns its answer and the bytes that
 	// the exchange took.
 	Fetch(ctx context.Context, address string, req config.FetchRequest) (config.FetchReply, int, error)
@@ -63,11 +64,11 @@
 // NewSource returns a source. Run starts it.
 func NewSource(o Options) *Source {
 	share := loadShare * float64(o.Budget)
-	return &Source{o: o, heard: make(chan string, 1), pages: rate.NewLimiter(rate.Limit(share), maxPageBytes), lookups: newLookupLimit()}
+	return &Source{o: o, heard: make(chan string, 1), pages: rate.NewLimiter(rate.Limit(share), pageBurst), lookups: newLookupLimit()}
 }
 
-// maxPageBytes bounds one page on the network.
-const maxPageBytes = 64 << 10
+// pageBurst is what may be sent at once: two pages of about 7 KB.
+const pageBurst = 16 << 10
 
 // Heard tells the source that the peer at address has accepted offset. It may
 // be called from any goroutine and does not wait.
@@ -118,10 +119,15 @@
 	check := time.NewTicker(startCheck)
 	defer check.Stop()
 	for asked := 0; asked < startPeers; {
-		if s.pullAny(limit) {
+		addresses, known := s.o.Peers.Addresses()
+		if len(addresses) > 0 {
+			s.pull(limit, addresses[s.o.Pick(len(addresses))])
 			asked++
 			continue
 		}
+		if known {
+			return
+		}
 		select {
 		case <-limit.Done():
 			return
@@ -130,14 +136,20 @@
 	}
 }
 
-// pullAny asks a random peer and reports whether there is one.
-func (s *Source) pullAny(ctx context.Context) bool {
-	addresses := s.o.Peers.Addresses()
+// pullAny asks a random peer.
+func (s *Source) pullAny(ctx context.Context) {
+	if address := s.anyPeer(); address != "" {
+		s.pull(ctx, address)
+	}
+}
+
+// anyPeer returns the address of a random peer, or "" if there is none.
+func (s *Source) anyPeer() string {
+	addresses, _ := s.o.Peers.Addresses()
 	if len(addresses) == 0 {
-		return false
+		return ""
 	}
-	s.pull(ctx, addresses[s.o.Pick(len(addresses))])
-	return true
+	return addresses[s.o.Pick(len(addresses))]
 }
 
 // pull asks one peer for what this process lacks.
@@ -151,7 +163,7 @@
 	if err != nil {
 		return false, reply
 	}
-	s.pages.AllowN(time.Now(), min(size, maxPageBytes))
+	s.pages.ReserveN(time.Now(), min(size, pageBurst))
 	if reply.Offset < req.From || reply.Offset == req.From && req.Want == config.WantChanges {
 		return false, reply
 	}
@@ -173,18 +185,16 @@
 }
 
 func (s *Source) loadPage(ctx context.Context, view config.View) bool {
-	addresses := s.o.Peers.Addresses()
-	if len(addresses) == 0 || s.pages.WaitN(ctx, minPageBytes) != nil {
+	address := s.anyPeer()
+	// The size of a page is known only afterwards, so the wait is for the one
+	// before to be paid off.
+	if address == "" || s.pages.Wait(ctx) != nil {
 		return false
 	}
-	changed, _ := s.ask(ctx, addresses[s.o.Pick(len(addresses))], view.Next())
+	changed, _ := s.ask(ctx, address, view.Next())
 	return changed
 }
 
-// minPageBytes is what must be available before the next page is asked for;
-// its real size is taken off afterwards.
-const minPageBytes = 4 << 10
-
 // startLog follows the log in its own goroutine until stop is called.
 func (s *Source) startLog(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -180,6 +180,7 @@
 	if err := e.node.Call(ctx, p.address, exchange.MethodGroups, args, &reply); err != nil {
 		return
 	}
+	e.configs.Heard(p.address, reply.News.ConfigOffset)
 	m, err := reply.Mean.Model()
 	if err != nil || e.hear(reply.News) != nil {
 		return
--- a/internal/entry/source_config.go
+++ b/internal/entry/source_config.go
@@ -5,19 +5,30 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
+	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
 // configSource returns the source of the configuration stage.
 func (e *Entry) configSource() *configsync.Source {
-	return configsync.NewSource(configsync.Options{
+	source := configsync.NewSource(configsync.Options{
 		Log:    e.log,
 		Logs:   e.deps.Logs,
 		Loop:   e.loop,
 		View:   func() config.View { return e.loop.Snapshot().View },
 		Pick:   rand.IntN,
 		Budget: e.settings.ControlBudget,
+		Peers: configsync.ExchangePeers{
+			Node:    e.node,
+			Self:    e.settings.Instance,
+			Address: e.settings.Control,
+			Peers:   func() *member.Peers { return e.loop.Snapshot().Peers },
+		},
 	})
+	if err := source.Register(e.node); err != nil {
+		panic(err) // the method set does not fit net/rpc: a fault in the program
+	}
+	return source
 }
 
 // snapshotter returns the source of snapshot records.
--- a/internal/side/exchange.go
+++ b/internal/side/exchange.go
@@ -96,6 +96,7 @@
 	if err := p.node.Call(ctx, address, exchange.MethodReport, args, &reply); err != nil {
 		return 0, err
 	}
+	p.configs.Heard(address, reply.News.ConfigOffset)
 	now := time.Now()
 	mean, err := reply.Mean.Model()
 	if err != nil {
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/endpointapi"
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
@@ -36,6 +37,7 @@
 	loop     *control.Loop[State, Snapshot]
 	node     *exchange.Node
 	crashes  chan suspect.Crash // to the log
+	configs  *configsync.Source
 }
 
 // New returns a side process. Start starts it.
@@ -48,6 +50,7 @@
 		Tick:    controlTick,
 	})
 	p.node = p.newNode()
+	p.configs = p.configSource()
 	return p
 }
 
@@ -99,7 +102,7 @@
 // Start starts the control loop and its sources. They end with ctx.
 func (p *Side) Start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { p.loop.Run(ctx); return nil })
-	g.Go(func() error { p.configSource().Run(ctx); return nil })
+	g.Go(func() error { p.configs.Run(ctx); return nil })
 	g.Go(func() error { p.followInstances(ctx); return nil })
 	p.startExchange(ctx, g)
 }
