Add the quick start on separate processes

Cause: a new user needs one command that shows a whole fleet at work and fails when a claim does not hold. Change: make quickstart starts the stand-ins, 5 sides and 2 entries on loopback, shows a streamed answer, a ticket assignment sent twice, a data centre out and back under load, and a planned stop under load; waits are bounded and on conditions; processes are stopped by id.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,14 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS = -X github.com/goldcrestturn/goldcrestturn/internal/program.Version=$(VERSION)
 
-.PHONY: build test lint measure capacity ci
+.PHONY: build quickstart test lint measure capacity ci
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
 
+quickstart:
+	bash scripts/quickstart.sh
+
 test:
 	go test -race ./...
 
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -158,6 +158,9 @@
 // charsPerToken is the ratio by which entries estimate the tokens of a prompt.
 const charsPerToken = 4
 
+// keyPrefix starts the idempotency keys of the run with the given seed.
+func keyPrefix(seed uint64) string { return fmt.Sprintf("load-key-%d-", seed) }
+
 func (p *plan) serviceCall(id model.RequestID, now time.Time) call {
 	if len(p.repeat) > 0 && p.random.Float64() < 0.5 {
 		c := p.repeat[0]
@@ -168,7 +171,7 @@
 	}
 	route := p.s.Services.Routes[p.random.IntN(len(p.s.Services.Routes))]
 	c := call{
-		ID: id, Workspace: p.pickWorkspace(now), Route: route, Key: "key-" + string(id), Entry: p.turn, Due: now,
+		ID: id, Workspace: p.pickWorkspace(now), Route: route, Key: keyPrefix(p.s.Seed) + fmt.Sprint(p.calls), Entry: p.turn, Due: now,
 		Body: fmt.Appendf(nil, `{"ticket":%d}`, p.random.IntN(1_000_000)),
 	}
 	if p.random.Float64() < p.s.Services.RepeatShare {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -191,7 +192,7 @@
 		return err
 	}
 	for key, n := range st.Keys {
-		if n > 1 {
+		if n > 1 && strings.HasPrefix(key, keyPrefix(r.s.Seed)) {
 			r.duplicated[key] = true
 		}
 	}
@@ -210,6 +211,7 @@
 	fail(o.Verdicts[string(wrong)] > 0, "%d answers were wrong or short", o.Verdicts[string(wrong)])
 	fail(o.Duplicates > 0, "%d keys ran more than once", o.Duplicates)
 	fail(cuts > c.MaxCut, "%d calls were cut or failed, more than %d", cuts, c.MaxCut)
+	fail(o.Resumed > c.MaxResumed, "%d attempts went on after a cut, more than %d", o.Resumed, c.MaxResumed)
 	fail(share > c.MaxRefused, "a share of %.4f was refused, more than %.4f", share, c.MaxRefused)
 	fail(o.Verdicts[string(whole)] < c.MinWhole, "%d whole answers, fewer than %d", o.Verdicts[string(whole)], c.MinWhole)
 	fail(o.Reuse < c.MinReuse, "cache reuse was %.4f, less than %.4f", o.Reuse, c.MinReuse)
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -78,6 +78,7 @@
 // Checks are the stated checks. Wrong answers and duplicates always fail a run.
 type Checks struct {
 	MaxCut      int64         // cut or failed calls
+	MaxResumed  int64         // attempts that went on after a cut
 	MaxRefused  float64       // share of calls that were refused to the end
 	MinReuse    float64       // cached share of the tokens that a cache could hold
 	MinWhole    int64         // whole answers
@@ -127,6 +128,7 @@
 		},
 		Checks: Checks{
 			MaxCut:      f.Int("checks", "max_cut", 0, 0, maxCount),
+			MaxResumed:  f.Int("checks", "max_resumed", maxCount, 0, maxCount),
 			MaxRefused:  f.Float("checks", "max_refused", 1, 0, 1),
 			MinReuse:    f.Float("checks", "min_reuse", 0, 0, 1),
 			MinWhole:    f.Int("checks", "min_whole", 1, 0, maxCount),
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,61 @@
+# Functions shared by the scripts: start processes, wait for conditions, stop
+# what was started. A script that sources this file sets RUN, the directory of
+# its settings and logs, and BIN, the directory of the binaries.
+
+PIDS=()
+FAILED=0
+
+# start NAME BINARY: starts the binary with $RUN/NAME.ini; its id is in PID.
+start() {
+	"$BIN/$2" -settings "$RUN/$1.ini" 2>"$RUN/$1.log" >"$RUN/$1.out" &
+	PID=$!
+	PIDS+=("$PID")
+}
+
+# stop_all stops every process that was started, by its id, entries and sides
+# before the stand-ins that they talk to.
+stop_all() {
+	local i pid
+	for ((i = ${#PIDS[@]} - 1; i >= 0; i--)); do
+		pid=${PIDS[$i]}
+		kill -TERM "$pid" 2>/dev/null || true
+		ended "$pid" 10 || kill -KILL "$pid" 2>/dev/null || true
+	done
+}
+
+# ended PID SECONDS: waits until the process has ended.
+ended() {
+	local end=$((SECONDS + $2))
+	while kill -0 "$1" 2>/dev/null; do
+		((SECONDS < end)) || return 1
+		sleep 0.05
+	done
+}
+
+# wait_for SECONDS TEXT COMMAND...: waits until the command succeeds.
+wait_for() {
+	local end=$((SECONDS + $1)) text=$2
+	shift 2
+	until "$@" >/dev/null 2>&1; do
+		if ((SECONDS >= end)); then
+			echo "   timed out: $text"
+			return 1
+		fi
+		sleep 0.1
+	done
+}
+
+# claim TEXT COMMAND...: prints whether the claim holds and notes a failure.
+claim() {
+	local text=$1
+	shift
+	if "$@"; then
+		echo "   holds: $text"
+	else
+		echo "   DOES NOT HOLD: $text"
+		FAILED=1
+	fi
+}
+
+# field NAME: prints the number of a field of the JSON on standard input.
+field() { grep -o "\"$1\":-\?[0-9]*" | head -1 | cut -d: -f2; }
--- /dev/null
+++ b/scripts/quickstart.sh
@@ -0,0 +1,155 @@
+#!/usr/bin/env bash
+# Runs a small fleet on loopback as separate processes and shows what it does:
+# a streamed answer, a ticket assignment sent twice, a data centre taken out and
+# returned under load, and a planned stop under load. Ends by itself in about a
+# minute. The exit code is not zero if a claim did not hold.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+BASE=${QUICKSTART_PORT:-27400} # first of about 80 ports on 127.0.0.1
+BIN=$PWD/bin
+RUN=$PWD/run/quickstart
+rm -rf "$RUN" && mkdir -p "$RUN"
+. scripts/lib.sh
+trap 'stop_all; exit 130' INT TERM
+
+KEY=quickstart-key # API key of the workspace studio
+PLATFORM=127.0.0.1:$BASE
+SERVICE=127.0.0.1:$((BASE + 15))
+engine() { echo "127.0.0.1:$((BASE + 10 + $1))"; }
+entry() { echo "127.0.0.1:$((BASE + 50 + $1))"; }
+admin() { echo "127.0.0.1:$((BASE + 70 + $1))"; }
+
+# write_settings writes the settings of every process.
+write_settings() {
+	{
+		printf '[standin]\nrole = platform\nlisten = %s\n' "$PLATFORM"
+		for i in 1 2 3 4 5; do
+			kind=engine pool=chat version=v1 dc=akl-$(((i + 1) / 2))
+			[ "$i" = 5 ] && kind=service pool=tracker version='' dc=akl-2
+			printf '[instance %s]\nrole = endpoint\nkind = %s\npool = %s\nversion = %s\ndata_centre = %s\n' "$(name "$i")" $kind $pool "$version" $dc
+			printf 'address = 127.0.0.1:%d\ncontrol = 127.0.0.1:%d\nadmin = 127.0.0.1:%d\n' $((BASE + 20 + i)) $((BASE + 30 + i)) $((BASE + 40 + i))
+			write_side "$i" $kind $pool "$version" $dc
+		done
+		for i in 1 2; do
+			printf '[instance entry-%d]\nrole = entry\ndata_centre = akl-%d\naddress = %s\ncontrol = 127.0.0.1:%d\nadmin = %s\n' $i $i "$(entry $i)" $((BASE + 60 + i)) "$(admin $i)"
+			write_entry $i
+		done
+	} >"$RUN/platform.ini"
+	printf '[standin]\nrole = service\nlisten = %s\n' "$SERVICE" >"$RUN/tracker.ini"
+	for i in 1 2 3 4; do
+		printf '[standin]\nrole = engine\nlisten = %s\n[engine]\nversion = v1\ntoken_time = 20ms\nprefill_time = 20us\nslots = 32\ncold_time = 200ms\ncold_bears = 20000\n' "$(engine $i)" >"$RUN/engine-$i.ini"
+	done
+	seed=0
+	for load in move stop; do
+		seed=$((seed + 1)) # different seeds give different idempotency keys
+		sed -e "s/SEED/$seed/; s/ENTRY1/$(entry 1)/; s/ENTRY2/$(entry 2)/; s/SERVICE/$SERVICE/; s/APIKEY/$KEY/" examples/quickstart/load.ini >"$RUN/load-$load.ini"
+	done
+}
+
+name() { if [ "$1" = 5 ]; then echo service-1; else echo "engine-$1"; fi; }
+
+shared() { printf '[platform]\nlog_service = http://%s\ninstance_list = http://%s\n[fleet]\nkey = shared-quickstart\ncontrol_budget = 4000\n' "$PLATFORM" "$PLATFORM"; }
+
+write_side() {
+	local endpoint
+	endpoint=$(engine "$1")
+	[ "$2" = service ] && endpoint=$SERVICE
+	{
+		printf '[side]\ninstance = %s\ndata_centre = %s\nregion = akl\npool = %s\nkind = %s\nversion = %s\nendpoint = http://%s\n' "$(name "$1")" "$5" "$3" "$2" "$4" "$endpoint"
+		printf 'listen = 127.0.0.1:%d\ncontrol = 127.0.0.1:%d\nadmin = 127.0.0.1:%d\n' $((BASE + 20 + $1)) $((BASE + 30 + $1)) $((BASE + 40 + $1))
+		shared
+	} >"$RUN/side-$1.ini"
+}
+
+write_entry() {
+	{
+		printf '[entry]\ninstance = entry-%d\ndata_centre = akl-%d\nregion = akl\nlisten = %s\ncontrol = 127.0.0.1:%d\nadmin = %s\n' "$1" "$1" "$(entry "$1")" $((BASE + 60 + $1)) "$(admin "$1")"
+		shared
+	} >"$RUN/entry-$1.ini"
+}
+
+config_offset() { curl -fsS "http://$(admin 1)/status" | field config_offset; }
+
+# append_config RECORD: appends a record that is based on the accepted one.
+append_config() {
+	sed -e "s/BASE_OFFSET/$1/; s/RECORD_ID/quickstart-$RANDOM-$RANDOM/" "$2" | curl -fsS -o /dev/null --data-binary @- "http://$PLATFORM/streams/config"
+}
+
+offset_passed() { [ "$(config_offset)" -gt "$1" ]; }
+
+# set_data_centre STATE: takes akl-1 out of service or back into it.
+set_data_centre() {
+	local before
+	before=$(config_offset)
+	sed -e "s/STATE/$1/" examples/quickstart/data-centre.json >"$RUN/data-centre.json"
+	append_config "$before" "$RUN/data-centre.json" && wait_for 4 "record in force" offset_passed "$before"
+}
+
+started() { curl -fsS "http://$(engine "$1")/stats" | field started; }
+started_in_akl1() { echo $(($(started 1) + $(started 2))); }
+grows() { [ "$(started_in_akl1)" -gt "$1" ]; }
+chat_works() { curl -fsS -o /dev/null -H "Authorization: Bearer $KEY" -d '{"messages":[{"role":"user","content":"ready?"}],"max_tokens":1}' "http://$(entry "$1")/v1/chat/completions"; }
+
+echo "1. Build and start: 2 data centres, 4 engines, 1 service, 2 entries"
+make -s build || exit 1
+write_settings
+start platform goldcrest-standin
+wait_for 5 "platform up" curl -fsS "http://$PLATFORM/instances?since=0" || FAILED=1
+for i in 1 2 3 4; do start engine-$i goldcrest-standin; done
+start tracker goldcrest-standin
+for i in 1 2 3 4 5; do
+	start side-$i goldcrest-side
+	SIDE_PID[$i]=$PID
+done
+for i in 1 2; do
+	start entry-$i goldcrest-entry
+	ENTRY_PID[$i]=$PID
+done
+append_config -1 examples/quickstart/config.json || FAILED=1
+for i in 1 2; do wait_for 10 "entry-$i serves chats" chat_works $i || FAILED=1; done
+
+echo "2. A streamed answer through entry-1"
+curl -fsSN -H "Authorization: Bearer $KEY" -H 'Chat-Id: bug-41' -d '{"messages":[{"role":"user","content":"summarise bug 41"}],"max_tokens":4,"stream":true}' \
+	"http://$(entry 1)/v1/chat/completions" >"$RUN/answer.txt"
+sed 's/^/   /' "$RUN/answer.txt" | grep data:
+claim "the answer ends with [DONE]" grep -q 'DONE' "$RUN/answer.txt"
+
+echo "3. A ticket assignment sent twice, through both entries"
+call() { curl -sS "$@" -H "Authorization: Bearer $KEY" -d '{"ticket":7,"to":"ana"}'; }
+assign() { call -H 'Idempotency-Key: assign-7' "http://$(entry "$1")/v1/services/tracker/assign"; }
+for i in 1 2; do wait_for 10 "entry-$i serves the tracker" call -f "http://$(entry $i)/v1/services/tracker/reserve" || FAILED=1; done
+assign 1 | sed 's/^/   entry-1: /'
+assign 2 | sed 's/^/   entry-2: /'
+runs() { curl -fsS "http://$SERVICE/stats" | field assign-7; }
+claim "the service ran it once" test "$(runs)" = 1
+
+echo "4. Data centre akl-1 taken out and returned under load"
+"$BIN/goldcrest-load" -settings "$RUN/load-move.ini" -duration 14s >"$RUN/load-move.txt" 2>"$RUN/load-move.log" &
+LOAD=$!
+wait_for 5 "load reaches akl-1" grows "$(started_in_akl1)" || FAILED=1
+set_data_centre out || FAILED=1
+sleep 1 # requests that were already on their way; the bound is 4 s
+before=$(started_in_akl1)
+sleep 3
+after=$(started_in_akl1)
+claim "no new work in akl-1 while it is out (started $before, 3 s later $after)" test "$before" = "$after"
+set_data_centre in || FAILED=1
+claim "work returns to akl-1" wait_for 8 "work in akl-1" grows "$after"
+wait $LOAD
+claim "nothing was cut, wrong or run twice" test $? = 0
+sed 's/^/   /' "$RUN/load-move.txt"
+
+echo "5. Planned stop of entry-1 and of the side of engine-3 under load"
+"$BIN/goldcrest-load" -settings "$RUN/load-stop.ini" -duration 8s >"$RUN/load-stop.txt" 2>"$RUN/load-stop.log" &
+LOAD=$!
+wait_for 5 "load is running" grows "$(started_in_akl1)" || FAILED=1
+kill -TERM "${ENTRY_PID[1]}" "${SIDE_PID[3]}"
+claim "entry-1 ended by itself" ended "${ENTRY_PID[1]}" 20
+claim "the side of engine-3 ended by itself" ended "${SIDE_PID[3]}" 20
+wait $LOAD
+claim "no stream was cut" test $? = 0
+sed 's/^/   /' "$RUN/load-stop.txt"
+
+stop_all
+[ $FAILED = 0 ] && echo "All claims hold." || echo "At least one claim did not hold; settings and logs are in $RUN."
+exit $FAILED
