--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -106,7 +106,7 @@
 
 func (f *fleet) addEntry(id string) {
 	f.t.Helper()
-	s := entry.Settings{Instance: model.InstanceID(id), DataCentre: "akl-1", Region: "akl", Key: "shared", MaxBody: 1 << 20, Timeout: time.Minute}
+	s := entry.Settings{Instance: model.InstanceID(id), DataCentre: "akl-1", Region: "akl", Key: "shared", MaxBody: 1 << 20, Timeout: time.Minute, BodyTime: time.Minute, WriteTime: time.Minute}
 	e := entry.New(s, entry.Deps{Log: slog.New(slog.DiscardHandler), Logs: f.logs, List: f.list, Transport: entry.NewTransport()})
 	e.Start(f.ctx, f.group)
 	server := httptest.NewServer(e.Handler())
--- a/internal/endpointapi/engine.go
+++ b/internal/endpointapi/engine.go
@@ -77,6 +77,7 @@
 type engineFrames struct {
 	request model.RequestID
 	next    int
+	limit   int // index after the last token that was asked for
 	body    io.ReadCloser
 	scanner *bufio.Scanner
 	ended   bool
@@ -85,7 +86,7 @@
 func newEngineFrames(req *model.Request, body io.ReadCloser) *engineFrames {
 	s := bufio.NewScanner(body)
 	s.Buffer(make([]byte, 0, 4096), maxLineBytes)
-	return &engineFrames{request: req.ID, next: req.From, body: body, scanner: s}
+	return &engineFrames{request: req.ID, next: req.From, limit: int(req.Cost.Generate), body: body, scanner: s}
 }
 
 // Next implements model.FrameReader. The body is bound to the request's context.
@@ -100,6 +101,9 @@
 	if l.Error != "" {
 		return model.Frame{}, &model.Refusal{Outcome: model.Ran, Reason: model.ReasonEndpointFailed, Detail: l.Error}
 	}
+	if !l.Done && f.next >= f.limit {
+		return model.Frame{}, &model.Refusal{Outcome: model.Ran, Reason: model.ReasonEndpointFailed, Detail: "the engine's answer is longer than asked for"}
+	}
 	frame := model.Frame{Request: f.request, Index: f.next, Kind: model.FrameToken, Data: []byte(l.Token)}
 	if l.Done {
 		frame.Kind, frame.Data, f.ended = model.FrameEnd, nil, true
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -125,7 +125,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", httptransport.NewServer(run, e.decodeChat, encodeChat, options...))
 	mux.Handle("POST /v1/services/{service}/{route}", httptransport.NewServer(run, e.decodeService, encodeService, options...))
-	return mux
+	return protect(mux, e.settings.BodyTime, e.settings.WriteTime)
 }
 
 func (e *Entry) ready() bool { return e.loop.Snapshot().Config.Offset != config.NoBase }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -22,6 +22,8 @@
 	ControlBudget int64 // bytes a second for control traffic
 	MaxBody       int64 // bytes of one caller's body
 	Timeout       time.Duration
+	BodyTime      time.Duration // for a caller to send its body
+	WriteTime     time.Duration // for a caller to take one piece of its answer
 }
 
 // Bounds and defaults of the settings.
@@ -36,6 +38,10 @@
 	defaultMaxBody       = 2 << 20
 	defaultTimeout       = 2 * time.Minute
 	maxTimeout           = time.Hour
+	// defaultBodyTime takes the largest body over a link of 2 Mbit/s.
+	defaultBodyTime = 10 * time.Second
+	// defaultWriteTime is far above the round trip of any caller that reads.
+	defaultWriteTime = 10 * time.Second
 )
 
 // LoadSettings reads the settings of an entry and reports all faults together.
@@ -63,6 +69,8 @@
 		ControlBudget: f.Int("fleet", "control_budget", defaultControlBudget, minControlBudget, maxControlBudget),
 		MaxBody:       f.Int("entry", "max_body", defaultMaxBody, 1, 64<<20),
 		Timeout:       f.Duration("entry", "timeout", defaultTimeout, time.Second, maxTimeout),
+		BodyTime:      f.Duration("entry", "body_time", defaultBodyTime, time.Millisecond, maxTimeout),
+		WriteTime:     f.Duration("entry", "write_time", defaultWriteTime, time.Millisecond, maxTimeout),
 	}
 	return s, f.Err()
 }
