--- /dev/null
+++ b/internal/measure/draw.go
@@ -0,0 +1,40 @@
+package measure
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// poisson draws from a Poisson distribution. Means here stay below a few
+// hundred, where the product method is exact and quick enough.
+func poisson(rng *rand.Rand, mean float64) int64 {
+	limit, n, p := math.Exp(-mean), int64(0), rng.Float64()
+	for p > limit {
+		n++
+		p *= rng.Float64()
+	}
+	return n
+}
+
+// binomial draws the number of successes of n trials. It skips from success to
+// success, so its cost grows with n*p only.
+func binomial(rng *rand.Rand, n int64, p float64) int64 {
+	if p <= 0 || n == 0 {
+		return 0
+	}
+	var k int64
+	step := math.Log1p(-min(p, 1-1e-12))
+	for i := int64(math.Log(1-rng.Float64()) / step); i < n; i += 1 + int64(math.Log(1-rng.Float64())/step) {
+		k++
+	}
+	return k
+}
+
+// sortedKeys returns the keys of m in order, so that draws do not depend on
+// map order.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -73,7 +73,9 @@
 
 // Scenarios lists all scenarios in the order in which they run.
 func Scenarios() []Scenario {
-	return []Scenario{}
+	return []Scenario{
+		{Name: "rollout", Run: rolloutScenario},
+	}
 }
 
 // Run runs the scenarios whose name starts with prefix, prints their figures to
