--- a/internal/endpointapi/engine.go
+++ b/internal/endpointapi/engine.go
@@ -34,12 +34,12 @@
 func (e *Engine) Run(ctx context.Context, req *model.Request) (*model.Answer, error) {
 	body, err := json.Marshal(GenerateRequest{
 		ID: req.ID, Chat: req.HashKey(), Priority: req.Priority, Prefill: req.Cost.Prefill,
-		MaxTokens: req.Cost.Generate, From: req.From, Version: req.Version, Body: req.Body,
+		MaxTokens: req.Cost.Generate, From: req.From, Version: req.Version, Route: req.Route, Body: req.Body,
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "endpointapi: request cannot be encoded")
 	}
-	call, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/generate", bytes.NewReader(body))
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+PathGenerate, bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrap(err, "endpointapi: request cannot be made")
 	}
@@ -70,7 +70,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return model.Refuse(model.ReasonEndpointFailed, "the endpoint cannot be reached")
 	}
-	return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: err.Error()}
+	return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonCrashed, Detail: err.Error()}
 }
 
 // engineFrames turns the lines of an engine into frames.
@@ -113,7 +113,7 @@
 
 func (f *engineFrames) line(out any) error {
 	if !f.scanner.Scan() {
-		return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: "the engine's answer was cut"}
+		return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonCrashed, Detail: "the engine's answer was cut"}
 	}
 	return eris.Wrap(json.Unmarshal(f.scanner.Bytes(), out), "endpointapi: line of the engine is malformed")
 }
