Wire rollouts into entry and side

Cause: the judge had no evidence and its verdict reached nobody. Change: version filter in the entry, evidence and refusal of suspended versions in the side, evidence messages over the control exchange while a rollout is active, judging at the roots, and the end of a rollout as a configuration record.

--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -11,6 +11,7 @@
 		identify{snapshot: e.loop.Snapshot, lookup: e.configs.Lookup},
 		limitRate{e},
 		guard{e.loop.Snapshot},
+		selectVersion{e.loop.Snapshot},
 		chooseEndpoint{e.loop.Snapshot, e.mayRepeat},
 		forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client},
 	)
@@ -28,5 +29,6 @@
 		lend{},
 		budgetRepeats{},
 		sumReports{e.settings, e.node.Meter()},
+		judgeRollouts{e.settings},
 	}
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -103,6 +103,7 @@
 	g.Go(func() error { e.snapshotter().Run(ctx); return nil })
 	g.Go(func() error { e.followInstances(ctx); return nil })
 	e.startExchange(ctx, g)
+	e.startRollouts(ctx, g)
 }
 
 func (e *Entry) followInstances(ctx context.Context) {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -7,6 +7,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
 )
 
 // State is the control state of an entry. Only its control loop touches it.
@@ -19,6 +20,7 @@
 	Entries []model.InstanceID               // live entries; replaced, never changed
 	derived bool                             // Keys and Pools belong to Config and Members
 	exchangeState
+	rolloutState
 }
 
 // Snapshot is the published view of the state. Nobody changes it.
@@ -31,6 +33,7 @@
 	Pools   map[model.Pool][]member.Endpoint
 	Peers   *member.Peers // processes of the region in the control exchange
 	exchangeView
+	Versions rollout.Selector
 }
 
 // Events of the entry's control pipeline.
@@ -43,12 +46,12 @@
 
 func newState() *State {
 	f := config.NewFollower()
-	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable(), exchangeState: newExchangeState()}
+	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: newRolloutState()}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Entries: s.Entries, Pools: s.Pools,
-		Peers: s.peers, exchangeView: s.view(),
+		Peers: s.peers, exchangeView: s.view(), Versions: s.versions,
 	}
 }
--- /dev/null
+++ b/internal/exchange/evidence.go
@@ -0,0 +1,68 @@
+package exchange
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
+	"github.com/goldcrestturn/goldcrestturn/internal/summary"
+)
+
+// MethodEvidence carries the evidence of rollouts from a side to its holders
+// and from a holder to the roots. It is sent only while a rollout is active.
+const MethodEvidence = "E.Evidence"
+
+// maxEvidence bounds the items of one message.
+const maxEvidence = 256
+
+// EvidenceArgs carries the total counts of one source.
+type EvidenceArgs struct {
+	Pool   string
+	Region string
+	Source string // endpoint, or a holder's group
+	Group  bool   // sent by a holder to a root
+	Items  []EvidenceItem
+	News   News
+}
+
+// EvidenceItem is the message form of one key and its counts.
+type EvidenceItem struct {
+	Rollout  string
+	Version  string
+	Route    string
+	Requests int64
+	Failures int64
+	Slow     int64
+}
+
+// FromEvidence returns the message for the total counts of source.
+func FromEvidence(k summary.Key, source string, group bool, e rollout.Evidence) EvidenceArgs {
+	a := EvidenceArgs{Pool: string(k.Pool), Region: string(k.Region), Source: source, Group: group}
+	keys := slices.SortedFunc(maps.Keys(e), func(x, y rollout.Key) int {
+		return cmp.Or(cmp.Compare(x.Rollout, y.Rollout), cmp.Compare(x.Route, y.Route), cmp.Compare(x.Version, y.Version))
+	})
+	for _, key := range keys[:min(len(keys), maxEvidence)] {
+		c := e[key]
+		a.Items = append(a.Items, EvidenceItem{key.Rollout, string(key.Version), string(key.Route), c.Requests, c.Failures, c.Slow})
+	}
+	return a
+}
+
+// Model returns the evidence.
+func (a EvidenceArgs) Model() (summary.Key, rollout.Evidence, error) {
+	k := summary.Key{Pool: model.Pool(a.Pool), Region: model.Region(a.Region)}
+	if len(a.Items) > maxEvidence || max(len(a.Pool), len(a.Region), len(a.Source)) > maxID || a.Source == "" {
+		return k, nil, ErrMalformed
+	}
+	out := rollout.Evidence{}
+	for _, it := range a.Items {
+		if max(len(it.Rollout), len(it.Version), len(it.Route)) > maxID || min(it.Requests, it.Failures, it.Slow) < 0 {
+			return k, nil, ErrMalformed
+		}
+		key := rollout.Key{Rollout: it.Rollout, Version: model.Version(it.Version), Route: model.Route(it.Route)}
+		out[key] = rollout.Counts{Requests: it.Requests, Failures: it.Failures, Slow: it.Slow}
+	}
+	return k, out, nil
+}
--- a/internal/rollout/schedule.go
+++ b/internal/rollout/schedule.go
@@ -67,3 +67,14 @@
 func UsesNew(rollout, hashKey string, share float64) bool {
 	return Slice(rollout, hashKey) < share
 }
+
+// Finished reports whether every chat has had the new version long enough for
+// every entry to know.
+func Finished(r lists.Rollout, now time.Time) bool {
+	window := r.Deadline.Sub(r.Start)
+	return !now.Before(r.Start.Add(time.Duration(finishedPart * float64(window))))
+}
+
+// finishedPart is the part of the window after which a rollout is done. It lies
+// between the last step and the deadline.
+const finishedPart = 0.99
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -10,6 +10,7 @@
 	return pipe.Chain(
 		guard{p.loop.Snapshot},
 		admit{p.loop},
+		countEvidence{p.loop, p.loop.Snapshot, p.settings},
 		watchCrash{p},
 		run{p.deps.Endpoint},
 	)
@@ -25,5 +26,6 @@
 		foldSuspects{p.settings.Instance},
 		decideAdmission{p.settings},
 		draftReport{p.settings},
+		countRequests{p.settings},
 	}
 }
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -8,6 +8,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
 )
 
 // State is the control state of a side process. Only its control loop touches
@@ -20,6 +21,7 @@
 	Mean    PoolMean                       // last known mean load of the pool
 	Members *member.Table
 	exchangeState
+	rolloutState
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -39,6 +41,7 @@
 	Running int
 	Peers   *member.Peers // processes of the region in the control exchange
 	exchangeView
+	Versions rollout.Selector
 }
 
 // Events of the side's control pipeline.
@@ -65,13 +68,13 @@
 	f := config.NewFollower()
 	return &State{
 		Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{},
-		Members: member.NewTable(), exchangeState: newExchangeState(),
+		Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}},
 	}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running),
-		Peers: s.peers, exchangeView: s.view(),
+		Peers: s.peers, exchangeView: s.view(), Versions: s.versions,
 	}
 }
