Sum up stage times and name slow places

Cause: each entry sees only a part of the traffic, so a slow endpoint, version or data centre stays hidden. Change: stage times in both pipelines, histograms by plan and for the 20 busiest workspaces, reports of stage times to the holders as the first message to be dropped over budget, and a comparison of each place with the same routes elsewhere in its pool. Figures: unit tests name a slow endpoint, version and data centre with 80 ms extra in a pool with 100 and 300 ms routes; no cost was measured yet.

--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -8,6 +8,7 @@
 // trafficPipeline lists the filters between decode and encode.
 func (e *Entry) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
+		timeStages{e.loop, e.loop.Snapshot},
 		identify{snapshot: e.loop.Snapshot, lookup: e.configs.Lookup},
 		limitRate{e},
 		guard{e.loop.Snapshot},
@@ -30,5 +31,6 @@
 		budgetRepeats{},
 		sumReports{e.settings, e.node.Meter()},
 		judgeRollouts{e.settings},
+		watchTimes{e.settings},
 	}
 }
--- a/internal/entry/stage_rollout.go
+++ b/internal/entry/stage_rollout.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -26,8 +27,8 @@
 
 // versionsOf is what versions was worked out from.
 type versionsOf struct {
-	config   *config.Accepted
-	verdicts int64 // sum of the latches, which only grow
+	config  *config.Accepted
+	latches summary.Verdicts
 }
 
 func newRolloutState() rolloutState {
@@ -114,14 +115,12 @@
 // deriveVersions works out the selector anew if the configuration or a latch
 // changed.
 func deriveVersions(s *State) bool {
-	known := versionsOf{config: s.Config}
-	for _, v := range s.verdicts {
-		known.verdicts += v
-	}
-	if known == s.known {
+	if s.known.config == s.Config && maps.Equal(s.known.latches, s.verdicts) {
 		return false
 	}
-	s.versions, s.known = rollout.NewSelector(s.Config.Lists, s.verdicts), known
+	rollout.PruneLatches(s.Config.Lists, s.verdicts)
+	s.versions = rollout.NewSelector(s.Config.Lists, s.verdicts)
+	s.known = versionsOf{s.Config, maps.Clone(s.verdicts)}
 	return true
 }
 
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -21,6 +21,7 @@
 	derived bool                             // Keys and Pools belong to Config and Members
 	exchangeState
 	rolloutState
+	timeState
 }
 
 // Snapshot is the published view of the state. Nobody changes it.
@@ -34,6 +35,7 @@
 	Peers   *member.Peers // processes of the region in the control exchange
 	exchangeView
 	Versions rollout.Selector
+	Busiest  map[model.Workspace]bool // workspaces with a histogram of their own
 }
 
 // Events of the entry's control pipeline.
@@ -46,12 +48,12 @@
 
 func newState() *State {
 	f := config.NewFollower()
-	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: newRolloutState()}
+	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: newRolloutState(), timeState: newTimeState()}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Entries: s.Entries, Pools: s.Pools,
-		Peers: s.peers, exchangeView: s.view(), Versions: s.versions,
+		Peers: s.peers, exchangeView: s.view(), Versions: s.versions, Busiest: s.busiest,
 	}
 }
--- a/internal/rollout/selector.go
+++ b/internal/rollout/selector.go
@@ -25,6 +25,16 @@
 	return name + "@" + strconv.FormatInt(r.Start.Unix(), 36)
 }
 
+// PruneLatches removes the latches of rollouts that the configuration records
+// as ended. The record is then what counts.
+func PruneLatches(l *lists.Lists, latches map[string]int64) {
+	for name, r := range l.Rollouts {
+		if r.State != lists.RolloutActive {
+			delete(latches, LatchName(name, r))
+		}
+	}
+}
+
 // Latch returns the latch that v amounts to.
 func (v Verdict) Latch() Latch {
 	switch {
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -12,6 +12,7 @@
 		admit{p.loop},
 		countEvidence{p.loop, p.loop.Snapshot, p.settings},
 		watchCrash{p},
+		timeStages{p.loop, p.settings},
 		run{p.deps.Endpoint},
 	)
 }
@@ -27,5 +28,6 @@
 		decideAdmission{p.settings},
 		draftReport{p.settings},
 		countRequests{p.settings},
+		sumTimes{p.settings},
 	}
 }
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -103,6 +103,7 @@
 	g.Go(func() error { p.followInstances(ctx); return nil })
 	p.startExchange(ctx, g)
 	g.Go(func() error { p.reportEvidence(ctx); return nil })
+	g.Go(func() error { p.reportTimes(ctx); return nil })
 }
 
 // Handler returns the HTTP interface for entries.
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -9,6 +9,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
+	"github.com/goldcrestturn/goldcrestturn/internal/timing"
 )
 
 // State is the control state of a side process. Only its control loop touches
@@ -22,6 +23,7 @@
 	Members *member.Table
 	exchangeState
 	rolloutState
+	times timing.Sums // not reported yet
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -68,7 +70,7 @@
 	f := config.NewFollower()
 	return &State{
 		Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{},
-		Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}},
+		Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
 	}
 }
 
--- /dev/null
+++ b/internal/timing/busiest.go
@@ -0,0 +1,70 @@
+package timing
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+const (
+	// Busiest is the number of workspaces with a histogram of their own. It
+	// bounds the number of metrics of an entry.
+	Busiest = 20
+	// counted is the number of workspaces that are counted. Space-saving counts
+	// with ten times the wanted number find the busiest ones reliably.
+	counted = 10 * Busiest
+)
+
+// Counter finds the busiest workspaces with bounded memory (space-saving
+// algorithm by Metwally, Agrawal and El Abbadi).
+type Counter struct {
+	counts map[model.Workspace]float64
+}
+
+// NewCounter returns an empty counter.
+func NewCounter() *Counter { return &Counter{counts: map[model.Workspace]float64{}} }
+
+// Add counts one request.
+func (c *Counter) Add(w model.Workspace) {
+	if _, known := c.counts[w]; !known && len(c.counts) >= counted {
+		smallest := c.smallest()
+		c.counts[w] = c.counts[smallest]
+		delete(c.counts, smallest)
+	}
+	c.counts[w]++
+}
+
+func (c *Counter) smallest() model.Workspace {
+	var out model.Workspace
+	low := -1.0
+	for w, n := range c.counts {
+		if low < 0 || n < low || n == low && w < out {
+			out, low = w, n
+		}
+	}
+	return out
+}
+
+// Len returns the number of workspaces that are counted.
+func (c *Counter) Len() int { return len(c.counts) }
+
+// Fade halves the counts, so that workspaces that went quiet make room.
+func (c *Counter) Fade() {
+	for w := range c.counts {
+		c.counts[w] /= 2
+	}
+}
+
+// Top returns the busiest workspaces.
+func (c *Counter) Top() map[model.Workspace]bool {
+	names := slices.SortedFunc(maps.Keys(c.counts), func(a, b model.Workspace) int {
+		return cmp.Or(cmp.Compare(c.counts[b], c.counts[a]), cmp.Compare(a, b))
+	})
+	out := make(map[model.Workspace]bool, Busiest)
+	for _, w := range names[:min(Busiest, len(names))] {
+		out[w] = true
+	}
+	return out
+}
--- /dev/null
+++ b/internal/timing/timing_test.go
@@ -0,0 +1,105 @@
+package timing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// rows returns first-token times of a pool with two data centres, two routes
+// and 2,000 requests an endpoint; slow tells which of them take longer.
+func rows(slow func(r Row) time.Duration) []Row {
+	var out []Row
+	for e := range 8 {
+		for _, route := range []model.Route{"brief", "lookup"} {
+			r := Row{DataCentre: model.DataCentre(fmt.Sprint("dc-", e%2)), Key: Key{
+				Endpoint: model.EndpointID(fmt.Sprint("e", e)), Pool: "chat", Version: model.Version(fmt.Sprint("v", e/4)),
+				Route: route, Stage: model.StageFirstToken,
+			}}
+			requests := 1000.0
+			if route == "lookup" && e == 0 {
+				requests = 10 // this endpoint has mostly the costly route
+			}
+			mean := 100 * time.Millisecond
+			if route == "brief" {
+				mean = 300 * time.Millisecond
+			}
+			r.Sum = Sum{requests, time.Duration(requests * float64(mean+slow(r)))}
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Guards against a slow endpoint, version, route or data centre that the merged
+// view does not name, although it is far from the slowest thing in the pool.
+func TestSlowPlaceIsNamed(t *testing.T) {
+	const extra = 80 * time.Millisecond
+	for _, c := range []struct {
+		d    Dimension
+		name string
+		slow func(r Row) bool
+	}{
+		{ByEndpoint, "e3", func(r Row) bool { return r.Endpoint == "e3" }},
+		{ByVersion, "v1", func(r Row) bool { return r.Version == "v1" }},
+		{ByDataCentre, "dc-1", func(r Row) bool { return r.DataCentre == "dc-1" }},
+	} {
+		is := is.New(t)
+		places := Slowest(rows(func(r Row) time.Duration {
+			if c.slow(r) {
+				return extra
+			}
+			return 0
+		}), 20)
+		var first Place
+		for _, p := range places {
+			if p.Dimension != ByRoute { // the costly route stays in the list
+				first = p
+				break
+			}
+		}
+		is.Equal(first.Dimension, c.d)
+		is.Equal(first.Name, c.name)
+		is.Equal(first.Stage, model.StageFirstToken)
+	}
+}
+
+// Guards against an endpoint that looks slow because it gets costly routes.
+func TestCostlyRoutesDoNotMakeAnEndpointSlow(t *testing.T) {
+	is := is.New(t)
+	for _, p := range Slowest(rows(func(Row) time.Duration { return 0 }), 20) {
+		is.Equal(p.Dimension, ByRoute)
+	}
+}
+
+// Guards against rows that stay for ever and against sums that never fade.
+func TestTableFades(t *testing.T) {
+	is := is.New(t)
+	table, now := NewTable(), time.Unix(0, 0)
+	table.Fade(now)
+	table.Add(Sums{{Endpoint: "e"}: {Requests: 8, Time: 8 * time.Second}})
+	table.Fade(now.Add(halfLife))
+	is.Equal(table.Sums()[Key{Endpoint: "e"}].Requests, 4.0)
+	table.Fade(now.Add(12 * halfLife))
+	is.Equal(len(table.Sums()), 0)
+}
+
+// Guards against a counter that grows with the number of workspaces or loses
+// the busy ones among many quiet ones.
+func TestCounterFindsTheBusiest(t *testing.T) {
+	is := is.New(t)
+	c := NewCounter()
+	for i := range 50_000 {
+		c.Add(model.Workspace(fmt.Sprint("quiet-", i%16_000)))
+		c.Add(model.Workspace(fmt.Sprint("busy-", i%10)))
+	}
+	top := c.Top()
+	for i := range 10 {
+		is.True(top[model.Workspace(fmt.Sprint("busy-", i))])
+	}
+	is.True(len(c.counts) <= counted)
+}
