--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -8,9 +8,11 @@
 // trafficPipeline lists the filters between decode and encode.
 func (e *Entry) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
+		timeStages{e.loop, e.loop.Snapshot},
 		identify{snapshot: e.loop.Snapshot, lookup: e.configs.Lookup},
 		limitRate{e},
 		guard{e.loop.Snapshot},
+		selectVersion{e.loop.Snapshot},
 		chooseEndpoint{e.loop.Snapshot, e.mayRepeat},
 		forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client},
 	)
@@ -28,5 +30,7 @@
 		lend{},
 		budgetRepeats{},
 		sumReports{e.settings, e.node.Meter()},
+		judgeRollouts{e.settings},
+		watchTimes{e.settings},
 	}
 }
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -10,7 +10,9 @@
 	return pipe.Chain(
 		guard{p.loop.Snapshot},
 		admit{p.loop},
+		countEvidence{p.loop, p.loop.Snapshot, p.settings},
 		watchCrash{p},
+		timeStages{p.loop, p.settings},
 		run{p.deps.Endpoint},
 	)
 }
@@ -25,5 +27,7 @@
 		foldSuspects{p.settings.Instance},
 		decideAdmission{p.settings},
 		draftReport{p.settings},
+		countRequests{p.settings},
+		sumTimes{p.settings},
 	}
 }
