--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
@@ -30,6 +31,7 @@
 	log      *slog.Logger
 	client   *http.Client
 	loop     *control.Loop[State, Snapshot]
+	configs  *configsync.Source
 	node     *exchange.Node
 }
 
@@ -43,6 +45,7 @@
 		Publish: publish,
 		Tick:    controlTick,
 	})
+	e.configs = e.configSource()
 	return e
 }
 
@@ -96,24 +99,11 @@
 // Start starts the control loop and its sources. They end with ctx.
 func (e *Entry) Start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { e.loop.Run(ctx); return nil })
-	g.Go(func() error { e.followConfig(ctx); return nil })
+	g.Go(func() error { e.configs.Run(ctx); return nil })
+	g.Go(func() error { e.snapshotter().Run(ctx); return nil })
 	g.Go(func() error { e.followInstances(ctx); return nil })
 	e.startExchange(ctx, g)
-}
-
-func (e *Entry) followConfig(ctx context.Context) {
-	each := func(b logsvc.Batch) {
-		for _, r := range b.Records {
-			rec, err := config.Decode(r.Data)
-			if err != nil {
-				e.log.Warn("record was skipped", "stream", config.Stream, "offset", r.Offset, "error", err)
-				continue
-			}
-			_ = e.loop.Post(ctx, configRecord{offset: r.Offset, record: rec})
-		}
-	}
-	failed := func(err error) { e.log.Warn("log service cannot be read", "error", err) }
-	logsvc.Follow(ctx, e.deps.Logs, config.Stream, 0, each, failed)
+	e.startRollouts(ctx, g)
 }
 
 func (e *Entry) followInstances(ctx context.Context) {
@@ -134,7 +124,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", httptransport.NewServer(run, e.decodeChat, encodeChat, options...))
 	mux.Handle("POST /v1/services/{service}/{route}", httptransport.NewServer(run, e.decodeService, encodeService, options...))
-	return mux
+	return protect(mux, e.settings.BodyTime, e.settings.WriteTime)
 }
 
 func (e *Entry) ready() bool { return e.loop.Snapshot().Config.Offset != config.NoBase }
--- a/internal/limit/wallet.go
+++ b/internal/limit/wallet.go
@@ -31,7 +31,7 @@
 	until time.Time // when units lapse
 	use   float64   // decaying count of units used, about one useWindow of use
 	seen  time.Time
-	last  int64 // cost of the last request
+	last  int64   // cost of the last request
 	local *bucket // share of the limit while the home cannot be reached
 }
 
--- a/internal/measure/exchange.go
+++ b/internal/measure/exchange.go
@@ -56,9 +56,9 @@
 	return out
 }
 
-// exRound rounds bytes up to tens: the length of a gob number differs by a byte
+// exRound rounds bytes up to hundreds: the length of a gob number differs by a byte
 // with its value.
-func exRound(v float64) float64 { return math.Ceil(v/10) * 10 }
+func exRound(v float64) float64 { return math.Ceil(v/100) * 100 }
 
 // usage returns the bytes of all processes so far.
 func (f *exFleet) usage() map[string]int64 {
@@ -127,7 +127,7 @@
 			f.replaceHolders(worstRun)
 			f.flapEntry(worstRun)
 			f.end()
-			out = append(out, Figure{Name: "exchange/age/" + u.name, Value: math.Ceil(worst*10) / 10, Unit: "s", Relation: AtMost, Target: exMaxAge})
+			out = append(out, Figure{Name: "exchange/age/" + u.name, Value: math.Ceil(worst*2) / 2, Unit: "s", Relation: AtMost, Target: exMaxAge})
 		})
 	}
 	return out
--- a/internal/measure/exchange_fleet.go
+++ b/internal/measure/exchange_fleet.go
@@ -211,6 +211,29 @@
 	}
 }
 
+// jitter returns a source of random numbers that any goroutine may use.
+func (f *exFleet) jitter(ctx context.Context) func() float64 {
+	rng := rand.New(rand.NewPCG(f.rng.Uint64(), 2))
+	numbers := make(chan float64)
+	f.group.Go(func() error {
+		for {
+			select {
+			case numbers <- rng.Float64():
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	})
+	return func() float64 {
+		select {
+		case n := <-numbers:
+			return n
+		case <-ctx.Done():
+			return 0
+		}
+	}
+}
+
 func (f *exFleet) put(in instances.Instance) {
 	in.Control, in.Address = string(in.ID)+".c:1", string(in.ID)+".t:1"
 	if err := f.list.Put(f.ctx, in); err != nil && f.ctx.Err() == nil {
@@ -226,10 +249,10 @@
 	f.stagger()
 	s := side.Settings{
 		Instance: model.InstanceID(id), DataCentre: f.dc(i), Region: exRegion, Pool: pool, Kind: kind,
-		Key: "shared", ControlBudget: exBudget, AppendBudget: 300,
+		Control: id + ".c:1", Key: "shared", ControlBudget: exBudget, AppendBudget: 300,
 	}
 	e := &exEndpoint{id: s.EndpointID(), took: 400 * time.Millisecond}
-	p := side.New(s, side.Deps{Log: slog.New(slog.DiscardHandler), Logs: exLog{f}, List: exList{f, id}, Endpoint: e, Dial: f.pipes.Dialer(id + ".c:1")})
+	p := side.New(s, side.Deps{Log: slog.New(slog.DiscardHandler), Logs: exLog{f}, List: exList{f, id}, Endpoint: e, Dial: f.pipes.Dialer(id + ".c:1"), Jitter: f.jitter(f.ctx)})
 	p.Start(f.ctx, f.group)
 	f.group.Go(func() error { return p.ServeControl(f.ctx, f.pipes.Listen(id+".c:1")) })
 	server := &http.Server{Handler: p.Handler()}
@@ -244,7 +267,7 @@
 	f.stagger()
 	ctx, stop := context.WithCancel(f.ctx)
 	s := entry.Settings{
-		Instance: model.InstanceID(id), DataCentre: f.dc(i), Region: exRegion, Key: "shared",
+		Instance: model.InstanceID(id), DataCentre: f.dc(i), Region: exRegion, Control: id + ".c:1", Key: "shared",
 		ControlBudget: exBudget, MaxBody: 1 << 20, Timeout: time.Minute,
 	}
 	dial := f.pipes.Dialer(id + ".t:1")
@@ -253,27 +276,10 @@
 		MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute,
 	}
 	context.AfterFunc(ctx, transport.CloseIdleConnections)
-	jitter := rand.New(rand.NewPCG(uint64(i), f.rng.Uint64()))
-	numbers := make(chan float64)
-	f.group.Go(func() error {
-		for {
-			select {
-			case numbers <- jitter.Float64():
-			case <-ctx.Done():
-				return nil
-			}
-		}
-	})
+	jitter := f.jitter(ctx)
 	e := entry.New(s, entry.Deps{
 		Log: slog.New(slog.DiscardHandler), Logs: exLog{f}, List: exList{f, id}, Transport: transport, Dial: f.pipes.Dialer(id + ".c:1"),
-		Jitter: func() float64 {
-			select {
-			case n := <-numbers:
-				return n
-			case <-ctx.Done():
-				return 0
-			}
-		},
+		Jitter: jitter,
 	})
 	e.Start(ctx, f.group)
 	f.group.Go(func() error { return e.ServeControl(ctx, f.pipes.Listen(id+".c:1")) })
@@ -289,8 +295,8 @@
 	id      model.EndpointID
 	took    time.Duration
 	poison  func(body []byte) bool
-	delay   time.Duration // from the hand-over to the crash
-	down    time.Duration // from the crash to the restart
+	delay   time.Duration     // from the hand-over to the crash
+	down    time.Duration     // from the crash to the restart
 	touched func(body []byte) // called for an innocent request in flight at a crash
 	crashes atomic.Int64
 	state   atomic.Pointer[exLife]
--- a/internal/side/deps.go
+++ b/internal/side/deps.go
@@ -15,4 +15,5 @@
 	List     instances.List
 	Endpoint Endpoint
 	Dial     exchange.Dialer // to control addresses; nil means TCP
+	Jitter   func() float64  // uniform in [0, 1); nil means math/rand
 }
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -10,7 +10,9 @@
 	return pipe.Chain(
 		guard{p.loop.Snapshot},
 		admit{p.loop},
+		countEvidence{p.loop, p.loop.Snapshot, p.settings},
 		watchCrash{p},
+		timeStages{p.loop, p.settings},
 		run{p.deps.Endpoint},
 	)
 }
@@ -18,12 +20,14 @@
 // controlPipeline lists the stages between the sources and the snapshot.
 func (p *Side) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
-		foldConfig{p.log},
+		foldConfig(p.log),
 		foldMembers{},
 		derivePeers{p.settings},
 		foldMean{},
 		foldSuspects{p.settings},
 		decideAdmission{p.settings},
 		draftReport{p.settings},
+		countRequests{p.settings},
+		sumTimes{p.settings},
 	}
 }
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -8,17 +8,22 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
+	"github.com/goldcrestturn/goldcrestturn/internal/timing"
 )
 
 // State is the control state of a side process. Only its control loop touches
 // it.
 type State struct {
 	Config  *config.Accepted
+	Follow  *config.Follower               // gives Config
 	Running map[model.RequestID]model.Cost // admitted and not yet finished
 	Load    int64                          // cost units of Running
 	Mean    PoolMean                       // last known mean load of the pool
 	Members *member.Table
 	exchangeState
+	rolloutState
+	times timing.Sums // not reported yet
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -33,20 +38,17 @@
 type Snapshot struct {
 	At      time.Time
 	Config  *config.Accepted
+	View    config.View // answers peers
 	Load    int64
 	Running int
 	Mean    PoolMean
 	Peers   *member.Peers // processes of the region in the control exchange
 	exchangeView
+	Versions rollout.Selector
 }
 
 // Events of the side's control pipeline.
 type (
-	// configRecord is one record of the configuration stream.
-	configRecord struct {
-		offset int64
-		record config.Record
-	}
 	// admitRequest asks for admission. The reply is nil if req may run.
 	admitRequest struct {
 		control.Question[*model.Refusal]
@@ -60,16 +62,22 @@
 	workDone struct{ id model.RequestID }
 )
 
-func (configRecord) EventName() string { return "config_record" }
 func (admitRequest) EventName() string { return "admit_request" }
 func (workDone) EventName() string     { return "work_done" }
 func (meanReceived) EventName() string { return "mean_received" }
 func (listChanged) EventName() string  { return "list_changed" }
 
 func newState() *State {
-	return &State{Config: config.Empty(), Running: map[model.RequestID]model.Cost{}, Members: member.NewTable(), exchangeState: newExchangeState()}
+	f := config.NewFollower()
+	return &State{
+		Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{},
+		Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
+	}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running), Mean: s.Mean, Peers: s.peers, exchangeView: s.view()}
+	return &Snapshot{
+		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running),
+		Mean: s.Mean, Peers: s.peers, exchangeView: s.view(), Versions: s.versions,
+	}
 }
