Give engines orders from the accepted configuration

Cause: engines were never told which version, adapters or role to hold. Change: order.Machine derives the target of a pool, decides one order at a time with the configuration offset as its fence, reads the state back before the next one, holds orders after a pause, and lets loads start only in the endpoint's own slot. The side's source drops an order that is older than what the side knows at the time of sending.

--- a/internal/side/deps.go
+++ b/internal/side/deps.go
@@ -14,5 +14,6 @@
 	Logs     logsvc.Log
 	List     instances.List
 	Endpoint Endpoint
+	Orders   Orders          // of the endpoint; nil if it takes none
 	Dial     exchange.Dialer // to control addresses; nil means TCP
 }
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -21,6 +21,7 @@
 		foldConfig(p.log),
 		foldMembers{},
 		derivePeers{p.settings},
+		decideOrders{pool: p.settings.Pool, wake: p.ordersWake},
 		foldMean{},
 		foldSuspects{p.settings.Instance},
 		decideAdmission{p.settings},
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -38,13 +38,15 @@
 	node     *exchange.Node
 	crashes  chan suspect.Crash // to the log
 	configs  *configsync.Source
+
+	ordersWake chan struct{} // from the stage of orders to their source
 }
 
 // New returns a side process. Start starts it.
 func New(s Settings, deps Deps) *Side {
-	p := &Side{settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue)}
+	p := &Side{settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue), ordersWake: make(chan struct{}, 1)}
 	p.loop = control.New(control.Config[State, Snapshot]{
-		State:   newState(),
+		State:   newState(s),
 		Stages:  p.controlPipeline(),
 		Publish: publish,
 		Tick:    controlTick,
@@ -68,16 +70,17 @@
 	if err != nil {
 		return eris.Wrap(err, "side: control address cannot be used")
 	}
-	var endpoint Endpoint = endpointapi.NewEngine(s.Endpoint, s.EndpointID())
-	if s.Kind == model.Service {
-		endpoint = endpointapi.NewService(s.Endpoint, s.EndpointID())
-	}
-	p := New(s, Deps{
+	deps := Deps{
 		Log:      log,
 		Logs:     logsvc.NewClient(s.LogService),
 		List:     instances.NewClient(s.InstanceList),
-		Endpoint: endpoint,
-	})
+		Endpoint: endpointapi.NewService(s.Endpoint, s.EndpointID()),
+	}
+	if s.Kind == model.Engine {
+		engine := endpointapi.NewEngine(s.Endpoint, s.EndpointID())
+		deps.Endpoint, deps.Orders = engine, engine
+	}
+	p := New(s, deps)
 	return p.Serve(ctx, traffic, admin, peers)
 }
 
@@ -104,6 +107,9 @@
 	g.Go(func() error { p.loop.Run(ctx); return nil })
 	g.Go(func() error { p.configs.Run(ctx); return nil })
 	g.Go(func() error { p.followInstances(ctx); return nil })
+	if p.deps.Orders != nil {
+		g.Go(func() error { p.giveOrders(ctx); return nil })
+	}
 	p.startExchange(ctx, g)
 }
 
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -8,6 +8,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/order"
 )
 
 // State is the control state of a side process. Only its control loop touches
@@ -19,6 +20,9 @@
 	Load    int64                          // cost units of Running
 	Mean    PoolMean                       // last known mean load of the pool
 	Members *member.Table
+	Orders  *order.Machine
+
+	ordersOf *config.Accepted // configuration that Orders knows
 	exchangeState
 }
 
@@ -37,7 +41,9 @@
 	View    config.View // answers peers
 	Load    int64
 	Running int
-	Peers   *member.Peers // processes of the region in the control exchange
+	// OrdersKnown is the lowest fence that an order to the engine may have.
+	OrdersKnown int64
+	Peers       *member.Peers // processes of the region in the control exchange
 	exchangeView
 }
 
@@ -61,17 +67,17 @@
 func (meanReceived) EventName() string { return "mean_received" }
 func (listChanged) EventName() string  { return "list_changed" }
 
-func newState() *State {
+func newState(settings Settings) *State {
 	f := config.NewFollower()
 	return &State{
 		Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{},
-		Members: member.NewTable(), exchangeState: newExchangeState(),
+		Members: member.NewTable(), Orders: order.New(settings.EndpointID(), settings.Pool), exchangeState: newExchangeState(),
 	}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running),
-		Peers: s.peers, exchangeView: s.view(),
+		Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(),
 	}
 }
