--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,14 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS = -X github.com/goldcrestturn/goldcrestturn/internal/program.Version=$(VERSION)
 
-.PHONY: build test lint measure capacity ci
+.PHONY: build quickstart test lint measure capacity ci
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
 
+quickstart:
+	bash scripts/quickstart.sh
+
 test:
 	go test -race ./...
 
@@ -16,7 +19,7 @@
 	go tool staticcheck ./...
 
 measure:
-	go test ./internal/measure -run '^TestMeasure$$' -count=1 -timeout 30m -args -seed $(SEED) -only '$(ONLY)'
+	go test ./internal/measure -run '^TestMeasure$$' -v -count=1 -timeout 30m -args -seed $(SEED) -only '$(ONLY)'
 
 capacity:
 	go test ./... -run '^$$' -bench '^BenchmarkCapacity' -benchtime 200ms | grep -E '^Benchmark'
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -103,6 +103,7 @@
 	g.Go(func() error { e.snapshotter().Run(ctx); return nil })
 	g.Go(func() error { e.followInstances(ctx); return nil })
 	e.startExchange(ctx, g)
+	e.startRollouts(ctx, g)
 }
 
 func (e *Entry) followInstances(ctx context.Context) {
@@ -123,7 +124,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", httptransport.NewServer(run, e.decodeChat, encodeChat, options...))
 	mux.Handle("POST /v1/services/{service}/{route}", httptransport.NewServer(run, e.decodeService, encodeService, options...))
-	return mux
+	return protect(mux, e.settings.BodyTime, e.settings.WriteTime)
 }
 
 func (e *Entry) ready() bool { return e.loop.Snapshot().Config.Offset != config.NoBase }
--- a/internal/side/stage_orders.go
+++ b/internal/side/stage_orders.go
@@ -32,6 +32,16 @@
 func (stateRead) EventName() string  { return "state_read" }
 func (orderGiven) EventName() string { return "order_given" }
 
+// orderState is the part of the control state that belongs to the orders.
+type orderState struct {
+	Orders   *order.Machine
+	ordersOf *config.Accepted // configuration that Orders knows
+}
+
+func newOrderState(s Settings) orderState {
+	return orderState{Orders: order.New(s.EndpointID(), s.Pool)}
+}
+
 // decideOrders keeps the orders of the engine in step with the configuration.
 type decideOrders struct {
 	pool model.Pool
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -8,7 +8,8 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
-	"github.com/goldcrestturn/goldcrestturn/internal/order"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
+	"github.com/goldcrestturn/goldcrestturn/internal/timing"
 )
 
 // State is the control state of a side process. Only its control loop touches
@@ -20,10 +21,10 @@
 	Load    int64                          // cost units of Running
 	Mean    PoolMean                       // last known mean load of the pool
 	Members *member.Table
-	Orders  *order.Machine
-
-	ordersOf *config.Accepted // configuration that Orders knows
+	orderState
 	exchangeState
+	rolloutState
+	times timing.Sums // not reported yet
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -45,6 +46,7 @@
 	OrdersKnown int64
 	Peers       *member.Peers // processes of the region in the control exchange
 	exchangeView
+	Versions rollout.Selector
 }
 
 // Events of the side's control pipeline.
@@ -71,13 +73,13 @@
 	f := config.NewFollower()
 	return &State{
 		Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{},
-		Members: member.NewTable(), Orders: order.New(settings.EndpointID(), settings.Pool), exchangeState: newExchangeState(),
+		Members: member.NewTable(), orderState: newOrderState(settings), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
 	}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running),
-		Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(),
+		Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(), Versions: s.versions,
 	}
 }
