--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -8,8 +8,10 @@
 // trafficPipeline lists the filters between decode and encode.
 func (e *Entry) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
-		identify{e.loop.Snapshot},
-		chooseEndpoint{e.loop.Snapshot},
+		identify{snapshot: e.loop.Snapshot, lookup: e.configs.Lookup},
+		limitRate{e},
+		guard{e.loop.Snapshot},
+		chooseEndpoint{e.loop.Snapshot, e.mayRepeat},
 		forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client},
 	)
 }
@@ -17,8 +19,14 @@
 // controlPipeline lists the stages between the sources and the snapshot.
 func (e *Entry) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
-		foldConfig{e.log},
+		foldConfig(e.log),
 		foldMembers{},
+		derivePeers{e.settings},
 		derive{},
+		foldSuspects{e.settings.Instance},
+		spend{e.settings.Instance},
+		lend{},
+		budgetRepeats{},
+		sumReports{e.settings, e.node.Meter()},
 	}
 }
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -5,6 +5,8 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -12,9 +14,12 @@
 // it.
 type State struct {
 	Config  *config.Accepted
+	Follow  *config.Follower               // gives Config
 	Running map[model.RequestID]model.Cost // admitted and not yet finished
 	Load    int64                          // cost units of Running
 	Mean    PoolMean                       // last known mean load of the pool
+	Members *member.Table
+	exchangeState
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -29,17 +34,15 @@
 type Snapshot struct {
 	At      time.Time
 	Config  *config.Accepted
+	View    config.View // answers peers
 	Load    int64
 	Running int
+	Peers   *member.Peers // processes of the region in the control exchange
+	exchangeView
 }
 
 // Events of the side's control pipeline.
 type (
-	// configRecord is one record of the configuration stream.
-	configRecord struct {
-		offset int64
-		record config.Record
-	}
 	// admitRequest asks for admission. The reply is nil if req may run.
 	admitRequest struct {
 		control.Question[*model.Refusal]
@@ -47,19 +50,28 @@
 	}
 	// meanReceived carries a new pool mean from a summary holder.
 	meanReceived struct{ mean PoolMean }
+	// listChanged carries changes of the platform's instance list.
+	listChanged struct{ changes instances.Changes }
 	// workDone ends the work of an admitted request.
 	workDone struct{ id model.RequestID }
 )
 
-func (configRecord) EventName() string { return "config_record" }
 func (admitRequest) EventName() string { return "admit_request" }
 func (workDone) EventName() string     { return "work_done" }
 func (meanReceived) EventName() string { return "mean_received" }
+func (listChanged) EventName() string  { return "list_changed" }
 
 func newState() *State {
-	return &State{Config: config.Empty(), Running: map[model.RequestID]model.Cost{}}
+	f := config.NewFollower()
+	return &State{
+		Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{},
+		Members: member.NewTable(), exchangeState: newExchangeState(),
+	}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running)}
+	return &Snapshot{
+		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running),
+		Peers: s.peers, exchangeView: s.view(),
+	}
 }
