Merge the control exchange's measurements

Cause: the parts were built side by side; the exchange now names the sides of a pool, not only their number. Conclusion: none beyond the merge.

--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -73,9 +73,11 @@
 
 // Scenarios lists all scenarios in the order in which they run.
 func Scenarios() []Scenario {
-	return []Scenario{
-		{Name: "rollout", Run: rolloutScenario},
-	}
+	return slices.Concat(
+		exchangeScenarios(),
+		suspectScenarios(),
+		rolloutScenarios(),
+	)
 }
 
 // Run runs the scenarios whose name starts with prefix, prints their figures to
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -281,6 +281,10 @@
 	return out
 }
 
+func rolloutScenarios() []Scenario {
+	return []Scenario{{Name: "rollout", Run: rolloutScenario}}
+}
+
 // rolloutScenario gives detection, exposure, false take-backs and punctuality
 // of the judge and of both plain methods in the same run.
 func rolloutScenario(env Env) []Figure {
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -25,7 +25,7 @@
 		derivePeers{p.settings},
 		decideOrders{pool: p.settings.Pool, wake: p.ordersWake},
 		foldMean{},
-		foldSuspects{p.settings.Instance},
+		foldSuspects{p.settings},
 		decideAdmission{p.settings},
 		draftReport{p.settings},
 		countRequests{p.settings},
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -44,6 +44,7 @@
 	Running int
 	// OrdersKnown is the lowest fence that an order to the engine may have.
 	OrdersKnown int64
+	Mean        PoolMean
 	Peers       *member.Peers // processes of the region in the control exchange
 	exchangeView
 	Versions rollout.Selector
@@ -80,6 +81,6 @@
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running),
-		Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(), Versions: s.versions,
+		Mean: s.Mean, Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(), Versions: s.versions,
 	}
 }
