Show where the time goes with goldcrestctl slow

Cause: the stage times lay in the holders, out of the operators' reach. Change: /slow on the admin address of an entry, and the subcommand that merges the rows of all entries and plots the places with the most excess time.

--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -41,6 +41,7 @@
 		rolloutStatusCommand(),
 		rolloutTakeBackCommand(),
 		releaseCommand(),
+		slowCommand(),
 	}
 }
 
--- a/internal/ctl/job.go
+++ b/internal/ctl/job.go
@@ -31,6 +31,7 @@
 	Fleet    []Member
 	Wait     bool
 	Rollout  rolloutFlags
+	Slow     slowFlags
 }
 
 func newJob() *Job { return &Job{Offset: config.NoBase} }
--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
+)
+
+// adminHandler serves the operators' paths of an entry.
+func (e *Entry) adminHandler() http.Handler {
+	mux := program.Admin(e.ready, e.status)
+	mux.HandleFunc("GET "+exchange.PathSlow, func(w http.ResponseWriter, r *http.Request) {
+		rows, err := e.Slow(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(exchange.FromRows(rows))
+	})
+	return mux
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -78,7 +78,7 @@
 	var g errgroup.Group
 	e.Start(background, &g)
 	g.Go(func() error {
-		return program.Serve(background, program.NewServer(program.Admin(e.ready, e.status)), admin, time.Second)
+		return program.Serve(background, program.NewServer(e.adminHandler()), admin, time.Second)
 	})
 	g.Go(func() error { return e.ServeControl(background, peers) })
 	e.log.Info("started", "instance", e.settings.Instance, "listen", traffic.Addr().String())
