--- a/internal/entry/stage_summary.go
+++ b/internal/entry/stage_summary.go
@@ -74,7 +74,7 @@
 	var out []groupsPlan
 	s.groupTurn++
 	for _, k := range keys {
-		groups := summary.Groups(s.peers.Endpoints[k.Pool])
+		groups := summary.Groups(s.peers.Count(k.Pool))
 		if groups == 1 {
 			continue
 		}
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -76,7 +76,7 @@
 	return slices.Concat(
 		exchangeScenarios(),
 		suspectScenarios(),
-		[]Scenario{{Name: "rollout", Run: rolloutScenario}},
+		rolloutScenarios(),
 	)
 }
 
--- a/internal/side/deps.go
+++ b/internal/side/deps.go
@@ -14,6 +14,7 @@
 	Logs     logsvc.Log
 	List     instances.List
 	Endpoint Endpoint
+	Orders   Orders          // of the endpoint; nil if it takes none
 	Dial     exchange.Dialer // to control addresses; nil means TCP
 	Jitter   func() float64  // uniform in [0, 1); nil means math/rand
 }
