--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -76,6 +76,8 @@
 	return slices.Concat(
 		exchangeScenarios(),
 		suspectScenarios(),
+		limitScenarios(),
+		retryScenarios(),
 		rolloutScenarios(),
 	)
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,7 +13,9 @@
 	// endpoints. They are not executions; a pool without room gets at most two
 	// offers a request on average.
 	handOversPerRequest = 1.0
-	// reserve lets a quiet pool send a few requests again.
+	// reserve lets a quiet pool send a few requests again. It is an advance on
+	// what the first requests add, so executions stay at 1.1 a request from the
+	// 50th request on.
 	reserve = 5
 	// maxSaved bounds what a busy pool saves up, so that a failure after a
 	// quiet hour does not release a wave of retries.
@@ -21,7 +23,10 @@
 )
 
 // Budget is the retry budget of one pool.
-type Budget struct{ executions, handOvers float64 }
+type Budget struct {
+	executions, handOvers float64
+	advance               float64 // part of the reserve that requests have not paid back
+}
 
 // Budgets holds the budgets of an entry's pools. It belongs to the control
 // goroutine.
@@ -36,7 +41,7 @@
 func (b *Budgets) pool(p model.Pool) *Budget {
 	it := b.pools[p]
 	if it == nil {
-		it = &Budget{executions: reserve, handOvers: reserve}
+		it = &Budget{executions: reserve, handOvers: reserve, advance: reserve}
 		b.pools[p] = it
 	}
 	return it
@@ -45,7 +50,11 @@
 // Request notes a new request of a pool, which adds to its budget.
 func (b *Budgets) Request(p model.Pool) {
 	it := b.pool(p)
-	it.executions = min(maxSaved, it.executions+executionsPerRequest)
+	if it.advance > 0 {
+		it.advance -= executionsPerRequest
+	} else {
+		it.executions = min(maxSaved, it.executions+executionsPerRequest)
+	}
 	it.handOvers = min(maxSaved, it.handOvers+handOversPerRequest)
 }
 
