--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -162,3 +162,65 @@
 		}
 	})
 }
+
+// budgetOver returns the bytes a second over the budget when the sender follows
+// the stretch that the meter asks for.
+func budgetOver(stretch bool) float64 {
+	m := NewMeter(1000)
+	m.stretch = stretch
+	now, sent := time.Now(), 0
+	end := now.Add(time.Minute)
+	for now.Before(end) {
+		sent += 1500
+		m.charge(now, 1500)
+		now = now.Add(time.Duration(float64(time.Second) * m.Stretch(now)))
+	}
+	return float64(sent)/60 - 1000
+}
+
+// Guards against control traffic that stays over the budget. Without the
+// stretch it does.
+func TestStretchHoldsTheBudget(t *testing.T) {
+	is := is.New(t)
+	is.True(budgetOver(true) <= 2000/60.0) // the burst, spread over the minute
+	is.True(budgetOver(false) > 2000/60.0) // the mechanism is needed
+}
+
+// Guards against a message that passes its bounds or panics the receiver.
+func FuzzMessages(f *testing.F) {
+	encode := func(v any) []byte {
+		var b strings.Builder
+		if err := gob.NewEncoder(&b).Encode(v); err != nil {
+			f.Fatal(err)
+		}
+		return []byte(b.String())
+	}
+	f.Add(encode(ReportArgs{Endpoint: "e", Load: 1, News: News{Crashes: []Crash{{ID: "c", Fingerprints: []uint64{1}}}}}))
+	f.Add(encode(GroupsArgs{Pool: "p", Sums: []GroupSum{{Load: 1, Endpoints: 2}}}))
+	f.Add(encode(BorrowArgs{Wishes: []Wish{{Workspace: "w", Want: 1}}}))
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		read := func(v any) bool {
+			return gob.NewDecoder(newMessageReader(strings.NewReader(string(data)), 4096)).Decode(v) == nil
+		}
+		var report ReportArgs
+		if read(&report) {
+			if m, err := report.Model(); err == nil && (m.Load < 0 || m.Endpoint == "") {
+				t.Fatalf("out of bounds: %+v", m)
+			}
+			if list, err := report.News.Model(time.Now()); err == nil && len(list) > maxCrashes {
+				t.Fatalf("%d crashes", len(list))
+			}
+		}
+		var groups GroupsArgs
+		if read(&groups) {
+			if m, err := groups.Model(); err == nil && len(m) > maxGroups {
+				t.Fatalf("%d groups", len(m))
+			}
+		}
+		var borrow BorrowArgs
+		if read(&borrow) && borrow.Check() == nil && len(borrow.Wishes) > maxWishes {
+			t.Fatalf("%d wishes", len(borrow.Wishes))
+		}
+	})
+}
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -112,18 +112,21 @@
 	}
 }
 
-// evict makes room: expired items, then the oldest one below the threshold,
-// then the oldest one.
+// evict makes room: expired items, then an eighth of the table, those below the
+// threshold and the oldest first. Evicting one at a time would sort the table
+// for each new fingerprint.
 func (t *Table) evict(now time.Time) {
 	t.Sweep(now)
 	if len(t.items) < MaxFingerprints {
 		return
 	}
-	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.items)), func(a, b uint64) int {
+	order := slices.SortedFunc(maps.Keys(t.items), func(a, b uint64) int {
 		x, y := t.items[a], t.items[b]
 		return cmp.Or(cmp.Compare(len(x.crashes), len(y.crashes)), x.last.Compare(y.last), cmp.Compare(a, b))
 	})
-	delete(t.items, oldest)
+	for _, f := range order[:MaxFingerprints/8] {
+		delete(t.items, f)
+	}
 }
 
 // Crashes returns the number of crashes that a fingerprint shares, up to
