--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -30,7 +30,7 @@
 			others = append(others, id)
 		}
 	}
-	return peers.Addresses(others), len(peers.Entries)+len(peers.Sides) > 0
+	return peers.Addresses(others), len(peers.Entries)+len(peers.Endpoints) > 0
 }
 
 // Fetch implements Peers.
--- a/internal/configsync/source.go
+++ b/internal/configsync/source.go
@@ -25,13 +25,15 @@
 
 // Options are the parts and settings of a Source.
 type Options struct {
-	Log    *slog.Logger
-	Logs   logsvc.Log
-	Loop   control.Poster
-	View   func() config.View // published by the loop
-	Peers  Peers              // nil without peers
-	Pick   func(n int) int    // random choice below n
-	Budget int64              // bytes a second of control traffic
+	Log     *slog.Logger
+	Logs    logsvc.Log
+	Loop    control.Poster
+	View    func() config.View // published by the loop
+	Peers   Peers              // nil without peers
+	Pick    func(n int) int    // random choice below n
+	Budget  int64              // bytes a second of control traffic
+	Period  time.Duration      // between questions to a random peer; 0 means pullPeriod
+	Stretch func() float64     // factor on Period while the control budget is used up; nil means 1
 }
 
 // Source brings configuration from the log and from peers to the control loop.
@@ -63,6 +65,12 @@
 
 // NewSource returns a source. Run starts it.
 func NewSource(o Options) *Source {
+	if o.Period == 0 {
+		o.Period = pullPeriod
+	}
+	if o.Stretch == nil {
+		o.Stretch = func() float64 { return 1 }
+	}
 	share := loadShare * float64(o.Budget)
 	return &Source{o: o, heard: make(chan string, 1), pages: rate.NewLimiter(rate.Limit(share), pageBurst), lookups: newLookupLimit()}
 }
@@ -92,7 +100,7 @@
 	s.loadPages(ctx)
 	stop := s.startLog(ctx)
 	defer func() { stop() }()
-	timer := time.NewTimer(pullPeriod)
+	timer := time.NewTimer(s.o.Period)
 	defer timer.Stop()
 	for {
 		select {
@@ -101,7 +109,7 @@
 		case address := <-s.heard:
 			s.pull(ctx, address)
 		case <-timer.C:
-			timer.Reset(pullPeriod)
+			timer.Reset(time.Duration(float64(s.o.Period) * s.o.Stretch()))
 			s.pullAny(ctx)
 		}
 		if s.o.View().Accepted.Loading {
--- a/internal/side/exchange.go
+++ b/internal/side/exchange.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -98,19 +101,11 @@
 			}
 		}
 		asked = used
-		t.Reset(time.Duration(float64(reportPeriod) * p.stretch(asked)))
+		p.node.Meter().Follow(slices.Max(append(slices.Collect(maps.Values(asked)), 1)))
+		t.Reset(time.Duration(float64(reportPeriod) * p.node.Meter().Stretch(time.Now())))
 	}
 }
 
-// stretch returns the largest factor that a holder or the own budget asks for.
-func (p *Side) stretch(asked map[string]float64) float64 {
-	factor := p.node.Meter().Stretch(time.Now())
-	for _, f := range asked {
-		factor = max(factor, f)
-	}
-	return min(factor, exchange.MaxStretch)
-}
-
 // report sends one report and posts what the reply brings. It returns the
 // stretch that the holder asks for.
 func (p *Side) report(ctx context.Context, address string, plan reportPlan) (float64, error) {
@@ -136,6 +131,7 @@
 		_ = p.loop.Post(ctx, meanReceived{PoolMean{PerEndpoint: mean.PerEndpoint, Endpoints: mean.Endpoints, MeasuredAt: sent.Add(-mean.Age)}})
 	}
 	_ = p.loop.Post(ctx, newsHeard{offset: reply.News.ConfigOffset, verdicts: reply.News.Verdicts, crashes: crashes})
+	p.configs.Heard(address, reply.News.ConfigOffset)
 	return float64(reply.Percent) / 100, nil
 }
 
@@ -167,3 +163,10 @@
 	}
 	logsvc.Follow(ctx, p.deps.Logs, suspect.Stream, 0, each, func(error) {})
 }
+
+func (p *Side) jitter() float64 {
+	if p.deps.Jitter != nil {
+		return p.deps.Jitter()
+	}
+	return rand.Float64()
+}
--- a/internal/side/source_config.go
+++ b/internal/side/source_config.go
@@ -1,13 +1,18 @@
 package side
 
 import (
-	"math/rand/v2"
+	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 )
 
+// sidePullPeriod is the time between questions to a random peer. A side hears of
+// a later offset with each reply to a report, so it asks only in case a holder
+// lags; asking as often as an entry would cost more bytes than its reports.
+const sidePullPeriod = 10 * time.Second
+
 // configSource returns the source of the configuration stage.
 func (p *Side) configSource() *configsync.Source {
 	source := configsync.NewSource(configsync.Options{
@@ -15,8 +20,9 @@
 		Logs:   p.deps.Logs,
 		Loop:   p.loop,
 		View:   func() config.View { return p.loop.Snapshot().View },
-		Pick:   rand.IntN,
+		Pick:   func(n int) int { return int(p.jitter() * float64(n)) },
 		Budget: p.settings.ControlBudget,
+		Period: sidePullPeriod,
 		Peers: configsync.ExchangePeers{
 			Node:    p.node,
 			Self:    p.settings.Instance,
--- a/internal/summary/holder.go
+++ b/internal/summary/holder.go
@@ -196,7 +196,7 @@
 // maxRootAge is the age up to which a root's mean is passed on. A side hears
 // the next one within 2 s, so its mean stays within Staleness. Beyond it the
 // mean of the own group, about 12 endpoints, is the better estimate.
-const maxRootAge = 4 * time.Second
+const maxRootAge = 3500 * time.Millisecond
 
 // Mean returns the best known mean: a root's that covers more groups than this
 // holder, or the own one.
