--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -10,7 +10,9 @@
 	return pipe.Chain(
 		guard{p.loop.Snapshot},
 		admit{p.loop},
+		countEvidence{p.loop, p.loop.Snapshot, p.settings},
 		watchCrash{p},
+		timeStages{p.loop, p.settings},
 		run{p.deps.Endpoint},
 	)
 }
@@ -21,9 +23,12 @@
 		foldConfig(p.log),
 		foldMembers{},
 		derivePeers{p.settings},
+		decideOrders{pool: p.settings.Pool, wake: p.ordersWake},
 		foldMean{},
-		foldSuspects{p.settings.Instance},
+		foldSuspects{p.settings},
 		decideAdmission{p.settings},
 		draftReport{p.settings},
+		countRequests{p.settings},
+		sumTimes{p.settings},
 	}
 }
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/endpointapi"
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
@@ -36,18 +37,22 @@
 	loop     *control.Loop[State, Snapshot]
 	node     *exchange.Node
 	crashes  chan suspect.Crash // to the log
+	configs  *configsync.Source
+
+	ordersWake chan struct{} // from the stage of orders to their source
 }
 
 // New returns a side process. Start starts it.
 func New(s Settings, deps Deps) *Side {
-	p := &Side{settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue)}
+	p := &Side{settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue), ordersWake: make(chan struct{}, 1)}
 	p.loop = control.New(control.Config[State, Snapshot]{
-		State:   newState(),
+		State:   newState(s),
 		Stages:  p.controlPipeline(),
 		Publish: publish,
 		Tick:    controlTick,
 	})
 	p.node = p.newNode()
+	p.configs = p.configSource()
 	return p
 }
 
@@ -65,16 +70,17 @@
 	if err != nil {
 		return eris.Wrap(err, "side: control address cannot be used")
 	}
-	var endpoint Endpoint = endpointapi.NewEngine(s.Endpoint, s.EndpointID())
-	if s.Kind == model.Service {
-		endpoint = endpointapi.NewService(s.Endpoint, s.EndpointID())
-	}
-	p := New(s, Deps{
+	deps := Deps{
 		Log:      log,
 		Logs:     logsvc.NewClient(s.LogService),
 		List:     instances.NewClient(s.InstanceList),
-		Endpoint: endpoint,
-	})
+		Endpoint: endpointapi.NewService(s.Endpoint, s.EndpointID()),
+	}
+	if s.Kind == model.Engine {
+		engine := endpointapi.NewEngine(s.Endpoint, s.EndpointID())
+		deps.Endpoint, deps.Orders = engine, engine
+	}
+	p := New(s, deps)
 	return p.Serve(ctx, traffic, admin, peers)
 }
 
@@ -99,9 +105,14 @@
 // Start starts the control loop and its sources. They end with ctx.
 func (p *Side) Start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { p.loop.Run(ctx); return nil })
-	g.Go(func() error { p.configSource().Run(ctx); return nil })
+	g.Go(func() error { p.configs.Run(ctx); return nil })
 	g.Go(func() error { p.followInstances(ctx); return nil })
+	if p.deps.Orders != nil {
+		g.Go(func() error { p.giveOrders(ctx); return nil })
+	}
 	p.startExchange(ctx, g)
+	g.Go(func() error { p.reportEvidence(ctx); return nil })
+	g.Go(func() error { p.reportTimes(ctx); return nil })
 }
 
 // Handler returns the HTTP interface for entries.
