Measure rollouts over the whole path

Cause: the judge was measured on its own; nothing showed that a verdict reaches every side in time. Change: scenario rollout/path runs bad and good rollouts through real entries and sides, with the log up and down; a crash of the endpoint counts as a failure of the version.

--- a/internal/entry/stage_rollout.go
+++ b/internal/entry/stage_rollout.go
@@ -240,3 +240,9 @@
 func rolloutID(instance model.InstanceID, base int64) string {
 	return "rollout/" + string(instance) + "/" + strconv.FormatInt(base, 10)
 }
+
+// Versions returns the versions in force at this entry.
+func (e *Entry) Versions() rollout.Selector { return e.loop.Snapshot().Versions }
+
+// Accepted returns the configuration in force at this entry.
+func (e *Entry) Accepted() *config.Accepted { return e.loop.Snapshot().Config }
--- a/internal/measure/draw.go
+++ b/internal/measure/draw.go
@@ -38,3 +38,7 @@
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
+
+// roundUp rounds v up to a multiple of step. Times over real pipelines differ
+// by a little with the order in which goroutines run.
+func roundUp(v, step float64) float64 { return math.Ceil(v/step-1e-9) * step }
--- a/internal/measure/exchange_fleet.go
+++ b/internal/measure/exchange_fleet.go
@@ -302,6 +302,7 @@
 	state   atomic.Pointer[exLife]
 	fail    func() bool // answers with a failure after the run
 	runs    atomic.Int64
+	ran     func(model.Version) bool // sees each run and tells whether it fails; may be nil
 }
 
 // exLife is one life of an endpoint process.
@@ -359,7 +360,7 @@
 		e.crash(l)
 		return nil, crashed
 	}
-	if e.fail != nil && e.fail() {
+	if e.fail != nil && e.fail() || e.ran != nil && e.ran(req.Version) {
 		return nil, &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: "status 500"}
 	}
 	return &model.Answer{
--- a/internal/measure/rollout.go
+++ b/internal/measure/rollout.go
@@ -282,7 +282,7 @@
 }
 
 func rolloutScenarios() []Scenario {
-	return []Scenario{{Name: "rollout", Run: rolloutScenario}}
+	return []Scenario{{Name: "rollout/judge", Run: rolloutScenario}, {Name: "rollout/path", Run: rolloutPath}}
 }
 
 // rolloutScenario gives detection, exposure, false take-backs and punctuality
--- a/internal/side/evidence.go
+++ b/internal/side/evidence.go
@@ -47,12 +47,11 @@
 // request and did not answer it.
 func failed(ctx context.Context, err error) bool {
 	r := model.AsRefusal(err)
-	return ctx.Err() == nil && r.Reason == model.ReasonEndpointFailed && r.Outcome != model.NotRun
+	byEndpoint := r.Reason == model.ReasonEndpointFailed || r.Reason == model.ReasonCrashed
+	return ctx.Err() == nil && byEndpoint && r.Outcome != model.NotRun
 }
 
-func isCrash(err error) bool {
-	return model.AsRefusal(err).Outcome == model.Unknown
-}
+func isCrash(err error) bool { return model.AsRefusal(err).Reason == model.ReasonCrashed }
 
 // evidenceReader watches an answer and posts once how it ended.
 type evidenceReader struct {
