Choose by holder, load and eligibility; admit by bound, ramp and fair queue

Cause: the first path only had plain rendezvous order and a slot count. The entry posts what each hand-over showed.

--- /dev/null
+++ b/internal/admit/admit.go
@@ -0,0 +1,331 @@
+// Package admit decides what work an endpoint takes. It counts the load
+// exactly, bounds it by the mean of the pool, limits unconfirmed work to what a
+// cold endpoint bears, and keeps a short queue.
+package admit
+
+import (
+	"math"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/invariant"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// MeanStale is the age beyond which the pool mean is scaled down. It is the
+// longest report period of 4 s plus one exchange with the root.
+const MeanStale = 6 * time.Second
+
+// Limits are what the operators' lists set for a pool. A zero field is not
+// applied.
+type Limits struct {
+	Multiple  float64       // bound on load over the mean of the pool
+	Slots     int           // requests that a warm endpoint runs at once
+	ColdLimit int64         // cost units that a cold endpoint bears
+	WarmTime  time.Duration // longest first-token time of a warm endpoint
+}
+
+// Mean is the mean load of the pool as last heard.
+type Mean struct {
+	PerEndpoint float64 // cost units
+	Endpoints   int     // endpoints that reported; 0 if the mean is not known
+	MeasuredAt  time.Time
+}
+
+// Gate says whether the endpoint takes new work at all.
+type Gate struct {
+	DataCentreOut bool
+	Leaving       bool // announced, or marked in the instance list
+	Draining      bool // this process stops
+}
+
+// refusal returns the refusal of a closed gate, or nil.
+func (g Gate) refusal() *model.Refusal {
+	switch {
+	case g.DataCentreOut:
+		return model.Refuse(model.ReasonDataCentreOut, "the data centre takes no new work")
+	case g.Draining:
+		return model.Refuse(model.ReasonDraining, "the process stops and takes no new work")
+	case g.Leaving:
+		return model.Refuse(model.ReasonLeaving, "the endpoint leaves and takes no new work")
+	}
+	return nil
+}
+
+// Ticket names one piece of work. The asker creates it, so that it can withdraw
+// work that still waits.
+type Ticket uint64
+
+// Work is a request as far as admission needs it.
+type Work struct {
+	Ticket    Ticket
+	Workspace model.Workspace
+	Priority  int // higher goes first
+	Cost      model.Cost
+	Deadline  time.Time // zero means none
+}
+
+// Decision is the answer to an offer, at once or after a wait.
+type Decision struct {
+	Ticket  Ticket
+	Refusal *model.Refusal // nil if the work may run
+	Waited  time.Duration
+}
+
+// Switches turn single mechanisms off. Only tests set them, to show that the
+// check of a mechanism fails without it.
+type Switches struct {
+	NoBound, NoColdLimit, NoGate, NoFairness bool
+}
+
+// running is admitted work.
+type running struct {
+	Work
+	prefill   int64 // units of the prompt that may still have to be computed
+	generate  int64 // units of tokens that may still be generated
+	admitted  time.Time
+	confirmed bool
+	late      bool
+}
+
+// units is the part of the cost that is still to be done. It is at least 1
+// until the work ends.
+func (r *running) units() int64 { return max(1, r.prefill+r.generate) }
+
+// Controller is the admission state of one endpoint. It belongs to the control
+// goroutine.
+type Controller struct {
+	rand     func() float64 // in [0, 1), for the jitter of retry times
+	limits   Limits
+	mean     Mean
+	gate     Gate
+	off      Switches
+	alone    time.Time // since when the mean covers one endpoint only
+	running  map[Ticket]*running
+	load     int64
+	holding  map[model.Workspace]int64 // load by workspace
+	ramp     ramp
+	queue    queue
+	lastSeen recent
+}
+
+// New returns a controller of a cold endpoint. rand yields values in [0, 1).
+func New(rand func() float64) *Controller {
+	return &Controller{
+		rand: rand, running: map[Ticket]*running{}, holding: map[model.Workspace]int64{},
+		ramp: newRamp(), queue: newQueue(), lastSeen: recent{},
+	}
+}
+
+// SwitchOff turns mechanisms off. Only tests call it.
+func (c *Controller) SwitchOff(s Switches) { c.off = s; c.queue.unfair = s.NoFairness }
+
+// SetLimits applies the limits of the accepted configuration.
+func (c *Controller) SetLimits(l Limits) {
+	c.limits = l
+	c.ramp.setLimits(l)
+}
+
+// SetMean applies the newest mean of the pool.
+func (c *Controller) SetMean(m Mean, now time.Time) {
+	if m.Endpoints != 1 {
+		c.alone = time.Time{}
+	} else if c.alone.IsZero() {
+		c.alone = now
+	}
+	c.mean = m
+}
+
+// SetGate opens or closes the endpoint for new work.
+func (c *Controller) SetGate(g Gate) { c.gate = g }
+
+// Load returns the units of the admitted work that is not done yet.
+func (c *Controller) Load() int64 { return c.load }
+
+// Demand returns the units of the running and the waiting work. The pool mean
+// is taken from it: a mean of running work alone could never rise from a pool
+// in which every endpoint holds as much as its neighbours.
+func (c *Controller) Demand() int64 { return c.load + c.queue.units() }
+
+// Running returns the number of admitted requests.
+func (c *Controller) Running() int { return len(c.running) }
+
+// Waiting returns the number of waiting requests.
+func (c *Controller) Waiting() int { return len(c.queue.items) }
+
+// Unconfirmed returns the units of the admitted work without a first token.
+func (c *Controller) Unconfirmed() int64 { return c.ramp.units }
+
+// Window returns how many requests may be without a first token at once.
+func (c *Controller) Window() int { return c.ramp.window }
+
+// Ratio returns load over the pool mean, or 0 if the mean is not known.
+func (c *Controller) Ratio() float64 {
+	if c.mean.Endpoints == 0 || c.mean.PerEndpoint <= 0 {
+		return 0
+	}
+	return float64(c.load) / c.mean.PerEndpoint
+}
+
+// Bound returns the load that may not be exceeded at now. It is 0 while the
+// mean is unknown, when only an idle endpoint takes work.
+func (c *Controller) Bound(now time.Time) float64 {
+	switch {
+	case c.limits.Multiple <= 0 || c.off.NoBound:
+		return math.Inf(1)
+	case c.mean.Endpoints == 0:
+		return 0
+	case c.mean.Endpoints == 1 && now.Sub(c.alone) >= MeanStale:
+		return math.Inf(1) // an endpoint alone in its pool carries the mean itself
+	}
+	b := c.limits.Multiple * c.mean.PerEndpoint
+	if age := now.Sub(c.mean.MeasuredAt); age > MeanStale {
+		b *= float64(MeanStale) / float64(age)
+	}
+	return b
+}
+
+// Offer decides on w. It returns the decisions that are due now; without one
+// for w, w waits and a later call of Step decides.
+func (c *Controller) Offer(now time.Time, w Work) []Decision {
+	c.lastSeen.note(w.Workspace, now)
+	if r := c.gate.refusal(); r != nil && !c.off.NoGate {
+		return []Decision{{Ticket: w.Ticket, Refusal: c.complete(r, w)}}
+	}
+	if !w.Deadline.IsZero() && !now.Before(w.Deadline) {
+		return []Decision{{Ticket: w.Ticket, Refusal: model.Refuse(model.ReasonDeadline, "the deadline has passed")}}
+	}
+	var out []Decision
+	for _, dropped := range c.queue.push(w, now) {
+		out = append(out, Decision{Ticket: dropped.Ticket, Refusal: c.full(dropped.Work), Waited: now.Sub(dropped.since)})
+	}
+	return append(out, c.Step(now)...)
+}
+
+// First notes the first token of admitted work and how many units of its
+// prompt were found in the cache. The units of the prompt are released.
+func (c *Controller) First(now time.Time, t Ticket) []Decision {
+	r := c.running[t]
+	if r == nil || r.confirmed {
+		return nil
+	}
+	r.confirmed = true
+	c.ramp.confirm(r, !r.late && !c.late(r, now))
+	c.release(r, func() { r.prefill = 0 })
+	return c.Step(now)
+}
+
+// Progress notes that tokens of admitted work have been generated in all. The
+// units of generated tokens are released.
+func (c *Controller) Progress(now time.Time, t Ticket, tokens int64) []Decision {
+	r := c.running[t]
+	if r == nil {
+		return nil
+	}
+	left := max(0, r.Cost.Generate-tokens)
+	c.release(r, func() { r.generate = min(r.generate, model.Cost{Generate: left}.Units()) })
+	return c.Step(now)
+}
+
+// Done ends admitted work or withdraws waiting work. Unknown tickets are
+// ignored, so that it may be called twice.
+func (c *Controller) Done(now time.Time, t Ticket) []Decision {
+	c.queue.remove(t)
+	if r := c.running[t]; r != nil {
+		if !r.confirmed {
+			c.ramp.forget(r)
+		}
+		c.load -= r.units()
+		c.hold(r.Workspace, -r.units())
+		delete(c.running, t)
+	}
+	return c.Step(now)
+}
+
+// Cold notes evidence that the endpoint is cold: a shorter uptime or a dropped
+// cache in a report, or a refused connection.
+func (c *Controller) Cold() { c.ramp.cold() }
+
+// Step applies the passage of time and admits waiting work that fits.
+func (c *Controller) Step(now time.Time) []Decision {
+	c.noteLate(now)
+	var out []Decision
+	if r := c.gate.refusal(); r != nil && !c.off.NoGate {
+		for _, it := range c.queue.clear() {
+			out = append(out, Decision{Ticket: it.Ticket, Refusal: c.complete(r, it.Work), Waited: now.Sub(it.since)})
+		}
+		return out
+	}
+	for _, it := range c.queue.expire(now) {
+		out = append(out, Decision{Ticket: it.Ticket, Refusal: c.overloaded(now, it.Work), Waited: now.Sub(it.since)})
+	}
+	for {
+		it, ok := c.queue.next(func(w Work) verdict { return c.fits(now, w) })
+		if !ok {
+			return out
+		}
+		c.admit(now, it.Work)
+		out = append(out, Decision{Ticket: it.Ticket, Waited: now.Sub(it.since)})
+	}
+}
+
+func (c *Controller) admit(now time.Time, w Work) {
+	r := &running{Work: w, prefill: w.Cost.Prefill, admitted: now}
+	r.generate = w.Cost.Units() - w.Cost.Prefill
+	c.running[w.Ticket] = r
+	c.load += r.units()
+	c.hold(w.Workspace, r.units())
+	c.ramp.add(r)
+	c.verify(now)
+}
+
+// release changes what is left of r and takes the difference off the load.
+func (c *Controller) release(r *running, change func()) {
+	before := r.units()
+	change()
+	c.load -= before - r.units()
+	c.hold(r.Workspace, r.units()-before)
+}
+
+func (c *Controller) hold(w model.Workspace, units int64) {
+	c.holding[w] += units
+	if c.holding[w] <= 0 {
+		delete(c.holding, w)
+	}
+}
+
+// late reports whether r is without its first token beyond the warm time.
+func (c *Controller) late(r *running, now time.Time) bool {
+	return c.limits.WarmTime > 0 && now.Sub(r.admitted) > c.limits.WarmTime
+}
+
+// noteLate finds work whose first token is overdue, without waiting for it.
+func (c *Controller) noteLate(now time.Time) {
+	if c.ramp.count == 0 {
+		return
+	}
+	for _, r := range c.running {
+		if !r.confirmed && !r.late && c.late(r, now) {
+			r.late = true
+			c.ramp.slow()
+		}
+	}
+}
+
+// verify recounts what the limits are about after an admission.
+func (c *Controller) verify(now time.Time) {
+	var load, unconfirmed int64
+	count := 0
+	for _, r := range c.running {
+		load += r.units()
+		if !r.confirmed {
+			unconfirmed += r.units()
+			count++
+		}
+	}
+	invariant.Check(invariant.LoadBound, len(c.running) == 1 || float64(load) <= c.Bound(now) && load == c.load,
+		"load is %d units, bound is %.0f, counted load is %d", load, c.Bound(now), c.load)
+	invariant.Check(invariant.ColdLimit, c.limits.ColdLimit == 0 || count == 1 || unconfirmed <= c.limits.ColdLimit && count <= c.ramp.window,
+		"%d requests with %d units are unconfirmed, limits are %d and %d", count, unconfirmed, c.ramp.window, c.limits.ColdLimit)
+	invariant.Check(invariant.DataCentreOut, !c.gate.DataCentreOut, "work was admitted in a data centre that is out")
+	invariant.Check(invariant.LeavingNoWork, !c.gate.Leaving && !c.gate.Draining, "work was admitted by an endpoint that leaves")
+}
--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,264 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/invariant"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var limits = Limits{Multiple: 1.5, Slots: 8, ColdLimit: 4000, WarmTime: time.Second}
+
+func half() float64 { return 0.5 }
+
+func work(t Ticket, w string, units int64) Work {
+	return Work{Ticket: t, Workspace: model.Workspace(w), Cost: model.Cost{Prefill: units}}
+}
+
+// warm returns a controller with a fresh mean whose window is fully open.
+func warm(mean float64) *Controller {
+	c := New(half)
+	c.SetLimits(limits)
+	c.SetMean(Mean{PerEndpoint: mean, Endpoints: 10, MeasuredAt: start}, start)
+	c.ramp.window = limits.Slots
+	return c
+}
+
+func admitted(out []Decision, t Ticket) bool {
+	for _, d := range out {
+		if d.Ticket == t {
+			return d.Refusal == nil
+		}
+	}
+	return false
+}
+
+// Guards against any order of events that breaks the bound, the cold limit or
+// the gate, and against a count of the load that drifts.
+func TestRandomHistoriesKeepTheLimits(t *testing.T) {
+	invariant.SetFatal(true)
+	defer invariant.SetFatal(false)
+	rapid.Check(t, func(t *rapid.T) {
+		c, now := New(half), start
+		c.SetLimits(limits)
+		for n := range rapid.IntRange(1, 120).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			ticket := Ticket(rapid.IntRange(1, 40).Draw(t, "ticket"))
+			var out []Decision
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0, 1:
+				w := work(Ticket(1000+n), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"), int64(rapid.IntRange(1, 3000).Draw(t, "units")))
+				w.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+				out = c.Offer(now, w)
+			case 2:
+				out = c.First(now, ticket+1000)
+			case 3:
+				out = c.Done(now, ticket+1000)
+			case 4:
+				c.SetMean(Mean{PerEndpoint: rapid.Float64Range(0, 8000).Draw(t, "mean"), Endpoints: rapid.IntRange(0, 10).Draw(t, "n"), MeasuredAt: now}, now)
+			case 5:
+				c.Cold()
+			case 6:
+				c.SetGate(Gate{Leaving: rapid.Bool().Draw(t, "leaving"), DataCentreOut: rapid.Bool().Draw(t, "out")})
+			}
+			out = append(out, c.Step(now)...)
+			seen := map[Ticket]bool{}
+			for _, d := range out {
+				if seen[d.Ticket] {
+					t.Fatalf("ticket %d was decided twice", d.Ticket)
+				}
+				seen[d.Ticket] = true
+			}
+			if c.Load() < 0 || c.Unconfirmed() < 0 || c.Running() == 0 && c.Load() != 0 {
+				t.Fatalf("load is %d with %d running", c.Load(), c.Running())
+			}
+		}
+	})
+}
+
+// Guards against a bound that ignores the mean, and shows that the check fails
+// without the mechanism.
+func TestLoadStaysWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	before := invariant.Breaches(invariant.LoadBound)
+	fill := func(c *Controller) int64 {
+		for i := range 8 {
+			c.First(start, Ticket(i))
+			c.Offer(start, work(Ticket(i), "a", 1000))
+		}
+		return c.Load()
+	}
+	is.True(fill(warm(1000)) <= 1500)
+	off := warm(1000)
+	off.SwitchOff(Switches{NoBound: true})
+	is.True(fill(off) > 1500)
+	is.Equal(invariant.Breaches(invariant.LoadBound), before)
+}
+
+// Guards against an old mean that allows as much as a fresh one, and against
+// one that allows nothing at all.
+func TestStaleMeanIsScaledDown(t *testing.T) {
+	is := is.New(t)
+	c := warm(6000)
+	is.Equal(c.Bound(start.Add(MeanStale)), 9000.0)
+	is.Equal(c.Bound(start.Add(2*MeanStale)), 4500.0)
+	c.SetMean(Mean{}, start)
+	is.True(admitted(c.Offer(start, work(1, "a", 5000)), 1)) // one is always allowed when idle
+	is.True(!admitted(c.Offer(start, work(2, "a", 1)), 2))
+}
+
+// Guards against an endpoint alone in its pool that refuses for its own mean.
+func TestAloneInThePool(t *testing.T) {
+	is := is.New(t)
+	c := warm(0)
+	alone := Mean{PerEndpoint: 10, Endpoints: 1, MeasuredAt: start}
+	c.SetMean(alone, start)
+	is.Equal(c.Bound(start), 15.0) // a holder that restarts may have heard of one only
+	c.SetMean(alone, start.Add(MeanStale))
+	is.True(c.Bound(start.Add(MeanStale)) > 1e9)
+}
+
+// Guards against a cold endpoint that gets more than it bears: the engine turns
+// cold under load with no notice, and the work without a first token is still
+// within the cold limit. Without the mechanism it is not.
+func TestUnconfirmedWorkIsLimited(t *testing.T) {
+	is := is.New(t)
+	fill := func(c *Controller) int64 {
+		for i := range 8 {
+			c.Offer(start, work(Ticket(i), "a", 1500))
+		}
+		return c.Unconfirmed()
+	}
+	is.Equal(fill(warm(100000)), int64(3000))
+	off := warm(100000)
+	off.SwitchOff(Switches{NoColdLimit: true})
+	breaches := invariant.Breaches(invariant.ColdLimit)
+	is.True(fill(off) > limits.ColdLimit)
+	is.True(invariant.Breaches(invariant.ColdLimit) > breaches)
+}
+
+// Guards against a ramp that ignores late first tokens, does not open again or
+// opens all at once.
+func TestRampFallsAndOpens(t *testing.T) {
+	is := is.New(t)
+	c, now := warm(100000), start
+	c.Offer(now, work(1, "a", 10))
+	now = now.Add(limits.WarmTime + time.Millisecond)
+	c.Step(now)
+	is.Equal(c.Window(), 1) // found without waiting for the token
+	c.First(now, 1)
+	is.Equal(c.Window(), 1) // one late token counts once
+	var windows []int
+	for i := range 7 {
+		c.Offer(now, work(Ticket(10+i), "a", 10))
+		c.First(now, Ticket(10+i))
+		windows = append(windows, c.Window())
+	}
+	is.Equal(windows, []int{2, 4, 5, 6, 7, 8, 8})
+}
+
+// Guards against work that enters through a closed gate or stays in the queue
+// behind one. Without the mechanism the invariant reports it.
+func TestClosedGateRefusesAll(t *testing.T) {
+	is := is.New(t)
+	for _, g := range []struct {
+		gate   Gate
+		reason model.Reason
+	}{
+		{Gate{DataCentreOut: true}, model.ReasonDataCentreOut},
+		{Gate{Leaving: true}, model.ReasonLeaving},
+		{Gate{Draining: true, Leaving: true}, model.ReasonDraining},
+	} {
+		c := warm(100)
+		is.True(admitted(c.Offer(start, work(1, "a", 100)), 1))
+		is.Equal(len(c.Offer(start, work(2, "a", 100))), 0) // waits
+		c.SetGate(g.gate)
+		out := c.Step(start)
+		is.Equal(len(out), 1)
+		is.Equal(out[0].Refusal.Reason, g.reason)
+		is.Equal(c.Offer(start, work(3, "a", 1))[0].Refusal.Reason, g.reason)
+		c.Done(start, 1)
+		c.SwitchOff(Switches{NoGate: true})
+		breaches := invariant.Breaches(invariant.DataCentreOut) + invariant.Breaches(invariant.LeavingNoWork)
+		is.True(admitted(c.Offer(start, work(4, "a", 1)), 4))
+		is.True(invariant.Breaches(invariant.DataCentreOut)+invariant.Breaches(invariant.LeavingNoWork) > breaches)
+	}
+}
+
+// Guards against refusals that callers cannot spread out.
+func TestRefusalsCarryRatioAndJitter(t *testing.T) {
+	is := is.New(t)
+	c := warm(1000)
+	values := []float64{0, 0.999}
+	c.rand = func() float64 { v := values[0]; values = values[1:]; return v }
+	c.Offer(start, work(1, "a", 1200))
+	c.Offer(start, work(2, "a", 900))
+	c.Offer(start, work(3, "a", 900))
+	out := c.Step(start.Add(QueueWait))
+	is.Equal(len(out), 2)
+	is.Equal(out[0].Refusal.LoadRatio, 1.2)
+	is.True(out[0].Refusal.RetryAfter != out[1].Refusal.RetryAfter)
+}
+
+// Guards against a surge of one workspace that pushes the others out of the
+// queue or behind it, and shows that they are without the mechanism.
+func TestSurgeLeavesRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	surge := func(s Switches) (position int) {
+		c := warm(1000)
+		c.SwitchOff(s)
+		c.Offer(start, work(1, "surge", 1500))
+		for i := range 100 {
+			c.Offer(start, work(Ticket(100+i), "surge", 100))
+		}
+		c.Offer(start, work(2, "other", 100))
+		for i, it := range c.queue.items {
+			if it.Ticket == 2 {
+				return i
+			}
+		}
+		return -1
+	}
+	is.Equal(surge(Switches{}), 1) // behind one request of the surge
+	is.Equal(surge(Switches{NoFairness: true}), -1)
+}
+
+// Guards against a lower plan that goes before a higher one.
+func TestHigherPriorityGoesFirst(t *testing.T) {
+	is := is.New(t)
+	c := warm(1000)
+	c.Offer(start, work(1, "a", 1500))
+	c.Offer(start, work(2, "a", 1500))
+	high := work(3, "b", 1500)
+	high.Priority = 1
+	c.Offer(start, high)
+	out := c.Done(start, 1)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Ticket, Ticket(3))
+}
+
+// BenchmarkCapacityAdmit measures the admission, first token and end of one
+// request with 64 others running.
+func BenchmarkCapacityAdmit(b *testing.B) {
+	c := New(half)
+	c.SetLimits(Limits{Multiple: 1e6, Slots: 512, ColdLimit: 1 << 40, WarmTime: time.Second})
+	c.SetMean(Mean{PerEndpoint: 1e6, Endpoints: 10, MeasuredAt: start}, start)
+	for i := range 64 {
+		c.Offer(start, work(Ticket(i), fmt.Sprint(i%16), 100))
+		c.First(start, Ticket(i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		t := Ticket(1000 + i)
+		c.Offer(start, work(t, "a", 100))
+		c.First(start, t)
+		c.Done(start, t)
+	}
+}
--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -1,12 +1,13 @@
 // Package choose orders the endpoints of a pool for a chat. Every entry that
 // knows the same endpoints finds the same order without any shared table.
+//
+// A query passes the eligibility filters and then one order. The baselines in
+// baseline.go exist only to be compared with.
 package choose
 
 import (
-	"cmp"
-	"fmt"
 	"math"
-	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,48 +16,186 @@
 
 // Candidate is an endpoint that may serve a request.
 type Candidate struct {
-	ID        model.EndpointID
-	Address   string
-	Weight    float64 // share of chats relative to the others; > 0
-	LoadRatio float64 // last known load over the mean; 0 if unknown
-}
-
-// Order returns the candidates in the weighted rendezvous order of key. The
-// return token, if it names a candidate, moves that candidate to the front.
-func Order(key, returnToken string, candidates []Candidate) []Candidate {
-	type scored struct {
-		Candidate
-		score float64
-	}
-	list := make([]scored, 0, len(candidates))
-	for _, c := range candidates {
-		if c.Weight > 0 {
-			list = append(list, scored{c, score(key, c)})
-		}
+	ID         model.EndpointID
+	Address    string
+	DataCentre model.DataCentre
+	Version    model.Version
+	Weight     float64 // share of chats relative to the others; > 0
+	LoadRatio  float64 // last known load over the mean; 0 if unknown
+	OverBound  bool    // last known to refuse for its load
+	Out        bool    // its data centre is out of service
+	Leaving    bool    // it takes no new work
+	Returned   float64 // share of the chats that a returning data centre has back, 0 to 1
+	hash       uint64  // of ID, worked out once
+	token      uint64
+}
+
+// Pool is an immutable set of candidates with what each query needs of them
+// worked out once.
+type Pool struct {
+	Candidates []Candidate // in order of ID
+	Plans      []model.Plan
+	byToken    map[uint64]int
+
+	equalWeights bool
+}
+
+// NewPool returns a pool of candidates, which it keeps.
+func NewPool(plans []model.Plan, candidates []Candidate) *Pool {
+	p := &Pool{Candidates: candidates, Plans: plans, byToken: make(map[uint64]int, len(candidates)), equalWeights: true}
+	for i := range candidates {
+		c := &candidates[i]
+		c.hash, c.token = xxhash.Sum64String(string(c.ID)), tokenHash(c.ID)
+		p.byToken[c.token] = i
+		p.equalWeights = p.equalWeights && c.Weight == candidates[0].Weight
+	}
+	return p
+}
+
+// Query is what the order of a request depends on.
+type Query struct {
+	Key         string // model.Request.HashKey
+	Chat        bool   // the request belongs to a chat, so that caches matter
+	Plan        model.Plan
+	Version     model.Version // empty means any
+	ReturnToken string
+}
+
+// QueryOf returns the query of req.
+func QueryOf(req *model.Request) Query {
+	return Query{
+		Key: req.HashKey(), Chat: req.Chat != "", Plan: req.Plan,
+		Version: req.Version, ReturnToken: req.ReturnToken,
+	}
+}
+
+// MaxOrder bounds the length of an order. It leaves room behind the hand-overs
+// of one request for endpoints that fail in between.
+const MaxOrder = 8
+
+// class puts groups of endpoints before others, whatever their score.
+type class int8
+
+const (
+	overBound       class = iota // refused for its load a moment ago
+	overBoundHolder              // the same, but it has the chat's cache
+	open
+	openHolder
+)
+
+// ranked is an entry of a partial order.
+type ranked struct {
+	index int
+	class class
+	score float64
+}
+
+func (r ranked) before(o ranked) bool {
+	return r.class > o.class || r.class == o.class && r.score > o.score
+}
+
+// Order appends up to n candidates that may serve q to out, best first: the
+// holder of the chat, then the weighted rendezvous order. Endpoints known to be
+// over their load bound come last. A request without a chat goes to the less
+// loaded of its first two.
+func (p *Pool) Order(out []Candidate, q Query, n int) []Candidate {
+	n = min(n, MaxOrder)
+	if !q.Chat {
+		n = max(n, 2)
 	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
-	})
-	out := make([]Candidate, 0, len(list))
-	for _, s := range list {
-		if returnToken != "" && Token(s.ID) == returnToken {
-			out = slices.Insert(out, 0, s.Candidate)
+	var store [MaxOrder]ranked
+	best := store[:0]
+	keyHash := xxhash.Sum64String(q.Key)
+	holder := p.holder(q)
+	for i := range p.Candidates {
+		c := &p.Candidates[i]
+		if !eligible(&q, p, c, keyHash, i == holder) {
 			continue
 		}
-		out = append(out, s.Candidate)
+		r := ranked{index: i, class: open, score: p.score(keyHash, c)}
+		if c.OverBound {
+			r.class = overBound
+		}
+		if i == holder {
+			r.class++
+		}
+		best = insert(best, r, n)
+	}
+	if !q.Chat && len(best) > 1 && best[0].class == best[1].class &&
+		p.Candidates[best[1].index].LoadRatio < p.Candidates[best[0].index].LoadRatio {
+		best[0], best[1] = best[1], best[0]
+	}
+	for _, r := range best {
+		out = append(out, p.Candidates[r.index])
 	}
 	return out
 }
 
+// insert keeps best sorted with at most n items.
+func insert(best []ranked, r ranked, n int) []ranked {
+	at := len(best)
+	for at > 0 && r.before(best[at-1]) {
+		at--
+	}
+	if at >= n {
+		return best
+	}
+	if len(best) < n {
+		best = append(best, ranked{})
+	}
+	copy(best[at+1:], best[at:])
+	best[at] = r
+	return best
+}
+
+// holder returns the index of the candidate that the return token names, or -1.
+func (p *Pool) holder(q Query) int {
+	if q.ReturnToken == "" {
+		return -1
+	}
+	h, err := strconv.ParseUint(q.ReturnToken, 16, 64)
+	if err != nil {
+		return -1
+	}
+	if i, ok := p.byToken[h]; ok {
+		return i
+	}
+	return -1
+}
+
 // score is -weight/ln(u) for a hash u of key and candidate in (0, 1), which
-// makes the share of keys won proportional to the weight.
-func score(key string, c Candidate) float64 {
-	h := xxhash.Sum64String(key + "\x00" + string(c.ID))
-	u := (float64(h>>11) + 0.5) / (1 << 53)
+// makes the share of keys won proportional to the weight. With equal weights u
+// itself gives the same order without the logarithm.
+func (p *Pool) score(keyHash uint64, c *Candidate) float64 {
+	u := unit(mix(keyHash, c.hash))
+	if p.equalWeights {
+		return u
+	}
 	return -c.Weight / math.Log(u)
 }
 
+// unit maps a hash to (0, 1).
+func unit(h uint64) float64 { return (float64(h>>11) + 0.5) / (1 << 53) }
+
+// mix combines two hashes with the finaliser of SplitMix64, which costs far
+// less than hashing both strings for every candidate.
+func mix(a, b uint64) uint64 {
+	z := a ^ (b*0x9e3779b97f4a7c15 + 0x9e3779b97f4a7c15)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+func tokenHash(id model.EndpointID) uint64 {
+	return xxhash.Sum64String("return-token\x00" + string(id))
+}
+
 // Token returns the opaque return token of an endpoint.
 func Token(id model.EndpointID) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64String("return-token\x00"+string(id)))
+	const width = 16
+	s := strconv.FormatUint(tokenHash(id), 16)
+	for len(s) < width {
+		s = "0" + s
+	}
+	return s
 }
--- /dev/null
+++ b/internal/choose/choose_test.go
@@ -0,0 +1,152 @@
+package choose
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+func pool(n int) *Pool {
+	var list []Candidate
+	for i := range n {
+		list = append(list, Candidate{ID: model.EndpointID(fmt.Sprintf("e%03d", i)), Weight: 1, Returned: 1})
+	}
+	return NewPool(nil, list)
+}
+
+func first(p *Pool, q Query) model.EndpointID {
+	out := p.Order(nil, q, 1)
+	if len(out) == 0 {
+		return ""
+	}
+	return out[0].ID
+}
+
+// Guards against chats that move although their endpoint stayed when another
+// endpoint joins or leaves.
+func TestOnlyChatsOfTheLostEndpointMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 40).Draw(t, "n")
+		lost := rapid.IntRange(0, n-1).Draw(t, "lost")
+		before, after := pool(n), pool(n)
+		after.Candidates[lost].Leaving = true
+		q := Query{Key: rapid.String().Draw(t, "key"), Chat: true}
+		if a, b := first(before, q), first(after, q); a != b && a != before.Candidates[lost].ID {
+			t.Fatalf("chat moved from %s to %s although %s left", a, b, before.Candidates[lost].ID)
+		}
+	})
+}
+
+// Guards against an order that disagrees with the share that a weight promises.
+func TestShareFollowsWeight(t *testing.T) {
+	is := is.New(t)
+	p := pool(4)
+	p.Candidates[0].Weight = 3
+	p = NewPool(nil, p.Candidates)
+	won := 0
+	const keys = 20000
+	for i := range keys {
+		if first(p, Query{Key: fmt.Sprint(i), Chat: true}) == "e000" {
+			won++
+		}
+	}
+	is.True(won > keys*48/100 && won < keys*52/100) // 3 of 6 parts
+}
+
+// Guards against a token that is followed to an endpoint that takes no work,
+// and against one that is ignored although its endpoint does.
+func TestTokenIsFollowedOnlyToEligibleEndpoints(t *testing.T) {
+	is := is.New(t)
+	p := pool(5)
+	for i := range p.Candidates {
+		c := &p.Candidates[i]
+		q := Query{Key: "chat", Chat: true, ReturnToken: Token(c.ID)}
+		is.Equal(first(p, q), c.ID)
+		c.Leaving = true
+		is.True(first(p, q) != c.ID)
+		c.Leaving, c.Out = false, true
+		is.True(first(p, q) != c.ID)
+		c.Out = false
+	}
+	is.True(first(p, Query{Key: "chat", ReturnToken: "no token"}) != "")
+}
+
+// Guards against an endpoint over its bound that is offered a chat first, and
+// against one that is lost from the order altogether.
+func TestOverBoundComesLast(t *testing.T) {
+	is := is.New(t)
+	p := pool(3)
+	q := Query{Key: "chat", Chat: true}
+	top := first(p, q)
+	q.ReturnToken = Token(top)
+	for i := range p.Candidates {
+		p.Candidates[i].OverBound = p.Candidates[i].ID == top
+	}
+	out := p.Order(nil, q, 3)
+	is.Equal(len(out), 3)
+	is.Equal(out[2].ID, top)
+}
+
+// Guards against chats that change their endpoint more than once while a data
+// centre returns.
+func TestReturnMovesEachChatOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := pool(6)
+		q := Query{Key: rapid.String().Draw(t, "key"), Chat: true}
+		moves, last := 0, model.EndpointID("")
+		for step := 0; step <= 20; step++ {
+			p.Candidates[0].Returned, p.Candidates[1].Returned = float64(step)/20, float64(step)/20
+			if at := first(p, q); at != last {
+				moves, last = moves+1, at
+			}
+		}
+		if moves > 2 {
+			t.Fatalf("chat moved %d times", moves-1)
+		}
+	})
+}
+
+// Guards against each eligibility filter being dropped from the list.
+func TestEachFilterDropsItsCandidates(t *testing.T) {
+	is := is.New(t)
+	p := NewPool([]model.Plan{"gold"}, []Candidate{{ID: "e", Weight: 1, Returned: 1, Version: "v1"}})
+	ok := Query{Key: "k", Plan: "gold", Version: "v1"}
+	is.Equal(first(p, ok), model.EndpointID("e"))
+	is.Equal(first(p, Query{Key: "k", Plan: "tin"}), model.EndpointID(""))
+	is.Equal(first(p, Query{Key: "k", Plan: "gold", Version: "v2"}), model.EndpointID(""))
+	p.Candidates[0].Out = true
+	is.Equal(first(p, ok), model.EndpointID(""))
+	p.Candidates[0].Out, p.Candidates[0].Leaving = false, true
+	is.Equal(first(p, ok), model.EndpointID(""))
+}
+
+// Guards against requests without a chat that ignore the load.
+func TestWithoutChatTheLessLoadedOfTwoWins(t *testing.T) {
+	is := is.New(t)
+	p := pool(8)
+	q := Query{Key: "request"}
+	two := p.Order(nil, q, 2)
+	is.Equal(len(two), 2)
+	for i := range p.Candidates {
+		if p.Candidates[i].ID == two[0].ID {
+			p.Candidates[i].LoadRatio = 1.2
+		}
+	}
+	is.Equal(first(p, q), two[1].ID)
+}
+
+// BenchmarkCapacityChoose measures one decision over the 170 endpoints that
+// one of 5 pools has at the target size.
+func BenchmarkCapacityChoose(b *testing.B) {
+	p := pool(170)
+	q := Query{Key: "workspace\x00chat-17", Chat: true, ReturnToken: Token("e017")}
+	out := make([]Candidate, 0, MaxOrder)
+	b.ReportAllocs()
+	for b.Loop() {
+		out = p.Order(out[:0], q, 4)
+	}
+}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/choose"
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
 )
@@ -14,35 +19,81 @@
 
 // chooseEndpoint offers a request to the endpoints of its pool in the order of
 // its chat. It goes on to the next one only after a refusal that was not run.
-type chooseEndpoint struct{ snapshot func() *Snapshot }
+type chooseEndpoint struct {
+	snapshot func() *Snapshot
+	loop     control.Poster
+}
 
 func (chooseEndpoint) Name() string { return "choose" }
 
 func (f chooseEndpoint) Handle(ctx context.Context, req *model.Request, next pipe.Handler) (*model.Answer, error) {
+	start := time.Now()
 	var last error = model.Refuse(model.ReasonNoEndpoint, "no endpoint of the pool takes new work")
-	for i, c := range choose.Order(req.HashKey(), req.ReturnToken, f.candidates(req.Pool)) {
-		if i == maxHandOvers {
-			break
-		}
-		req.Target, req.Attempt = c.ID, i
+	for i, id := range f.order(req) {
+		req.Target, req.Attempt = id, i
+		offered := time.Now()
 		answer, err := next(ctx, req)
+		f.observe(id, answer, err)
 		if err == nil {
-			answer.ReturnToken = choose.Token(c.ID)
+			req.Stages.Add(model.StageChoose, offered.Sub(start))
+			answer.ReturnToken = choose.Token(id)
 			return answer, nil
 		}
 		last = err
-		if model.AsRefusal(err).Outcome != model.NotRun {
+		if !goesOn(err) || ctx.Err() != nil {
 			break
 		}
 	}
+	req.Stages.Add(model.StageChoose, time.Since(start))
 	return nil, last
 }
 
-func (f chooseEndpoint) candidates(pool model.Pool) []choose.Candidate {
-	endpoints := f.snapshot().Pools[pool]
-	out := make([]choose.Candidate, len(endpoints))
-	for i, e := range endpoints {
-		out[i] = choose.Candidate{ID: e.EndpointID(), Address: e.Address, Weight: 1}
+// order returns the endpoints to offer the request to.
+func (f chooseEndpoint) order(req *model.Request) []model.EndpointID {
+	pool := f.snapshot().Candidates[req.Pool]
+	if pool == nil {
+		return nil
+	}
+	var store [choose.MaxOrder]choose.Candidate
+	var out []model.EndpointID
+	for _, c := range pool.Order(store[:0], choose.QueryOf(req), maxHandOvers) {
+		out = append(out, c.ID)
 	}
 	return out
 }
+
+// goesOn reports whether another endpoint may take the request: the refusal is
+// about the endpoint, and the request did not run.
+func goesOn(err error) bool {
+	r := model.AsRefusal(err)
+	if r.Outcome != model.NotRun {
+		return false
+	}
+	switch r.Reason {
+	case model.ReasonOverloaded, model.ReasonCold, model.ReasonDataCentreOut, model.ReasonLeaving,
+		model.ReasonDraining, model.ReasonVersion, model.ReasonNoEndpoint, model.ReasonUnreachable,
+		model.ReasonEndpointFailed, model.ReasonNotConfigured, model.ReasonNotOwner:
+		return true
+	}
+	return false
+}
+
+// observe tells the control loop what a hand-over showed about the endpoint. A
+// full queue drops it, since the next answer tells the same.
+func (f chooseEndpoint) observe(id model.EndpointID, answer *model.Answer, err error) {
+	seen := endpointSeen{id: id}
+	if err != nil {
+		r := model.AsRefusal(err)
+		seen.reason, seen.ratio = r.Reason, r.LoadRatio
+	} else {
+		seen.ratio = answer.LoadRatio
+	}
+	result := "answered"
+	if err != nil {
+		result = string(seen.reason)
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_entry_hand_overs_total{result=%q}`, result)).Inc()
+	if f.loop != nil {
+		f.loop.TryPost(seen)
+	}
+}
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -9,7 +9,7 @@
 func (e *Entry) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
 		identify{e.loop.Snapshot},
-		chooseEndpoint{e.loop.Snapshot},
+		chooseEndpoint{e.loop.Snapshot, e.loop},
 		forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client},
 	)
 }
--- a/internal/entry/stage_derive.go
+++ b/internal/entry/stage_derive.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/choose"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/lists"
@@ -12,30 +13,110 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
+// defaultReturnTime is the time over which a data centre gets its chats back
+// if its pool sets none.
+const defaultReturnTime = 60 * time.Second
+
 // derive works out the indexes that traffic reads from the configuration and
 // the membership.
 type derive struct{}
 
 func (derive) Name() string { return "derive" }
 
-func (derive) Apply(s *State, _ time.Time, _ control.Event) bool {
-	if s.derived {
+func (derive) Apply(s *State, now time.Time, ev control.Event) bool {
+	_, tick := ev.(control.Tick)
+	if s.derived && !(tick && (len(s.returning) > 0 || s.firstTick.IsZero())) {
 		return false
 	}
+	deriveKeys(s)
+	noteReturns(s, now, tick)
+	derivePools(s, now)
+	s.derived = true
+	return true
+}
+
+// deriveKeys indexes the workspaces. It runs only for a new configuration,
+// since there are 16,000 of them at the target size.
+func deriveKeys(s *State) {
+	if s.keysOf == s.Config {
+		return
+	}
 	s.Keys = make(map[string]model.Workspace, len(s.Config.Lists.Workspaces))
 	for name, w := range s.Config.Lists.Workspaces {
 		s.Keys[w.KeyHash] = name
 	}
+	s.keysOf = s.Config
+}
+
+// settleTime is how long after its first tick an entry takes the records that
+// it reads for history. A data centre that came back in one of them returned
+// before this process started.
+const settleTime = 5 * time.Second
+
+// noteReturns notes when a data centre came back into service and forgets it
+// once every pool has given its chats back.
+func noteReturns(s *State, now time.Time, tick bool) {
+	if tick && s.firstTick.IsZero() {
+		s.firstTick = now
+	}
+	settled := !s.firstTick.IsZero() && now.Sub(s.firstTick) >= settleTime
+	for name, dc := range s.Config.Lists.DataCentres {
+		if dc.State == lists.Out {
+			s.wasOut[name] = true
+			delete(s.returning, name)
+		} else if s.wasOut[name] {
+			delete(s.wasOut, name)
+			if settled {
+				s.returning[name] = now
+			}
+		}
+	}
+	longest := defaultReturnTime
+	for _, p := range s.Config.Lists.Pools {
+		longest = max(longest, p.ReturnTime)
+	}
+	for name, since := range s.returning {
+		if now.Sub(since) > longest {
+			delete(s.returning, name)
+		}
+	}
+}
+
+func derivePools(s *State, now time.Time) {
 	s.Pools = map[model.Pool][]member.Endpoint{}
 	for _, e := range s.Members.All() {
-		out := s.Config.Lists.DataCentres[e.DataCentre].State == lists.Out
-		if e.Role == instances.RoleEndpoint && e.Usable() && !out {
+		if e.Role == instances.RoleEndpoint && e.Usable() && !isOut(s, e.DataCentre) {
 			s.Pools[e.Pool] = append(s.Pools[e.Pool], e)
 		}
 	}
-	for _, list := range s.Pools {
+	s.Candidates = make(map[model.Pool]*choose.Pool, len(s.Pools))
+	for name, list := range s.Pools {
 		slices.SortFunc(list, func(a, b member.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+		s.Candidates[name] = choose.NewPool(s.Config.Lists.Pools[name].Plans, candidatesOf(s, name, list, now))
 	}
-	s.derived = true
-	return true
+}
+
+func isOut(s *State, dc model.DataCentre) bool {
+	return s.Config.Lists.DataCentres[dc].State == lists.Out
+}
+
+func candidatesOf(s *State, pool model.Pool, list []member.Endpoint, now time.Time) []choose.Candidate {
+	returnTime := cmp.Or(s.Config.Lists.Pools[pool].ReturnTime, defaultReturnTime)
+	out := make([]choose.Candidate, len(list))
+	for i, e := range list {
+		load := s.loads[e.EndpointID()]
+		out[i] = choose.Candidate{
+			ID: e.EndpointID(), Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
+			Weight: 1, LoadRatio: load.ratio, OverBound: load.over, Returned: 1,
+		}
+		if since, ok := s.returning[e.DataCentre]; ok {
+			out[i].Returned = min(1, float64(now.Sub(since))/float64(returnTime))
+		}
+	}
+	if !slices.ContainsFunc(out, func(c choose.Candidate) bool { return c.Returned >= 1 }) {
+		for i := range out {
+			out[i].Returned = 1 // nothing else can serve the chats meanwhile
+		}
+	}
+	return out
 }
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -8,7 +8,7 @@
 // trafficPipeline lists the filters between decode and encode.
 func (p *Side) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
-		admit{p.loop},
+		newAdmission(p.loop),
 		run{p.deps.Endpoint},
 	)
 }
--- a/internal/side/stage_admit.go
+++ b/internal/side/stage_admit.go
@@ -1,8 +1,12 @@
 package side
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/admit"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/lists"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
@@ -13,30 +17,145 @@
 
 func (decideAdmission) Name() string { return "decide_admission" }
 
-func (st decideAdmission) Apply(s *State, _ time.Time, ev control.Event) bool {
+func (st decideAdmission) Apply(s *State, now time.Time, ev control.Event) bool {
+	c := s.Admission
+	st.applyState(s, now)
+	var due []admit.Decision
 	switch ev := ev.(type) {
 	case admitRequest:
-		refusal := st.refusal(s)
-		if refusal == nil {
-			s.Running[ev.req.ID] = ev.req.Cost
-			s.Load += ev.req.Cost.Units()
-		}
-		ev.Reply(refusal)
-		return refusal == nil
+		s.asked[ev.work.Ticket] = ev
+		due = c.Offer(now, ev.work)
+	case workStarted:
+		due = c.First(now, ev.ticket)
+	case workProgress:
+		due = c.Progress(now, ev.ticket, ev.tokens)
 	case workDone:
-		s.Load -= s.Running[ev.id].Units()
-		delete(s.Running, ev.id)
-		return true
+		delete(s.asked, ev.ticket)
+		due = c.Done(now, ev.ticket)
+	case endpointCold:
+		noteCold(s, ev.evidence)
+	case endpointReported:
+		noteReport(s, ev)
+	case selfListed:
+		s.Leaving = ev.leaving
+	case drainStarted:
+		s.Draining = true
 	}
-	return false
+	st.applyState(s, now) // the event may have closed the gate
+	due = append(due, c.Step(now)...)
+	answer(s, due)
+	before := s.Load
+	s.Load = c.Demand()
+	return len(due) > 0 || s.Load != before
 }
 
-func (st decideAdmission) refusal(s *State) *model.Refusal {
-	if s.Config.Lists.DataCentres[st.settings.DataCentre].State == lists.Out {
-		return model.Refuse(model.ReasonDataCentreOut, "the data centre takes no new work")
+// applyState hands the configuration, the mean and the gate to the controller.
+func (st decideAdmission) applyState(s *State, now time.Time) {
+	if s.admissionOf != s.Config {
+		p := s.Config.Lists.Pools[st.settings.Pool]
+		s.Admission.SetLimits(admit.Limits{Multiple: p.LoadMultiple, Slots: p.Slots, ColdLimit: p.ColdLimit, WarmTime: p.WarmTime})
+		s.admissionOf = s.Config
 	}
-	if slots := s.Config.Lists.Pools[st.settings.Pool].Slots; slots > 0 && len(s.Running) >= slots {
-		return model.Refuse(model.ReasonOverloaded, "all slots are in use")
+	s.Admission.SetMean(admit.Mean(s.Mean), now)
+	s.Admission.SetGate(admit.Gate{
+		DataCentreOut: s.Config.Lists.DataCentres[st.settings.DataCentre].State == lists.Out,
+		Leaving:       s.Leaving,
+		Draining:      s.Draining,
+	})
+}
+
+// answer replies to the requests that were decided on.
+func answer(s *State, due []admit.Decision) {
+	for _, d := range due {
+		ask, ok := s.asked[d.Ticket]
+		if !ok {
+			continue
+		}
+		delete(s.asked, d.Ticket)
+		ask.Reply(admitReply{refusal: d.Refusal, waited: d.Waited, ratio: s.Admission.Ratio()})
+		result := "admitted"
+		if d.Refusal != nil {
+			result = string(d.Refusal.Reason)
+		}
+		metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_side_admissions_total{result=%q}`, result)).Inc()
+		metrics.GetOrCreateHistogram(`goldcrest_side_queue_seconds`).Update(d.Waited.Seconds())
+	}
+}
+
+// coldEvidence says what showed that the endpoint is cold.
+type coldEvidence string
+
+// The kinds of evidence besides a late first token.
+const (
+	coldRefused coldEvidence = "refused_connection"
+	coldRestart coldEvidence = "shorter_uptime"
+	coldCache   coldEvidence = "dropped_cache"
+)
+
+func noteCold(s *State, e coldEvidence) {
+	s.Admission.Cold()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_side_cold_evidence_total{evidence=%q}`, e)).Inc()
+}
+
+// droppedCachePart is the part of its cache that an engine must have lost
+// between two reports to count as cold. Ordinary eviction replaces chats and
+// keeps the cache full.
+const droppedCachePart = 0.5
+
+// noteReport compares two reports of the endpoint.
+func noteReport(s *State, r endpointReported) {
+	last := s.report
+	s.report = r
+	switch {
+	case last.uptime == 0:
+	case r.uptime < last.uptime:
+		noteCold(s, coldRestart)
+	case float64(r.cacheTokens) < float64(last.cacheTokens)*(1-droppedCachePart):
+		noteCold(s, coldCache)
 	}
-	return nil
 }
+
+// Events of the admission.
+type (
+	// admitRequest asks for admission. The reply comes after a wait in the
+	// queue, if need be.
+	admitRequest struct {
+		control.Defer[admitReply]
+		work admit.Work
+	}
+	// admitReply carries a nil refusal if the work may run.
+	admitReply struct {
+		refusal *model.Refusal
+		waited  time.Duration
+		ratio   float64
+	}
+	// workStarted tells that the first frame arrived.
+	workStarted struct{ ticket admit.Ticket }
+	// workProgress tells how many tokens have been generated so far.
+	workProgress struct {
+		ticket admit.Ticket
+		tokens int64
+	}
+	// workDone ends the work of a ticket, waiting work included.
+	workDone struct{ ticket admit.Ticket }
+	// endpointCold tells that the endpoint must be cold.
+	endpointCold struct{ evidence coldEvidence }
+	// endpointReported carries the endpoint's own report.
+	endpointReported struct {
+		uptime      time.Duration
+		cacheTokens int64
+	}
+	// selfListed tells how the instance list shows this process.
+	selfListed struct{ leaving bool }
+	// drainStarted tells that this process stops.
+	drainStarted struct{}
+)
+
+func (admitRequest) EventName() string     { return "admit_request" }
+func (workStarted) EventName() string      { return "work_started" }
+func (workProgress) EventName() string     { return "work_progress" }
+func (workDone) EventName() string         { return "work_done" }
+func (endpointCold) EventName() string     { return "endpoint_cold" }
+func (endpointReported) EventName() string { return "endpoint_reported" }
+func (selfListed) EventName() string       { return "self_listed" }
+func (drainStarted) EventName() string     { return "drain_started" }
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -1,20 +1,26 @@
 package side
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/admit"
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
-	"github.com/goldcrestturn/goldcrestturn/internal/control"
-	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
 // State is the control state of a side process. Only its control loop touches
 // it.
 type State struct {
-	Config  *config.Accepted
-	Running map[model.RequestID]model.Cost // admitted and not yet finished
-	Load    int64                          // cost units of Running
-	Mean    PoolMean                       // last known mean load of the pool
+	Config *config.Accepted
+	Load   int64    // cost units of the running and the waiting work; the pool mean is taken from it
+	Mean   PoolMean // last known mean load of the pool
+
+	Admission   *admit.Controller
+	Leaving     bool // the instance list or a notice says that this instance leaves
+	Draining    bool // this process stops
+	admissionOf *config.Accepted
+	asked       map[admit.Ticket]admitRequest // waiting for a decision
+	report      endpointReported              // last report of the endpoint
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -40,26 +46,17 @@
 		offset int64
 		record config.Record
 	}
-	// admitRequest asks for admission. The reply is nil if req may run.
-	admitRequest struct {
-		control.Question[*model.Refusal]
-		req *model.Request
-	}
 	// meanReceived carries a new pool mean from a summary holder.
 	meanReceived struct{ mean PoolMean }
-	// workDone ends the work of an admitted request.
-	workDone struct{ id model.RequestID }
 )
 
 func (configRecord) EventName() string { return "config_record" }
-func (admitRequest) EventName() string { return "admit_request" }
-func (workDone) EventName() string     { return "work_done" }
 func (meanReceived) EventName() string { return "mean_received" }
 
 func newState() *State {
-	return &State{Config: config.Empty(), Running: map[model.RequestID]model.Cost{}}
+	return &State{Config: config.Empty(), Admission: admit.New(rand.Float64), asked: map[admit.Ticket]admitRequest{}}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running)}
+	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: s.Admission.Running()}
 }
