Measure cache reuse through churn against an ideal and four baselines

Cause: nothing showed whether the order, the bound and the moves of caches work together. Change: scenarios at both first users' sizes drive choose, admit and member with fake engines of limited cache and a virtual clock.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -80,16 +80,15 @@
 // running is admitted work.
 type running struct {
 	Work
-	prefill   int64 // units of the prompt that may still have to be computed
 	generate  int64 // units of tokens that may still be generated
 	admitted  time.Time
 	confirmed bool
 	late      bool
 }
 
-// units is the part of the cost that is still to be done. It is at least 1
-// until the work ends.
-func (r *running) units() int64 { return max(1, r.prefill+r.generate) }
+// units is the part of the cost that counts as load: the prompt to the end, and
+// the tokens that may still come. It is at least 1 until the work ends.
+func (r *running) units() int64 { return max(1, r.Cost.Prefill+r.generate) }
 
 // Controller is the admission state of one endpoint. It belongs to the control
 // goroutine.
@@ -99,7 +98,7 @@
 	mean     Mean
 	gate     Gate
 	off      Switches
-	alone    time.Time // since when the mean covers one endpoint only
+	cover    coverage
 	running  map[Ticket]*running
 	load     int64
 	holding  map[model.Workspace]int64 // load by workspace
@@ -127,11 +126,7 @@
 
 // SetMean applies the newest mean of the pool.
 func (c *Controller) SetMean(m Mean, now time.Time) {
-	if m.Endpoints != 1 {
-		c.alone = time.Time{}
-	} else if c.alone.IsZero() {
-		c.alone = now
-	}
+	c.cover.note(m.Endpoints, now)
 	c.mean = m
 }
 
@@ -172,12 +167,12 @@
 	switch {
 	case c.limits.Multiple <= 0 || c.off.NoBound:
 		return math.Inf(1)
-	case c.mean.Endpoints == 0:
+	case c.mean.Endpoints == 0 || !c.cover.settled(now):
 		return 0
-	case c.mean.Endpoints == 1 && now.Sub(c.alone) >= MeanStale:
+	case c.cover.alone(now):
 		return math.Inf(1) // an endpoint alone in its pool carries the mean itself
 	}
-	b := c.limits.Multiple * c.mean.PerEndpoint
+	b := c.limits.Multiple * c.mean.PerEndpoint * c.cover.part(c.mean.Endpoints)
 	if age := now.Sub(c.mean.MeasuredAt); age > MeanStale {
 		b *= float64(MeanStale) / float64(age)
 	}
@@ -201,8 +196,8 @@
 	return append(out, c.Step(now)...)
 }
 
-// First notes the first token of admitted work and how many units of its
-// prompt were found in the cache. The units of the prompt are released.
+// First notes the first token of admitted work. The units of the prompt stay
+// counted to the end, since the prompt occupies the engine's memory until then.
 func (c *Controller) First(now time.Time, t Ticket) []Decision {
 	r := c.running[t]
 	if r == nil || r.confirmed {
@@ -210,7 +205,6 @@
 	}
 	r.confirmed = true
 	c.ramp.confirm(r, !r.late && !c.late(r, now))
-	c.release(r, func() { r.prefill = 0 })
 	return c.Step(now)
 }
 
@@ -222,7 +216,10 @@
 		return nil
 	}
 	left := max(0, r.Cost.Generate-tokens)
-	c.release(r, func() { r.generate = min(r.generate, model.Cost{Generate: left}.Units()) })
+	before := r.units()
+	r.generate = min(r.generate, model.Cost{Generate: left}.Units())
+	c.load -= before - r.units()
+	c.hold(r.Workspace, r.units()-before)
 	return c.Step(now)
 }
 
@@ -269,8 +266,7 @@
 }
 
 func (c *Controller) admit(now time.Time, w Work) {
-	r := &running{Work: w, prefill: w.Cost.Prefill, admitted: now}
-	r.generate = w.Cost.Units() - w.Cost.Prefill
+	r := &running{Work: w, generate: w.Cost.Units() - w.Cost.Prefill, admitted: now}
 	c.running[w.Ticket] = r
 	c.load += r.units()
 	c.hold(w.Workspace, r.units())
@@ -278,14 +274,6 @@
 	c.verify(now)
 }
 
-// release changes what is left of r and takes the difference off the load.
-func (c *Controller) release(r *running, change func()) {
-	before := r.units()
-	change()
-	c.load -= before - r.units()
-	c.hold(r.Workspace, r.units()-before)
-}
-
 func (c *Controller) hold(w model.Workspace, units int64) {
 	c.holding[w] += units
 	if c.holding[w] <= 0 {
--- a/internal/admit/fits.go
+++ b/internal/admit/fits.go
@@ -9,8 +9,8 @@
 
 // Headroom of workspaces that hold little.
 const (
-	// headroomShare is the part of the bound and of the slots that a workspace
-	// holding more than its even share leaves to the others. With an eighth, one
+	// headroomShare is the part of the bound and of the slots that the workspace
+	// holding most leaves to the others. With an eighth, one
 	// of 8 slots stays free for them.
 	headroomShare = 1.0 / 8
 	// recentTime is how long a workspace counts as active after its last
@@ -67,14 +67,10 @@
 	return fits
 }
 
-// leavesTooLittle reports whether w would use the headroom although its
-// workspace already holds more than an even share of the load.
+// leavesTooLittle reports whether w would use the headroom although no other
+// workspace holds more than its own.
 func (c *Controller) leavesTooLittle(now time.Time, w Work, bound float64) bool {
-	active := c.lastSeen.active(now)
-	if c.off.NoFairness || active < 2 {
-		return false
-	}
-	if float64(c.holding[w.Workspace])*float64(active) <= float64(c.load) {
+	if c.off.NoFairness || !c.holdsMost(w.Workspace) || c.lastSeen.active(now) < 2 {
 		return false
 	}
 	slots := c.limits.Slots
@@ -83,3 +79,14 @@
 	}
 	return !math.IsInf(bound, 1) && float64(c.load+w.Cost.Units()) > bound*(1-headroomShare)
 }
+
+// holdsMost reports whether no workspace holds more of the load than w.
+func (c *Controller) holdsMost(w model.Workspace) bool {
+	own := c.holding[w]
+	for _, units := range c.holding {
+		if units > own {
+			return false
+		}
+	}
+	return own > 0
+}
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -11,10 +11,9 @@
 const (
 	// QueueLen is the number of requests that may wait.
 	QueueLen = 32
-	// QueueWait is the longest wait. It is half of the time to the first token
-	// at the target (0.72 s), so that a request can wait once and still be in
-	// time.
-	QueueWait = 360 * time.Millisecond
+	// QueueWait is the longest wait. It is a third of the time to the first token
+	// at the target (0.72 s), since a request has 3 hand-overs.
+	QueueWait = 240 * time.Millisecond
 )
 
 // verdict is what admission says about work in the queue.
--- a/internal/choose/baseline.go
+++ b/internal/choose/baseline.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sort"
 
@@ -14,16 +13,19 @@
 type Baseline struct {
 	Name    string
 	Bounded bool // endpoints over their load bound are skipped
-	Order   func(p *Pool, key string, n int) []Candidate
+	Prepare func(p *Pool) Ordering
 }
 
+// Ordering returns the first n endpoints of a pool for a key.
+type Ordering func(key string, n int) []Candidate
+
 // Baselines returns the methods of the comparison.
 func Baselines() []Baseline {
 	return []Baseline{
-		{Name: "modulo", Order: modulo},
-		{Name: "ring", Order: ring},
-		{Name: "rendezvous", Order: func(p *Pool, key string, n int) []Candidate { return rendezvous(p, key, n, false) }},
-		{Name: "bounded_rendezvous", Bounded: true, Order: func(p *Pool, key string, n int) []Candidate { return rendezvous(p, key, n, true) }},
+		{Name: "modulo", Prepare: modulo},
+		{Name: "ring", Prepare: ring},
+		{Name: "rendezvous", Prepare: func(p *Pool) Ordering { return rendezvous(p, false) }},
+		{Name: "bounded_rendezvous", Bounded: true, Prepare: func(p *Pool) Ordering { return rendezvous(p, true) }},
 	}
 }
 
@@ -38,58 +40,67 @@
 }
 
 // modulo takes the endpoint at the hash modulo the number of endpoints.
-func modulo(p *Pool, key string, n int) []Candidate {
+func modulo(p *Pool) Ordering {
 	list := inUse(p)
-	var out []Candidate
-	for i := range min(n, len(list)) {
-		at := (xxhash.Sum64String(key) + uint64(i)) % uint64(len(list))
-		out = append(out, list[at])
+	return func(key string, n int) []Candidate {
+		var out []Candidate
+		for i := range min(n, len(list)) {
+			out = append(out, list[(xxhash.Sum64String(key)+uint64(i))%uint64(len(list))])
+		}
+		return out
 	}
-	return out
 }
 
 // ringPoints is the usual number of points for each endpoint of a hash ring.
 const ringPoints = 100
 
+type ringPoint struct {
+	hash uint64
+	at   int
+}
+
 // ring takes the endpoints clockwise from the hash of the key.
-func ring(p *Pool, key string, n int) []Candidate {
-	type point struct {
-		hash uint64
-		at   int
-	}
+func ring(p *Pool) Ordering {
 	list := inUse(p)
-	var points []point
+	var points []ringPoint
 	for i, c := range list {
 		for k := range uint64(ringPoints) {
-			points = append(points, point{mix(c.hash, k), i})
+			points = append(points, ringPoint{mix(c.hash, k), i})
 		}
 	}
-	slices.SortFunc(points, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
-	h := xxhash.Sum64String(key)
-	start := sort.Search(len(points), func(i int) bool { return points[i].hash >= h })
-	seen := map[int]bool{}
-	var out []Candidate
-	for k := 0; k < len(points) && len(out) < n; k++ {
-		pt := points[(start+k)%len(points)]
-		if !seen[pt.at] {
-			seen[pt.at] = true
-			out = append(out, list[pt.at])
+	slices.SortFunc(points, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
+	return func(key string, n int) []Candidate {
+		h := xxhash.Sum64String(key)
+		start := sort.Search(len(points), func(i int) bool { return points[i].hash >= h })
+		var out []Candidate
+		for k := 0; k < len(points) && len(out) < n; k++ {
+			c := list[points[(start+k)%len(points)].at]
+			if !slices.ContainsFunc(out, func(o Candidate) bool { return o.ID == c.ID }) {
+				out = append(out, c)
+			}
 		}
+		return out
 	}
-	return out
 }
 
 // rendezvous takes the endpoints by falling hash of key and endpoint. With
 // bounded, endpoints over their load bound come last.
-func rendezvous(p *Pool, key string, n int, bounded bool) []Candidate {
-	h := xxhash.Sum64String(key)
+func rendezvous(p *Pool, bounded bool) Ordering {
 	list := inUse(p)
-	rank := func(c Candidate) float64 {
-		if bounded && c.OverBound {
-			return math.Inf(-1)
+	return func(key string, n int) []Candidate {
+		h := xxhash.Sum64String(key)
+		best := make([]ranked, 0, n+1)
+		for i := range list {
+			r := ranked{index: i, class: open, score: unit(mix(h, list[i].hash))}
+			if bounded && list[i].OverBound {
+				r.class = overBound
+			}
+			best = insert(best, r, n)
+		}
+		var out []Candidate
+		for _, r := range best {
+			out = append(out, list[r.index])
 		}
-		return unit(mix(h, c.hash))
+		return out
 	}
-	slices.SortStableFunc(list, func(a, b Candidate) int { return cmp.Compare(rank(b), rank(a)) })
-	return list[:min(n, len(list))]
 }
--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -26,6 +26,7 @@
 	Out        bool    // its data centre is out of service
 	Leaving    bool    // it takes no new work
 	Returned   float64 // share of the chats that a returning data centre has back, 0 to 1
+	Reclaims   bool    // its data centre returned lately and gets its chats back from their holders
 	hash       uint64  // of ID, worked out once
 	token      uint64
 }
@@ -81,6 +82,7 @@
 	overBoundHolder              // the same, but it has the chat's cache
 	open
 	openHolder
+	openHome // first in the order of a chat that its data centre gets back
 )
 
 // ranked is an entry of a partial order.
@@ -121,6 +123,9 @@
 		}
 		best = insert(best, r, n)
 	}
+	if holder >= 0 {
+		best = p.reclaim(best, keyHash)
+	}
 	if !q.Chat && len(best) > 1 && best[0].class == best[1].class &&
 		p.Candidates[best[1].index].LoadRatio < p.Candidates[best[0].index].LoadRatio {
 		best[0], best[1] = best[1], best[0]
@@ -131,6 +136,35 @@
 	return out
 }
 
+// reclaim puts the home of a chat before its present holder if the home's data
+// centre returned lately. Otherwise a return would leave its engines without
+// the chats that moved away, and the others with too many.
+func (p *Pool) reclaim(best []ranked, keyHash uint64) []ranked {
+	home := -1
+	for i, r := range best {
+		if home < 0 || p.score(keyHash, &p.Candidates[r.index]) > p.score(keyHash, &p.Candidates[best[home].index]) {
+			home = i
+		}
+	}
+	if home <= 0 || best[home].class != open || !p.Candidates[best[home].index].Reclaims {
+		return best
+	}
+	r := best[home]
+	copy(best[1:home+1], best[:home])
+	r.class = openHome
+	best[0] = r
+	return best
+}
+
+// Holder returns the candidate that the return token of q names, whether or not
+// it takes work.
+func (p *Pool) Holder(q Query) (Candidate, bool) {
+	if i := p.holder(q); i >= 0 {
+		return p.Candidates[i], true
+	}
+	return Candidate{}, false
+}
+
 // insert keeps best sorted with at most n items.
 func insert(best []ranked, r ranked, n int) []ranked {
 	at := len(best)
--- a/internal/choose/eligible.go
+++ b/internal/choose/eligible.go
@@ -1,6 +1,9 @@
 package choose
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Filter is one eligibility rule. It keeps a candidate for a query or not.
 type Filter struct {
@@ -43,6 +46,10 @@
 	return holder || inReturnedSlice(c, keyHash)
 }
 
+// ReclaimTime is how long after its return a data centre gets chats back from
+// their holders. Most chats return within minutes.
+const ReclaimTime = 10 * time.Minute
+
 // returnSalt separates the slice of a chat from its order.
 const returnSalt = 0x5bd1e9955bd1e995
 
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -73,7 +73,10 @@
 
 // Scenarios lists all scenarios in the order in which they run.
 func Scenarios() []Scenario {
-	return []Scenario{}
+	return []Scenario{
+		{"routing/kauri", func(env Env) []Figure { return routingFigures(fleetSizes[0], env.Seed) }},
+		{"routing/kalesa", func(env Env) []Figure { return routingFigures(fleetSizes[1], env.Seed) }},
+	}
 }
 
 // Run runs the scenarios whose name starts with prefix, prints their figures to
