--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -6,7 +6,9 @@
 package choose
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,7 +27,7 @@
 	OverBound  bool    // last known to refuse for its load
 	Out        bool    // its data centre is out of service
 	Leaving    bool    // it takes no new work
-	Returned   float64 // share of the chats that a returning data centre has back, 0 to 1
+	Withheld   float64 // share of the chats that a returning data centre does not have back yet, 0 to 1
 	Reclaims   bool    // its data centre returned lately and gets its chats back from their holders
 	hash       uint64  // of ID, worked out once
 	token      uint64
@@ -101,10 +103,8 @@
 // over their load bound come last. A request without a chat goes to the less
 // loaded of its first two.
 func (p *Pool) Order(out []Candidate, q Query, n int) []Candidate {
-	n = min(n, MaxOrder)
-	if !q.Chat {
-		n = max(n, 2)
-	}
+	want := min(n, MaxOrder)
+	n = max(want, 2) // one alone cannot be compared
 	var store [MaxOrder]ranked
 	best := store[:0]
 	keyHash := xxhash.Sum64String(q.Key)
@@ -130,7 +130,7 @@
 		p.Candidates[best[1].index].LoadRatio < p.Candidates[best[0].index].LoadRatio {
 		best[0], best[1] = best[1], best[0]
 	}
-	for _, r := range best {
+	for _, r := range best[:min(want, len(best))] {
 		out = append(out, p.Candidates[r.index])
 	}
 	return out
@@ -197,6 +197,31 @@
 	return -1
 }
 
+// Order returns all candidates with a weight in the rendezvous order of key.
+// Parts of the fleet that need an order and no request use it.
+func Order(key, returnToken string, candidates []Candidate) []Candidate {
+	p := NewPool(nil, slices.Clone(candidates))
+	keyHash, holder := xxhash.Sum64String(key), p.holder(Query{ReturnToken: returnToken})
+	var list []ranked
+	for i := range p.Candidates {
+		if c := &p.Candidates[i]; c.Weight > 0 {
+			r := ranked{index: i, class: open, score: p.score(keyHash, c)}
+			if i == holder {
+				r.class = openHolder
+			}
+			list = append(list, r)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.class, a.class), cmp.Compare(b.score, a.score))
+	})
+	out := make([]Candidate, 0, len(list))
+	for _, r := range list {
+		out = append(out, p.Candidates[r.index])
+	}
+	return out
+}
+
 // score is -weight/ln(u) for a hash u of key and candidate in (0, 1), which
 // makes the share of keys won proportional to the weight. With equal weights u
 // itself gives the same order without the logarithm.
--- a/internal/choose/choose_test.go
+++ b/internal/choose/choose_test.go
@@ -13,7 +13,7 @@
 func pool(n int) *Pool {
 	var list []Candidate
 	for i := range n {
-		list = append(list, Candidate{ID: model.EndpointID(fmt.Sprintf("e%03d", i)), Weight: 1, Returned: 1})
+		list = append(list, Candidate{ID: model.EndpointID(fmt.Sprintf("e%03d", i)), Weight: 1})
 	}
 	return NewPool(nil, list)
 }
@@ -99,7 +99,8 @@
 		q := Query{Key: rapid.String().Draw(t, "key"), Chat: true}
 		moves, last := 0, model.EndpointID("")
 		for step := 0; step <= 20; step++ {
-			p.Candidates[0].Returned, p.Candidates[1].Returned = float64(step)/20, float64(step)/20
+			withheld := 1 - float64(step)/20
+			p.Candidates[0].Withheld, p.Candidates[1].Withheld = withheld, withheld
 			if at := first(p, q); at != last {
 				moves, last = moves+1, at
 			}
@@ -110,10 +111,40 @@
 	})
 }
 
+// Guards against a holder that keeps the chats of a data centre that returned,
+// and against a return that takes chats of other data centres.
+func TestReturnedHomeReclaimsItsChats(t *testing.T) {
+	is := is.New(t)
+	p := pool(6)
+	p.Candidates[2].Reclaims = true
+	for i := range 200 {
+		q := Query{Key: fmt.Sprint(i), Chat: true}
+		home := first(p, q)
+		q.ReturnToken = Token("e000")
+		want := model.EndpointID("e000")
+		if home == "e002" {
+			want = home
+		}
+		is.Equal(first(p, q), want)
+	}
+}
+
+// Guards against a whole order that differs from the order of a request.
+func TestWholeOrderAgrees(t *testing.T) {
+	is := is.New(t)
+	p := pool(12)
+	for i := range 50 {
+		key := fmt.Sprint(i)
+		whole := Order(key, Token("e005"), p.Candidates)
+		is.Equal(len(whole), 12)
+		is.Equal(whole[:4], p.Order(nil, Query{Key: key, Chat: true, ReturnToken: Token("e005")}, 4))
+	}
+}
+
 // Guards against each eligibility filter being dropped from the list.
 func TestEachFilterDropsItsCandidates(t *testing.T) {
 	is := is.New(t)
-	p := NewPool([]model.Plan{"gold"}, []Candidate{{ID: "e", Weight: 1, Returned: 1, Version: "v1"}})
+	p := NewPool([]model.Plan{"gold"}, []Candidate{{ID: "e", Weight: 1, Version: "v1"}})
 	ok := Query{Key: "k", Plan: "gold", Version: "v1"}
 	is.Equal(first(p, ok), model.EndpointID("e"))
 	is.Equal(first(p, Query{Key: "k", Plan: "tin"}), model.EndpointID(""))
--- a/internal/choose/eligible.go
+++ b/internal/choose/eligible.go
@@ -57,5 +57,5 @@
 // hash slice has not been given back yet. The slices only grow, so a chat
 // changes its endpoint at most once.
 func inReturnedSlice(c *Candidate, keyHash uint64) bool {
-	return c.Returned >= 1 || unit(mix(keyHash, returnSalt)) < c.Returned
+	return c.Withheld <= 0 || unit(mix(keyHash, returnSalt)) >= c.Withheld
 }
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -21,7 +21,10 @@
 // its chat. It goes on to the next one only after a refusal that was not run.
 type chooseEndpoint struct {
 	snapshot func() *Snapshot
-	loop     control.Poster
+	// repeat reports whether a refused request may go to the next endpoint. It
+	// asks the retry budget and pauses before a repeated execution.
+	repeat func(ctx context.Context, req *model.Request, refusal *model.Refusal) bool
+	loop   control.Poster
 }
 
 func (chooseEndpoint) Name() string { return "choose" }
@@ -40,7 +43,7 @@
 			return answer, nil
 		}
 		last = err
-		if !goesOn(err) || ctx.Err() != nil {
+		if i+1 == maxHandOvers || !f.repeat(ctx, req, model.AsRefusal(err)) {
 			break
 		}
 	}
@@ -62,22 +65,6 @@
 	return out
 }
 
-// goesOn reports whether another endpoint may take the request: the refusal is
-// about the endpoint, and the request did not run.
-func goesOn(err error) bool {
-	r := model.AsRefusal(err)
-	if r.Outcome != model.NotRun {
-		return false
-	}
-	switch r.Reason {
-	case model.ReasonOverloaded, model.ReasonCold, model.ReasonDataCentreOut, model.ReasonLeaving,
-		model.ReasonDraining, model.ReasonVersion, model.ReasonNoEndpoint, model.ReasonUnreachable,
-		model.ReasonEndpointFailed, model.ReasonNotConfigured, model.ReasonNotOwner:
-		return true
-	}
-	return false
-}
-
 // observe tells the control loop what a hand-over showed about the endpoint. A
 // full queue drops it, since the next answer tells the same.
 func (f chooseEndpoint) observe(id model.EndpointID, answer *model.Answer, err error) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -12,16 +12,19 @@
 	Instance      model.InstanceID
 	DataCentre    model.DataCentre
 	Region        model.Region
-	Listen        string // callers' address
-	Control       string // control exchange address
-	Admin         string // metrics and status address
-	LogService    string // base URL
-	InstanceList  string // base URL
-	Key           string // shared key of the fleet
+	Listen        string        // callers' address
+	Control       string        // control exchange address
+	Admin         string        // metrics and status address
+	LogService    string        // base URL
+	InstanceList  string        // base URL
+	Key           string        // shared key of the fleet
+	LogRetention  time.Duration // time for which the log service keeps records
 	DrainTime     time.Duration
 	ControlBudget int64 // bytes a second for control traffic
 	MaxBody       int64 // bytes of one caller's body
 	Timeout       time.Duration
+	BodyTime      time.Duration // for a caller to send its body
+	WriteTime     time.Duration // for a caller to take one piece of its answer
 }
 
 // Bounds and defaults of the settings.
@@ -34,8 +37,17 @@
 	minControlBudget     = 1_000
 	maxControlBudget     = 1_000_000
 	defaultMaxBody       = 2 << 20
-	defaultTimeout       = 2 * time.Minute
-	maxTimeout           = time.Hour
+	// defaultLogRetention is short, so that a wrong default only costs a few
+	// more snapshots, not the start of a fleet without peers.
+	defaultLogRetention = 4 * time.Hour
+	minLogRetention     = time.Minute
+	maxLogRetention     = 90 * 24 * time.Hour
+	defaultTimeout      = 2 * time.Minute
+	maxTimeout          = time.Hour
+	// defaultBodyTime takes the largest body over a link of 2 Mbit/s.
+	defaultBodyTime = 10 * time.Second
+	// defaultWriteTime is far above the round trip of any caller that reads.
+	defaultWriteTime = 10 * time.Second
 )
 
 // LoadSettings reads the settings of an entry and reports all faults together.
@@ -59,10 +71,13 @@
 		LogService:    f.Required("platform", "log_service"),
 		InstanceList:  f.Required("platform", "instance_list"),
 		Key:           f.Required("fleet", "key"),
+		LogRetention:  f.Duration("platform", "log_retention", defaultLogRetention, minLogRetention, maxLogRetention),
 		DrainTime:     f.Duration("entry", "drain_time", defaultDrainTime, time.Second, maxDrainTime),
 		ControlBudget: f.Int("fleet", "control_budget", defaultControlBudget, minControlBudget, maxControlBudget),
 		MaxBody:       f.Int("entry", "max_body", defaultMaxBody, 1, 64<<20),
 		Timeout:       f.Duration("entry", "timeout", defaultTimeout, time.Second, maxTimeout),
+		BodyTime:      f.Duration("entry", "body_time", defaultBodyTime, time.Millisecond, maxTimeout),
+		WriteTime:     f.Duration("entry", "write_time", defaultWriteTime, time.Millisecond, maxTimeout),
 	}
 	return s, f.Err()
 }
--- a/internal/entry/stage_derive.go
+++ b/internal/entry/stage_derive.go
@@ -25,7 +25,7 @@
 
 func (derive) Apply(s *State, now time.Time, ev control.Event) bool {
 	_, tick := ev.(control.Tick)
-	if s.derived && !(tick && (len(s.returning) > 0 || s.firstTick.IsZero())) {
+	if s.derived && !(tick && (s.firstTick.IsZero() || sliceOpens(s, now))) {
 		return false
 	}
 	deriveKeys(s)
@@ -35,6 +35,18 @@
 	return true
 }
 
+// sliceOpens reports whether the slices of a returning data centre change with
+// time or its return is over.
+func sliceOpens(s *State, now time.Time) bool {
+	for _, since := range s.returning {
+		d := now.Sub(since)
+		if d <= longestReturn(s)+controlTick || d > longestReturn(s)+choose.ReclaimTime {
+			return true
+		}
+	}
+	return false
+}
+
 // deriveKeys indexes the workspaces. It runs only for a new configuration,
 // since there are 16,000 of them at the target size.
 func deriveKeys(s *State) {
@@ -71,20 +83,28 @@
 			}
 		}
 	}
-	longest := defaultReturnTime
-	for _, p := range s.Config.Lists.Pools {
-		longest = max(longest, p.ReturnTime)
-	}
 	for name, since := range s.returning {
-		if now.Sub(since) > longest {
+		if now.Sub(since) > longestReturn(s)+choose.ReclaimTime {
 			delete(s.returning, name)
 		}
 	}
 }
 
+func longestReturn(s *State) time.Duration {
+	longest := defaultReturnTime
+	for _, p := range s.Config.Lists.Pools {
+		longest = max(longest, p.ReturnTime)
+	}
+	return longest
+}
+
 func derivePools(s *State, now time.Time) {
+	s.Entries = nil
 	s.Pools = map[model.Pool][]member.Endpoint{}
 	for _, e := range s.Members.All() {
+		if e.Role == instances.RoleEntry && e.Usable() {
+			s.Entries = append(s.Entries, e.ID)
+		}
 		if e.Role == instances.RoleEndpoint && e.Usable() && !isOut(s, e.DataCentre) {
 			s.Pools[e.Pool] = append(s.Pools[e.Pool], e)
 		}
@@ -107,15 +127,16 @@
 		load := s.loads[e.EndpointID()]
 		out[i] = choose.Candidate{
 			ID: e.EndpointID(), Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
-			Weight: 1, LoadRatio: load.ratio, OverBound: load.over, Returned: 1,
+			Weight: 1, LoadRatio: load.ratio, OverBound: load.over,
 		}
 		if since, ok := s.returning[e.DataCentre]; ok {
-			out[i].Returned = min(1, float64(now.Sub(since))/float64(returnTime))
+			out[i].Withheld = max(0, 1-float64(now.Sub(since))/float64(returnTime))
+			out[i].Reclaims = true
 		}
 	}
-	if !slices.ContainsFunc(out, func(c choose.Candidate) bool { return c.Returned >= 1 }) {
+	if !slices.ContainsFunc(out, func(c choose.Candidate) bool { return c.Withheld == 0 }) {
 		for i := range out {
-			out[i].Returned = 1 // nothing else can serve the chats meanwhile
+			out[i].Withheld = 0 // nothing else can serve the chats meanwhile
 		}
 	}
 	return out
--- a/internal/entry/stage_members.go
+++ b/internal/entry/stage_members.go
@@ -5,6 +5,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/choose"
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
@@ -20,6 +22,35 @@
 	over      bool
 }
 
+// routingState is what the stages of membership and derivation keep.
+type routingState struct {
+	Candidates map[model.Pool]*choose.Pool // what the order of a chat is taken from; replaced, never changed
+	keysOf     *config.Accepted            // configuration that Keys belongs to
+	loads      map[model.EndpointID]endpointLoad
+	loadsMoved bool // a load ratio changed since the last tick
+	firstTick  time.Time
+	wasOut     map[model.DataCentre]bool
+	returning  map[model.DataCentre]time.Time // since when a data centre is back in service
+}
+
+func newRoutingState() routingState {
+	return routingState{
+		loads: map[model.EndpointID]endpointLoad{}, wasOut: map[model.DataCentre]bool{},
+		returning: map[model.DataCentre]time.Time{},
+	}
+}
+
+// endpointSeen carries what one hand-over showed about an endpoint. reason is
+// empty after an answer; ratio is 0 if unknown.
+type endpointSeen struct {
+	id     model.EndpointID
+	reason model.Reason
+	ratio  float64
+}
+
+// EventName implements control.Event.
+func (endpointSeen) EventName() string { return "endpoint_seen" }
+
 // foldMembers merges the sources of membership and the load ratios that come
 // with answers and refusals.
 type foldMembers struct{}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -8,64 +8,56 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
 )
 
 // State is the control state of an entry. Only its control loop touches it.
 type State struct {
 	Config  *config.Accepted
+	Follow  *config.Follower // gives Config
 	Members *member.Table
 	Keys    map[string]model.Workspace       // by hash of the API key; replaced, never changed
 	Pools   map[model.Pool][]member.Endpoint // endpoints that may get new work; replaced, never changed
+	Entries []model.InstanceID               // live entries; replaced, never changed
 	derived bool                             // Keys and Pools belong to Config and Members
-
-	Candidates map[model.Pool]*choose.Pool // what the order of a chat is taken from; replaced, never changed
-	keysOf     *config.Accepted            // configuration that Keys belongs to
-	loads      map[model.EndpointID]endpointLoad
-	loadsMoved bool // a load ratio changed since the last tick
-	firstTick  time.Time
-	wasOut     map[model.DataCentre]bool
-	returning  map[model.DataCentre]time.Time // since when a data centre is back in service
+	exchangeState
+	rolloutState
+	timeState
+	routingState
 }
 
 // Snapshot is the published view of the state. Nobody changes it.
 type Snapshot struct {
-	At     time.Time
-	Config *config.Accepted
-	Keys   map[string]model.Workspace
-	Pools  map[model.Pool][]member.Endpoint
+	At      time.Time
+	Config  *config.Accepted
+	View    config.View // answers peers
+	Keys    map[string]model.Workspace
+	Entries []model.InstanceID // live entries, this one included
+	Pools   map[model.Pool][]member.Endpoint
+	Peers   *member.Peers // processes of the region in the control exchange
+	exchangeView
+	Versions rollout.Selector
+	Busiest  map[model.Workspace]bool // workspaces with a histogram of their own
 
 	Candidates map[model.Pool]*choose.Pool
 }
 
 // Events of the entry's control pipeline.
 type (
-	// configRecord is one record of the configuration stream.
-	configRecord struct {
-		offset int64
-		record config.Record
-	}
 	// listChanged carries changes of the platform's instance list.
 	listChanged struct{ changes instances.Changes }
-	// endpointSeen carries what one hand-over showed about an endpoint. reason
-	// is empty after an answer; ratio is 0 if unknown.
-	endpointSeen struct {
-		id     model.EndpointID
-		reason model.Reason
-		ratio  float64
-	}
 )
 
-func (configRecord) EventName() string { return "config_record" }
-func (listChanged) EventName() string  { return "list_changed" }
-func (endpointSeen) EventName() string { return "endpoint_seen" }
+func (listChanged) EventName() string { return "list_changed" }
 
 func newState() *State {
-	return &State{
-		Config: config.Empty(), Members: member.NewTable(), loads: map[model.EndpointID]endpointLoad{},
-		wasOut: map[model.DataCentre]bool{}, returning: map[model.DataCentre]time.Time{},
-	}
+	f := config.NewFollower()
+	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: newRolloutState(), timeState: newTimeState(), routingState: newRoutingState()}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Keys: s.Keys, Pools: s.Pools, Candidates: s.Candidates}
+	return &Snapshot{
+		At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Entries: s.Entries, Pools: s.Pools,
+		Peers: s.peers, exchangeView: s.view(), Versions: s.versions, Busiest: s.busiest, Candidates: s.Candidates,
+	}
 }
--- a/internal/measure/routing.go
+++ b/internal/measure/routing.go
@@ -22,6 +22,13 @@
 	waitOfOthers = 360 * time.Millisecond
 )
 
+func routingScenarios() []Scenario {
+	return []Scenario{
+		{"routing/kauri", func(env Env) []Figure { return routingFigures(fleetSizes[0], env.Seed) }},
+		{"routing/kalesa", func(env Env) []Figure { return routingFigures(fleetSizes[1], env.Seed) }},
+	}
+}
+
 // methods returns the fleet, the ideal and the baselines.
 func methods(s admit.Switches) []method {
 	out := []method{{name: "fleet", switches: s}, {name: "ideal", ideal: true}}
--- a/internal/measure/routing_fleet.go
+++ b/internal/measure/routing_fleet.go
@@ -261,7 +261,7 @@
 	var list []choose.Candidate
 	for _, en := range r.engines {
 		if en.up && !en.out {
-			list = append(list, choose.Candidate{ID: en.id, Weight: 1, Returned: 1})
+			list = append(list, choose.Candidate{ID: en.id, Weight: 1})
 		}
 	}
 	first := choose.NewPool(nil, list).Order(nil, choose.Query{Key: q.key(), Chat: true}, 1)
@@ -294,7 +294,7 @@
 		if r.takes(e, en) {
 			_, over := e.over[en.index]
 			list = append(list, choose.Candidate{
-				ID: en.id, Weight: 1, Out: e.out[en.centre], OverBound: over, LoadRatio: e.ratio[en.index], Returned: r.returned(e, en), Reclaims: r.reclaims(e, en),
+				ID: en.id, Weight: 1, Out: e.out[en.centre], OverBound: over, LoadRatio: e.ratio[en.index], Withheld: r.withheld(e, en), Reclaims: r.reclaims(e, en),
 			})
 		}
 	}
@@ -321,12 +321,12 @@
 	return ok && r.method.fleet() && r.now.Sub(since) < choose.ReclaimTime
 }
 
-// returned is the slice of the chats that a returning data centre has back.
-func (r *routingRun) returned(e *simEntry, en *simEngine) float64 {
+// withheld is the slice of the chats that a returning data centre lacks.
+func (r *routingRun) withheld(e *simEntry, en *simEngine) float64 {
 	since, ok := e.wasOut[en.centre]
 	if !ok || !r.method.fleet() {
-		return 1
+		return 0
 	}
 	const returnTime = 60 * time.Second
-	return min(1, float64(r.now.Sub(since))/float64(returnTime))
+	return max(0, 1-float64(r.now.Sub(since))/float64(returnTime))
 }
--- /dev/null
+++ b/internal/member/entries.go
@@ -0,0 +1,61 @@
+package member
+
+import (
+	"slices"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Peers is the immutable view of the processes of one region that take part in
+// the control exchange.
+type Peers struct {
+	Entries   []model.InstanceID                // usable entries, sorted
+	Sides     map[model.Pool][]model.InstanceID // sides by pool, leaving ones included, sorted
+	addresses map[model.InstanceID]string
+}
+
+// Count returns the number of endpoints of a pool.
+func (p *Peers) Count(pool model.Pool) int { return len(p.Sides[pool]) }
+
+// Around returns the entries and the other sides of the pool around one side:
+// those that may hand over or run a request of the pool.
+func (p *Peers) Around(pool model.Pool, side model.InstanceID) []model.InstanceID {
+	return slices.DeleteFunc(slices.Concat(p.Entries, p.Sides[pool]), func(id model.InstanceID) bool { return id == side })
+}
+
+// Address returns the control address of a process, or "" if it is not known.
+func (p *Peers) Address(id model.InstanceID) string { return p.addresses[id] }
+
+// Addresses returns the control addresses of processes, in order.
+func (p *Peers) Addresses(ids []model.InstanceID) []string {
+	var out []string
+	for _, id := range ids {
+		if a := p.addresses[id]; a != "" {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// PeersOf returns the peers whose data centre is in the region according to
+// inRegion.
+func (t *Table) PeersOf(inRegion func(model.DataCentre) bool) *Peers {
+	p := &Peers{Sides: map[model.Pool][]model.InstanceID{}, addresses: map[model.InstanceID]string{}}
+	for id, e := range t.items {
+		switch {
+		case !inRegion(e.DataCentre) || e.Status == instances.Gone:
+		case e.Role == instances.RoleEndpoint:
+			p.Sides[e.Pool] = append(p.Sides[e.Pool], id)
+			p.addresses[id] = e.Control
+		case e.Usable() && e.Control != "":
+			p.Entries = append(p.Entries, id)
+			p.addresses[id] = e.Control
+		}
+	}
+	slices.Sort(p.Entries)
+	for _, list := range p.Sides {
+		slices.Sort(list)
+	}
+	return p
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -189,5 +189,10 @@
 	return e, ok
 }
 
-// All returns a copy of the view.
-func (t *Table) All() map[model.InstanceID]Endpoint { return maps.Clone(t.items) }
+// All returns a copy of the view. Instances that the list removed are in it
+// only while they are still used.
+func (t *Table) All() map[model.InstanceID]Endpoint {
+	out := maps.Clone(t.items)
+	maps.DeleteFunc(out, func(_ model.InstanceID, e Endpoint) bool { return e.Status == instances.Gone && !e.usable })
+	return out
+}
--- a/internal/side/admit.go
+++ b/internal/side/admit.go
@@ -115,3 +115,18 @@
 		r.done = nil
 	}
 }
+
+// closeNotifier calls done once, when the reader is closed.
+type closeNotifier struct {
+	model.FrameReader
+	done func()
+}
+
+// Close implements model.FrameReader.
+func (c *closeNotifier) Close() error {
+	if c.done != nil {
+		c.done()
+		c.done = nil
+	}
+	return c.FrameReader.Close()
+}
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -8,7 +8,11 @@
 // trafficPipeline lists the filters between decode and encode.
 func (p *Side) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
+		guard{p.loop.Snapshot},
 		newAdmission(p.loop),
+		countEvidence{p.loop, p.loop.Snapshot, p.settings},
+		watchCrash{p},
+		timeStages{p.loop, p.settings},
 		run{p.deps.Endpoint},
 	)
 }
@@ -16,8 +20,15 @@
 // controlPipeline lists the stages between the sources and the snapshot.
 func (p *Side) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
-		foldConfig{p.log},
+		foldConfig(p.log),
+		foldMembers{},
+		derivePeers{p.settings},
+		decideOrders{pool: p.settings.Pool, wake: p.ordersWake},
 		foldMean{},
+		foldSuspects{p.settings},
 		decideAdmission{p.settings},
+		draftReport{p.settings},
+		countRequests{p.settings},
+		sumTimes{p.settings},
 	}
 }
--- a/internal/side/stage_admit.go
+++ b/internal/side/stage_admit.go
@@ -2,16 +2,33 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/admit"
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/lists"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
+// admissionState is what the admission keeps.
+type admissionState struct {
+	Admission   *admit.Controller
+	isDraining  bool // this process stops
+	listedOut   bool // the instance list says that this instance leaves
+	admissionOf *config.Accepted
+	asked       map[admit.Ticket]admitRequest // waiting for a decision
+	report      endpointReported              // last report of the endpoint
+}
+
+func newAdmissionState() admissionState {
+	return admissionState{Admission: admit.New(rand.Float64), asked: map[admit.Ticket]admitRequest{}}
+}
+
 // decideAdmission counts the running work exactly and admits or refuses.
 type decideAdmission struct{ settings Settings }
 
@@ -36,10 +53,14 @@
 		noteCold(s, ev.evidence)
 	case endpointReported:
 		noteReport(s, ev)
-	case selfListed:
-		s.Leaving = ev.leaving
+	case listChanged:
+		for _, in := range ev.changes.Instances {
+			if in.ID == st.settings.Instance {
+				s.listedOut = in.Status == instances.Leaving
+			}
+		}
 	case drainStarted:
-		s.Draining = true
+		s.isDraining = true
 	}
 	st.applyState(s, now) // the event may have closed the gate
 	due = append(due, c.Step(now)...)
@@ -59,8 +80,8 @@
 	s.Admission.SetMean(admit.Mean(s.Mean), now)
 	s.Admission.SetGate(admit.Gate{
 		DataCentreOut: s.Config.Lists.DataCentres[st.settings.DataCentre].State == lists.Out,
-		Leaving:       s.Leaving,
-		Draining:      s.Draining,
+		Leaving:       s.isLeaving || s.listedOut,
+		Draining:      s.isDraining,
 	})
 }
 
@@ -145,8 +166,6 @@
 		uptime      time.Duration
 		cacheTokens int64
 	}
-	// selfListed tells how the instance list shows this process.
-	selfListed struct{ leaving bool }
 	// drainStarted tells that this process stops.
 	drainStarted struct{}
 )
@@ -157,5 +176,4 @@
 func (workDone) EventName() string         { return "work_done" }
 func (endpointCold) EventName() string     { return "endpoint_cold" }
 func (endpointReported) EventName() string { return "endpoint_reported" }
-func (selfListed) EventName() string       { return "self_listed" }
 func (drainStarted) EventName() string     { return "drain_started" }
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -1,26 +1,28 @@
 package side
 
 import (
-	"math/rand/v2"
 	"time"
 
-	"github.com/goldcrestturn/goldcrestturn/internal/admit"
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/member"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
+	"github.com/goldcrestturn/goldcrestturn/internal/timing"
 )
 
 // State is the control state of a side process. Only its control loop touches
 // it.
 type State struct {
-	Config *config.Accepted
-	Load   int64    // cost units of the running and the waiting work; the pool mean is taken from it
-	Mean   PoolMean // last known mean load of the pool
-
-	Admission   *admit.Controller
-	Leaving     bool // the instance list or a notice says that this instance leaves
-	Draining    bool // this process stops
-	admissionOf *config.Accepted
-	asked       map[admit.Ticket]admitRequest // waiting for a decision
-	report      endpointReported              // last report of the endpoint
+	Config  *config.Accepted
+	Follow  *config.Follower // gives Config
+	Load    int64            // cost units of the running and the waiting work; the pool mean is taken from it
+	Mean    PoolMean         // last known mean load of the pool
+	Members *member.Table
+	orderState
+	exchangeState
+	rolloutState
+	times timing.Sums // not reported yet
+	admissionState
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -35,28 +37,39 @@
 type Snapshot struct {
 	At      time.Time
 	Config  *config.Accepted
+	View    config.View // answers peers
 	Load    int64
 	Running int
+	// OrdersKnown is the lowest fence that an order to the engine may have.
+	OrdersKnown int64
+	Mean        PoolMean
+	Peers       *member.Peers // processes of the region in the control exchange
+	exchangeView
+	Versions rollout.Selector
 }
 
 // Events of the side's control pipeline.
 type (
-	// configRecord is one record of the configuration stream.
-	configRecord struct {
-		offset int64
-		record config.Record
-	}
 	// meanReceived carries a new pool mean from a summary holder.
 	meanReceived struct{ mean PoolMean }
+	// listChanged carries changes of the platform's instance list.
+	listChanged struct{ changes instances.Changes }
 )
 
-func (configRecord) EventName() string { return "config_record" }
 func (meanReceived) EventName() string { return "mean_received" }
+func (listChanged) EventName() string  { return "list_changed" }
 
-func newState() *State {
-	return &State{Config: config.Empty(), Admission: admit.New(rand.Float64), asked: map[admit.Ticket]admitRequest{}}
+func newState(settings Settings) *State {
+	f := config.NewFollower()
+	return &State{
+		Config: f.Accepted, Follow: f, admissionState: newAdmissionState(),
+		Members: member.NewTable(), orderState: newOrderState(settings), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
+	}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: s.Admission.Running()}
+	return &Snapshot{
+		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: s.Admission.Running(),
+		Mean: s.Mean, Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(), Versions: s.versions,
+	}
 }
