--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/choose"
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
@@ -22,6 +23,7 @@
 	exchangeState
 	rolloutState
 	timeState
+	routingState
 }
 
 // Snapshot is the published view of the state. Nobody changes it.
@@ -36,6 +38,8 @@
 	exchangeView
 	Versions rollout.Selector
 	Busiest  map[model.Workspace]bool // workspaces with a histogram of their own
+
+	Candidates map[model.Pool]*choose.Pool
 }
 
 // Events of the entry's control pipeline.
@@ -48,12 +52,12 @@
 
 func newState() *State {
 	f := config.NewFollower()
-	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: newRolloutState(), timeState: newTimeState()}
+	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: newRolloutState(), timeState: newTimeState(), routingState: newRoutingState()}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Entries: s.Entries, Pools: s.Pools,
-		Peers: s.peers, exchangeView: s.view(), Versions: s.versions, Busiest: s.busiest,
+		Peers: s.peers, exchangeView: s.view(), Versions: s.versions, Busiest: s.busiest, Candidates: s.Candidates,
 	}
 }
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -77,6 +77,7 @@
 		exchangeScenarios(),
 		suspectScenarios(),
 		rolloutScenarios(),
+		routingScenarios(),
 	)
 }
 
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -9,7 +9,7 @@
 func (p *Side) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
 		guard{p.loop.Snapshot},
-		admit{p.loop},
+		newAdmission(p.loop),
 		countEvidence{p.loop, p.loop.Snapshot, p.settings},
 		watchCrash{p},
 		timeStages{p.loop, p.settings},
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -4,10 +4,8 @@
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
-	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
-	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
 	"github.com/goldcrestturn/goldcrestturn/internal/timing"
 )
@@ -16,15 +14,15 @@
 // it.
 type State struct {
 	Config  *config.Accepted
-	Follow  *config.Follower               // gives Config
-	Running map[model.RequestID]model.Cost // admitted and not yet finished
-	Load    int64                          // cost units of Running
-	Mean    PoolMean                       // last known mean load of the pool
+	Follow  *config.Follower // gives Config
+	Load    int64            // cost units of the running and the waiting work; the pool mean is taken from it
+	Mean    PoolMean         // last known mean load of the pool
 	Members *member.Table
 	orderState
 	exchangeState
 	rolloutState
 	times timing.Sums // not reported yet
+	admissionState
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -52,35 +50,26 @@
 
 // Events of the side's control pipeline.
 type (
-	// admitRequest asks for admission. The reply is nil if req may run.
-	admitRequest struct {
-		control.Question[*model.Refusal]
-		req *model.Request
-	}
 	// meanReceived carries a new pool mean from a summary holder.
 	meanReceived struct{ mean PoolMean }
 	// listChanged carries changes of the platform's instance list.
 	listChanged struct{ changes instances.Changes }
-	// workDone ends the work of an admitted request.
-	workDone struct{ id model.RequestID }
 )
 
-func (admitRequest) EventName() string { return "admit_request" }
-func (workDone) EventName() string     { return "work_done" }
 func (meanReceived) EventName() string { return "mean_received" }
 func (listChanged) EventName() string  { return "list_changed" }
 
 func newState(settings Settings) *State {
 	f := config.NewFollower()
 	return &State{
-		Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{},
+		Config: f.Accepted, Follow: f, admissionState: newAdmissionState(),
 		Members: member.NewTable(), orderState: newOrderState(settings), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
 	}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
-		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running),
+		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: s.Admission.Running(),
 		Mean: s.Mean, Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(), Versions: s.versions,
 	}
 }
