--- a/internal/entry/stage_rollout.go
+++ b/internal/entry/stage_rollout.go
@@ -126,7 +126,7 @@
 
 // isRoot reports whether this entry merges the groups of a pool in its region.
 func (st judgeRollouts) isRoot(s *State, k summary.Key) bool {
-	groups := summary.Groups(s.peers.Endpoints[k.Pool])
+	groups := summary.Groups(s.peers.Count(k.Pool))
 	return slices.Contains(summary.Roots(k, groups, s.peers.Entries), st.settings.Instance)
 }
 
@@ -173,7 +173,7 @@
 	var out []evidencePlan
 	for k, ledger := range s.reports {
 		total := ledger.Total()
-		groups := summary.Groups(s.peers.Endpoints[k.Pool])
+		groups := summary.Groups(s.peers.Count(k.Pool))
 		if len(total) == 0 || groups == 1 {
 			continue
 		}
--- a/internal/side/stage_evidence.go
+++ b/internal/side/stage_evidence.go
@@ -103,7 +103,7 @@
 		return evidencePlan{}
 	}
 	key := summary.Key{Pool: st.settings.Pool, Region: st.settings.Region}
-	group := summary.Group(st.settings.EndpointID(), summary.Groups(s.peers.Endpoints[key.Pool]))
+	group := summary.Group(st.settings.EndpointID(), summary.Groups(s.peers.Count(key.Pool)))
 	return evidencePlan{
 		key: key, total: maps.Clone(s.evidence),
 		holders: s.peers.Addresses(summary.Holders(key, group, s.peers.Entries)),
