--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -79,6 +79,7 @@
 		limitScenarios(),
 		retryScenarios(),
 		rolloutScenarios(),
+		routingScenarios(),
 	)
 }
 
--- a/internal/member/entries.go
+++ b/internal/member/entries.go
@@ -44,7 +44,7 @@
 	p := &Peers{Sides: map[model.Pool][]model.InstanceID{}, addresses: map[model.InstanceID]string{}}
 	for id, e := range t.items {
 		switch {
-		case !inRegion(e.DataCentre):
+		case !inRegion(e.DataCentre) || e.Status == instances.Gone:
 		case e.Role == instances.RoleEndpoint:
 			p.Sides[e.Pool] = append(p.Sides[e.Pool], id)
 			p.addresses[id] = e.Control
--- a/internal/side/stage_report.go
+++ b/internal/side/stage_report.go
@@ -42,7 +42,7 @@
 	return reportPlan{
 		report: summary.Report{
 			Endpoint: st.settings.EndpointID(), Key: key, Group: group,
-			Load: s.Load, Running: len(s.Running), Leaving: s.isLeaving,
+			Load: s.Load, Running: s.Admission.Running(), Leaving: s.isLeaving,
 		},
 		holders: s.peers.Addresses(summary.Holders(key, group, s.peers.Entries)),
 		crashes: crashes,
