--- a/internal/entry/stage_limit_test.go
+++ b/internal/entry/stage_limit_test.go
@@ -21,7 +21,7 @@
 	t := member.NewTable()
 	for i := range 4 {
 		id := model.InstanceID(fmt.Sprint("entry-", i))
-		t.ApplyList(instances.Changes{Instances: []instances.Instance{{ID: id, Role: instances.RoleEntry, Control: string(id), Status: instances.Live}}})
+		t.ApplyList(instances.Changes{Instances: []instances.Instance{{ID: id, Role: instances.RoleEntry, Control: string(id), Status: instances.Live}}}, time.Time{})
 	}
 	s.peers = t.PeersOf(func(model.DataCentre) bool { return true })
 	return s
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -93,6 +93,7 @@
 		return program.Serve(background, program.NewServer(program.Admin(p.ready, p.status)), admin, time.Second)
 	})
 	g.Go(func() error { return p.ServeControl(background, peers) })
+	context.AfterFunc(ctx, func() { p.AnnounceLeaving(background) })
 	p.log.Info("started", "instance", p.settings.Instance, "listen", traffic.Addr().String())
 	err := program.Serve(ctx, program.NewServer(p.Handler()), traffic, p.settings.DrainTime)
 	stop()
