Apply the quick start's configuration with goldcrestctl

Cause: the script appended records by hand until goldcrestctl was there. Change: lists in examples/quickstart; apply, drain and restore with -wait; the script stops early if the fleet does not start.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -39,6 +39,7 @@
 	for i in 1 2 3 4; do
 		printf '[standin]\nrole = engine\nlisten = %s\n[engine]\nversion = v1\ntoken_time = 20ms\nprefill_time = 20us\nslots = 32\ncold_time = 200ms\ncold_bears = 20000\n' "$(engine $i)" >"$RUN/engine-$i.ini"
 	done
+	printf '[ctl]\nlog_service = http://%s\ninstance_list = http://%s\nlists = %s\nauthor = quickstart\n' "$PLATFORM" "$PLATFORM" "$PWD/examples/quickstart" >"$RUN/ctl.ini"
 	seed=0
 	for load in move stop; do
 		seed=$((seed + 1)) # different seeds give different idempotency keys
@@ -68,21 +69,12 @@
 	} >"$RUN/entry-$1.ini"
 }
 
-config_offset() { curl -fsS "http://$(admin 1)/status" | field config_offset; }
-
-# append_config RECORD: appends a record that is based on the accepted one.
-append_config() {
-	sed -e "s/BASE_OFFSET/$1/; s/RECORD_ID/quickstart-$RANDOM-$RANDOM/" "$2" | curl -fsS -o /dev/null --data-binary @- "http://$PLATFORM/streams/config"
-}
-
-offset_passed() { [ "$(config_offset)" -gt "$1" ]; }
-
-# set_data_centre STATE: takes akl-1 out of service or back into it.
-set_data_centre() {
-	local before
-	before=$(config_offset)
-	sed -e "s/STATE/$1/" examples/quickstart/data-centre.json >"$RUN/data-centre.json"
-	append_config "$before" "$RUN/data-centre.json" && wait_for 4 "record in force" offset_passed "$before"
+# ctl ARGUMENTS: runs goldcrestctl and shows what it prints.
+ctl() {
+	local command=$1
+	shift
+	"$BIN/goldcrestctl" "$command" -settings "$RUN/ctl.ini" -timeout 10s "$@" 2>&1 | sed 's/^/   /'
+	return "${PIPESTATUS[0]}"
 }
 
 started() { curl -fsS "http://$(engine "$1")/stats" | field started; }
@@ -105,8 +97,13 @@
 	start entry-$i goldcrest-entry
 	ENTRY_PID[$i]=$PID
 done
-append_config -1 examples/quickstart/config.json || FAILED=1
+ctl apply -wait || FAILED=1
 for i in 1 2; do wait_for 10 "entry-$i serves chats" chat_works $i || FAILED=1; done
+if [ $FAILED != 0 ]; then
+	stop_all
+	echo "The fleet did not start; settings and logs are in $RUN."
+	exit 1
+fi
 
 echo "2. A streamed answer through entry-1"
 curl -fsSN -H "Authorization: Bearer $KEY" -H 'Chat-Id: bug-41' -d '{"messages":[{"role":"user","content":"summarise bug 41"}],"max_tokens":4,"stream":true}' \
@@ -127,13 +124,13 @@
 "$BIN/goldcrest-load" -settings "$RUN/load-move.ini" -duration 14s >"$RUN/load-move.txt" 2>"$RUN/load-move.log" &
 LOAD=$!
 wait_for 5 "load reaches akl-1" grows "$(started_in_akl1)" || FAILED=1
-set_data_centre out || FAILED=1
+claim "the record is in force everywhere" ctl drain -wait akl-1
 sleep 1 # requests that were already on their way; the bound is 4 s
 before=$(started_in_akl1)
 sleep 3
 after=$(started_in_akl1)
 claim "no new work in akl-1 while it is out (started $before, 3 s later $after)" test "$before" = "$after"
-set_data_centre in || FAILED=1
+claim "the record is in force everywhere" ctl restore -wait akl-1
 claim "work returns to akl-1" wait_for 8 "work in akl-1" grows "$after"
 wait $LOAD
 claim "nothing was cut, wrong or run twice" test $? = 0
@@ -147,7 +144,7 @@
 claim "entry-1 ended by itself" ended "${ENTRY_PID[1]}" 20
 claim "the side of engine-3 ended by itself" ended "${SIDE_PID[3]}" 20
 wait $LOAD
-claim "no stream was cut" test $? = 0
+claim "nothing was cut, wrong or run twice" test $? = 0
 sed 's/^/   /' "$RUN/load-stop.txt"
 
 stop_all
--- a/scripts/traffic-slopes.sh
+++ b/scripts/traffic-slopes.sh
@@ -78,8 +78,13 @@
 start engine goldcrest-standin
 start side goldcrest-side
 start entry goldcrest-entry
-sed -e 's/BASE_OFFSET/-1/; s/RECORD_ID/slopes/; s/"load_multiple":1.5,"slots":32/"load_multiple":10,"slots":10000/; s/"cold_limit":20000/"cold_limit":1000000000/; s/"rate":1000000,"burst":2000000/"rate":1000000000,"burst":1000000000/' examples/quickstart/config.json |
-	curl -fsS -o /dev/null --data-binary @- "http://$PLATFORM/streams/config" || exit 1
+mkdir "$RUN/lists"
+sed 's/^rate = .*/rate = 1000000000/; s/^burst = .*/burst = 1000000000/' examples/quickstart/plans.ini >"$RUN/lists/plans.ini"
+sed 's/^load_multiple = .*/load_multiple = 10/; s/^slots = .*/slots = 10000/; s/^cold_limit = .*/cold_limit = 1000000000/' examples/quickstart/usage.ini >"$RUN/lists/usage.ini"
+"$BIN/goldcrestctl" apply -log-service "http://$PLATFORM" -instance-list "http://$PLATFORM" -lists "$RUN/lists" -author slopes >"$RUN/apply.log" 2>&1 || {
+	cat "$RUN/apply.log"
+	exit 1
+}
 chat_works() { curl -fsS -o /dev/null -H 'Authorization: Bearer quickstart-key' -d '{"messages":[{"role":"user","content":"ready?"}],"max_tokens":1}' "http://$ENTRY/v1/chat/completions"; }
 wait_for 10 "chats are served" chat_works || exit 1
 
