--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -184,7 +184,7 @@
 const (
 	// pullPeriod is the interval at which an entry asks another one for crashes
 	// that its notices missed.
-	pullPeriod = 10 * time.Second
+	pullPeriod = 30 * time.Second
 	// firstPull is the interval until the first answer after the start.
 	firstPull = time.Second
 )
--- a/internal/entry/source_config.go
+++ b/internal/entry/source_config.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"math/rand/v2"
+	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
@@ -12,12 +12,13 @@
 // configSource returns the source of the configuration stage.
 func (e *Entry) configSource() *configsync.Source {
 	source := configsync.NewSource(configsync.Options{
-		Log:    e.log,
-		Logs:   e.deps.Logs,
-		Loop:   e.loop,
-		View:   func() config.View { return e.loop.Snapshot().View },
-		Pick:   rand.IntN,
-		Budget: e.settings.ControlBudget,
+		Log:     e.log,
+		Logs:    e.deps.Logs,
+		Loop:    e.loop,
+		View:    func() config.View { return e.loop.Snapshot().View },
+		Pick:    func(n int) int { return int(e.jitter() * float64(n)) },
+		Budget:  e.settings.ControlBudget,
+		Stretch: func() float64 { return e.node.Meter().Stretch(time.Now()) },
 		Peers: configsync.ExchangePeers{
 			Node:    e.node,
 			Self:    e.settings.Instance,
--- a/internal/entry/state_exchange.go
+++ b/internal/entry/state_exchange.go
@@ -27,6 +27,7 @@
 	refused   suspect.View     // replaced, never changed
 	released  *config.Accepted // whose released fingerprints suspects knows
 	notices   summary.Notices
+	groupTurn int // counts the reports to the roots
 }
 
 // exchangeView is the part of the snapshot that the exchange feeds.
--- a/internal/member/entries.go
+++ b/internal/member/entries.go
@@ -11,13 +11,11 @@
 // the control exchange.
 type Peers struct {
 	Entries   []model.InstanceID                // usable entries, sorted
-	Sides     map[model.Pool][]model.InstanceID // sides by pool, leaving ones included, sorted
+	Endpoints map[model.Pool]int                // endpoints by pool, leaving ones included
+	Sides     map[model.Pool][]model.InstanceID // sides of the same, sorted
 	addresses map[model.InstanceID]string
 }
 
-// Count returns the number of endpoints of a pool.
-func (p *Peers) Count(pool model.Pool) int { return len(p.Sides[pool]) }
-
 // Around returns the entries and the other sides of the pool around one side:
 // those that may hand over or run a request of the pool.
 func (p *Peers) Around(pool model.Pool, side model.InstanceID) []model.InstanceID {
@@ -41,11 +39,12 @@
 // PeersOf returns the peers whose data centre is in the region according to
 // inRegion.
 func (t *Table) PeersOf(inRegion func(model.DataCentre) bool) *Peers {
-	p := &Peers{Sides: map[model.Pool][]model.InstanceID{}, addresses: map[model.InstanceID]string{}}
+	p := &Peers{Endpoints: map[model.Pool]int{}, Sides: map[model.Pool][]model.InstanceID{}, addresses: map[model.InstanceID]string{}}
 	for id, e := range t.items {
 		switch {
 		case !inRegion(e.DataCentre):
 		case e.Role == instances.RoleEndpoint:
+			p.Endpoints[e.Pool]++
 			p.Sides[e.Pool] = append(p.Sides[e.Pool], id)
 			p.addresses[id] = e.Control
 		case e.Usable() && e.Control != "":
--- a/internal/side/deps.go
+++ b/internal/side/deps.go
@@ -16,4 +16,5 @@
 	Endpoint Endpoint
 	Orders   Orders          // of the endpoint; nil if it takes none
 	Dial     exchange.Dialer // to control addresses; nil means TCP
+	Jitter   func() float64  // uniform in [0, 1); nil means math/rand
 }
