--- a/internal/entry/stage_rollout.go
+++ b/internal/entry/stage_rollout.go
@@ -126,7 +126,7 @@
 
 // isRoot reports whether this entry merges the groups of a pool in its region.
 func (st judgeRollouts) isRoot(s *State, k summary.Key) bool {
-	groups := summary.Groups(s.peers.Endpoints[k.Pool])
+	groups := summary.Groups(s.peers.Count(k.Pool))
 	return slices.Contains(summary.Roots(k, groups, s.peers.Entries), st.settings.Instance)
 }
 
@@ -173,7 +173,7 @@
 	var out []evidencePlan
 	for k, ledger := range s.reports {
 		total := ledger.Total()
-		groups := summary.Groups(s.peers.Endpoints[k.Pool])
+		groups := summary.Groups(s.peers.Count(k.Pool))
 		if len(total) == 0 || groups == 1 {
 			continue
 		}
@@ -240,3 +240,9 @@
 func rolloutID(instance model.InstanceID, base int64) string {
 	return "rollout/" + string(instance) + "/" + strconv.FormatInt(base, 10)
 }
+
+// Versions returns the versions in force at this entry.
+func (e *Entry) Versions() rollout.Selector { return e.loop.Snapshot().Versions }
+
+// Accepted returns the configuration in force at this entry.
+func (e *Entry) Accepted() *config.Accepted { return e.loop.Snapshot().Config }
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -76,7 +76,10 @@
 	return slices.Concat(
 		exchangeScenarios(),
 		suspectScenarios(),
+		limitScenarios(),
+		retryScenarios(),
 		rolloutScenarios(),
+		routingScenarios(),
 	)
 }
 
