--- a/internal/entry/source_rollout.go
+++ b/internal/entry/source_rollout.go
@@ -53,7 +53,7 @@
 		return
 	}
 	for _, p := range plans {
-		args := exchange.FromEvidence(p.key, p.source, true, p.total)
+		args := exchange.FromEvidence(p.key, p.source, true, p.rollout, p.total)
 		args.News = tell(p.news)
 		var reply exchange.News
 		if e.node.Call(ctx, p.address, exchange.MethodEvidence, args, &reply) == nil {
--- a/internal/entry/stage_rollout.go
+++ b/internal/entry/stage_rollout.go
@@ -56,6 +56,7 @@
 		address string
 		key     summary.Key
 		source  string
+		rollout string
 		total   rollout.Evidence
 		news    news
 	}
@@ -173,13 +174,14 @@
 	var out []evidencePlan
 	for k, ledger := range s.reports {
 		total := ledger.Total()
+		active, ok := s.versions.Active(k.Pool)
 		groups := summary.Groups(s.peers.Count(k.Pool))
-		if len(total) == 0 || groups == 1 {
+		if !ok || len(total) == 0 || groups == 1 {
 			continue
 		}
 		roots := slices.DeleteFunc(summary.Roots(k, groups, s.peers.Entries), func(id model.InstanceID) bool { return id == st.settings.Instance })
 		for _, address := range s.peers.Addresses(roots) {
-			out = append(out, evidencePlan{address: address, key: k, source: string(st.settings.Instance), total: total, news: s.news(now)})
+			out = append(out, evidencePlan{address: address, key: k, source: string(st.settings.Instance), rollout: active.Name, total: total, news: s.news(now)})
 		}
 	}
 	return out
--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -23,13 +23,15 @@
 	Region string
 	Source string // endpoint, or a holder's group
 	Group  bool   // sent by a holder to a root
-	Items  []EvidenceItem
-	News   News
+	// Rollout is named once: a pool has one active rollout, and its name is
+	// longer than the rest of an item.
+	Rollout string
+	Items   []EvidenceItem
+	News    News
 }
 
 // EvidenceItem is the message form of one key and its counts.
 type EvidenceItem struct {
-	Rollout  string
 	Version  string
 	Route    string
 	Requests int64
@@ -37,15 +39,17 @@
 	Slow     int64
 }
 
-// FromEvidence returns the message for the total counts of source.
-func FromEvidence(k summary.Key, source string, group bool, e rollout.Evidence) EvidenceArgs {
-	a := EvidenceArgs{Pool: string(k.Pool), Region: string(k.Region), Source: source, Group: group}
+// FromEvidence returns the message for the total counts of source about the
+// rollout with the given name.
+func FromEvidence(k summary.Key, source string, group bool, name string, e rollout.Evidence) EvidenceArgs {
+	a := EvidenceArgs{Pool: string(k.Pool), Region: string(k.Region), Source: source, Group: group, Rollout: name}
 	keys := slices.SortedFunc(maps.Keys(e), func(x, y rollout.Key) int {
-		return cmp.Or(cmp.Compare(x.Rollout, y.Rollout), cmp.Compare(x.Route, y.Route), cmp.Compare(x.Version, y.Version))
+		return cmp.Or(cmp.Compare(x.Route, y.Route), cmp.Compare(x.Version, y.Version))
 	})
-	for _, key := range keys[:min(len(keys), maxEvidence)] {
-		c := e[key]
-		a.Items = append(a.Items, EvidenceItem{key.Rollout, string(key.Version), string(key.Route), c.Requests, c.Failures, c.Slow})
+	for _, key := range keys {
+		if c := e[key]; key.Rollout == name && len(a.Items) < maxEvidence {
+			a.Items = append(a.Items, EvidenceItem{string(key.Version), string(key.Route), c.Requests, c.Failures, c.Slow})
+		}
 	}
 	return a
 }
@@ -53,15 +57,15 @@
 // Model returns the evidence.
 func (a EvidenceArgs) Model() (summary.Key, rollout.Evidence, error) {
 	k := summary.Key{Pool: model.Pool(a.Pool), Region: model.Region(a.Region)}
-	if len(a.Items) > maxEvidence || max(len(a.Pool), len(a.Region), len(a.Source)) > maxID || a.Source == "" {
+	if len(a.Items) > maxEvidence || max(len(a.Pool), len(a.Region), len(a.Source), len(a.Rollout)) > maxID || a.Source == "" {
 		return k, nil, ErrMalformed
 	}
 	out := rollout.Evidence{}
 	for _, it := range a.Items {
-		if max(len(it.Rollout), len(it.Version), len(it.Route)) > maxID || min(it.Requests, it.Failures, it.Slow) < 0 {
+		if max(len(it.Version), len(it.Route)) > maxID || min(it.Requests, it.Failures, it.Slow) < 0 {
 			return k, nil, ErrMalformed
 		}
-		key := rollout.Key{Rollout: it.Rollout, Version: model.Version(it.Version), Route: model.Route(it.Route)}
+		key := rollout.Key{Rollout: a.Rollout, Version: model.Version(it.Version), Route: model.Route(it.Route)}
 		out[key] = rollout.Counts{Requests: it.Requests, Failures: it.Failures, Slow: it.Slow}
 	}
 	return k, out, nil
--- a/internal/side/stage_evidence.go
+++ b/internal/side/stage_evidence.go
@@ -15,6 +15,7 @@
 type rolloutState struct {
 	evidence  rollout.Evidence
 	lastCrash time.Time
+	lastCold  time.Time        // when the endpoint refused a connection
 	versions  rollout.Selector // replaced, never changed
 	known     versionsOf
 }
@@ -41,6 +42,7 @@
 	}
 	evidencePlan struct {
 		key     summary.Key
+		rollout string
 		total   rollout.Evidence
 		holders []string // control addresses
 	}
@@ -68,6 +70,8 @@
 		st.count(s, now, ev)
 	case takeEvidence:
 		ev.Reply(st.plan(s))
+	case endpointCold:
+		s.lastCold = now
 	}
 	return st.deriveVersions(s)
 }
@@ -89,7 +93,7 @@
 	if ev.failed {
 		c.Failures = 1
 	}
-	if warm := s.Config.Lists.Pools[st.settings.Pool].WarmTime; warm > 0 && ev.first > warm && s.isWarm() {
+	if warm := s.Config.Lists.Pools[st.settings.Pool].WarmTime; warm > 0 && ev.first > warm && s.isWarm(now) {
 		c.Slow = 1
 	}
 	if _, known := s.evidence[k]; known || len(s.evidence) < maxEvidenceKeys {
@@ -99,13 +103,14 @@
 
 // plan returns the evidence of the active rollout and where it goes.
 func (st countRequests) plan(s *State) evidencePlan {
-	if len(s.evidence) == 0 {
+	active, ok := s.versions.Active(st.settings.Pool)
+	if !ok || len(s.evidence) == 0 {
 		return evidencePlan{}
 	}
 	key := summary.Key{Pool: st.settings.Pool, Region: st.settings.Region}
 	group := summary.Group(st.settings.EndpointID(), summary.Groups(s.peers.Count(key.Pool)))
 	return evidencePlan{
-		key: key, total: maps.Clone(s.evidence),
+		key: key, rollout: active.Name, total: maps.Clone(s.evidence),
 		holders: s.peers.Addresses(summary.Holders(key, group, s.peers.Entries)),
 	}
 }
@@ -120,6 +125,14 @@
 	return true
 }
 
-// isWarm reports whether the endpoint is warm. A slow first token of a cold
-// endpoint says nothing about its version.
-func (s *State) isWarm() bool { return true }
+// warmUp is the time after a restart in which slow first tokens are put down to
+// the cold endpoint and not to its version.
+const warmUp = 30 * time.Second
+
+// isWarm reports whether slow first tokens count against the version. Late
+// first tokens alone do not make an endpoint cold here: a version that is
+// always slow would excuse itself.
+func (s *State) isWarm(now time.Time) bool {
+	restarted := s.report.uptime > 0 && s.report.uptime < warmUp
+	return !restarted && now.Sub(s.lastCold) >= warmUp
+}
