--- a/internal/entry/stage_summary.go
+++ b/internal/entry/stage_summary.go
@@ -72,14 +72,17 @@
 		byKey[g.Key] = append(byKey[g.Key], g)
 	}
 	var out []groupsPlan
+	s.groupTurn++
 	for _, k := range keys {
 		groups := summary.Groups(s.peers.Count(k.Pool))
 		if groups == 1 {
 			continue
 		}
 		roots := slices.DeleteFunc(summary.Roots(k, groups, s.peers.Entries), func(id model.InstanceID) bool { return id == st.settings.Instance })
-		for _, address := range s.peers.Addresses(roots) {
-			out = append(out, groupsPlan{address: address, key: k, sums: byKey[k], news: s.news(now)})
+		// The roots get the sums in turn; two holders report each group, so each
+		// root hears of it about every second.
+		if to := s.peers.Addresses(roots); len(to) > 0 {
+			out = append(out, groupsPlan{address: to[s.groupTurn%len(to)], key: k, sums: byKey[k], news: s.news(now)})
 		}
 	}
 	return out
--- a/internal/side/deps.go
+++ b/internal/side/deps.go
@@ -17,4 +17,5 @@
 	Orders   Orders          // of the endpoint; nil if it takes none
 	KV       KVStore         // of the endpoint; nil if it has no prefix cache
 	Dial     exchange.Dialer // to control addresses; nil means TCP
+	Jitter   func() float64  // uniform in [0, 1); nil means math/rand
 }
