--- /dev/null
+++ b/internal/doctest/doc.go
@@ -0,0 +1,3 @@
+// Package doctest holds tests that compare the operators' documents with the
+// code, both ways.
+package doctest
