Add claims, kept answers, checked relay and drain in thin form

Cause: non-idempotent calls ran without a barrier, a cut ended an answer, and a planned stop closed the listener at once.

--- /dev/null
+++ b/internal/claim/key.go
@@ -0,0 +1,52 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Partitions is the number of streams over which keys are spread. It is far
+// above the endpoints of one service, so that owners get even shares.
+const Partitions = 64
+
+// Key identifies a non-idempotent request. It is a hash with enough bits that
+// two keys of different workspaces never meet.
+type Key [16]byte
+
+// KeyOf returns the key of req. Without an idempotency key of the caller it is
+// the request id, which protects against retries inside the fleet.
+func KeyOf(req *model.Request) Key {
+	name := "k\x00" + req.IdempotencyKey
+	if req.IdempotencyKey == "" {
+		name = "r\x00" + string(req.ID)
+	}
+	sum := sha256.Sum256([]byte(string(req.Workspace) + "\x00" + string(req.Route) + "\x00" + name))
+	return Key(sum[:16])
+}
+
+// Partition returns the partition of the key.
+func (k Key) Partition() int { return int(k[0]) % Partitions }
+
+// Stream returns the log stream of a partition.
+func Stream(partition int) string { return fmt.Sprintf("claims-%02d", partition) }
+
+// OrderKey returns the string that decides the endpoint order of a partition.
+func OrderKey(partition int) string { return Stream(partition) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(k[:])), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Key) UnmarshalText(text []byte) error {
+	b, err := hex.DecodeString(string(text))
+	if err != nil || len(b) != len(k) {
+		return eris.New("claim: key is not 16 bytes in hexadecimal")
+	}
+	copy(k[:], b)
+	return nil
+}
--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,107 @@
+package claim
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Kind tells what an item of a record states.
+type Kind string
+
+// The kinds of item.
+const (
+	KindEpoch  Kind = "epoch"  // Owner owns the partition for Pool from here on
+	KindClaim  Kind = "claim"  // Owner is about to run Key
+	KindVoid   Kind = "void"   // Key must not run
+	KindResult Kind = "result" // the run behind Claim ended with Outcome
+
+	kindOther Kind = "other" // an item that a reader leaves out
+)
+
+// Position is a place in a stream: the offset of a record and the index of the
+// item in it.
+type Position struct {
+	Offset int64 `json:"o"`
+	Index  int   `json:"i"`
+}
+
+// Item is one statement in a record.
+type Item struct {
+	Kind        Kind             `json:"kind"`
+	ID          string           `json:"id,omitempty"` // unique, to recognise the own claim and epoch
+	Pool        model.Pool       `json:"pool,omitempty"`
+	Owner       model.EndpointID `json:"owner,omitempty"`
+	Key         Key              `json:"key"`
+	Epoch       int64            `json:"epoch,omitempty"` // offset of the epoch record of a claim
+	Fingerprint uint64           `json:"fp,omitempty"`
+	Claim       Position         `json:"claim"` // claim to which a result belongs
+	Outcome     model.Outcome    `json:"outcome,omitempty"`
+	Answer      *Answer          `json:"answer,omitempty"`
+}
+
+// Answer is a kept answer.
+type Answer struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+}
+
+// Record is one record of a claims stream: the items of one group commit.
+type Record struct {
+	ID    string `json:"id"`
+	Items []Item `json:"items"`
+}
+
+// MaxItems bounds the items of one record.
+const MaxItems = 256
+
+// Decode decodes and checks one record.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	if len(data) > logsvc.MaxRecordBytes {
+		return Record{}, eris.New("claim: record is too large")
+	}
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, eris.Wrap(err, "claim: record is malformed")
+	}
+	if r.ID == "" || len(r.Items) == 0 || len(r.Items) > MaxItems {
+		return Record{}, eris.New("claim: record lacks its id or has a wrong number of items")
+	}
+	for _, it := range r.Items {
+		if err := it.check(); err != nil {
+			return Record{}, err
+		}
+	}
+	return r, nil
+}
+
+func (it Item) check() error {
+	switch it.Kind {
+	case KindEpoch:
+		if it.Pool == "" || it.Owner == "" || it.ID == "" {
+			return eris.New("claim: epoch lacks its id, pool or owner")
+		}
+	case KindClaim:
+		if it.Pool == "" || it.Owner == "" || it.ID == "" || it.Epoch < 0 {
+			return eris.New("claim: claim lacks its id, pool, owner or epoch")
+		}
+	case KindVoid:
+	case KindResult:
+		if it.Outcome != model.NotRun && it.Outcome != model.Ran && it.Outcome != model.Unknown {
+			return eris.Errorf("claim: result has the outcome %q", it.Outcome)
+		}
+	default:
+		return eris.Errorf("claim: item has the kind %q", it.Kind)
+	}
+	return nil
+}
+
+// Encode encodes r for its stream.
+func (r Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, eris.Wrap(err, "claim: record cannot be encoded")
+}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -19,6 +19,9 @@
 func (chooseEndpoint) Name() string { return "choose" }
 
 func (f chooseEndpoint) Handle(ctx context.Context, req *model.Request, next pipe.Handler) (*model.Answer, error) {
+	if req.Target != "" { // an earlier filter has decided
+		return next(ctx, req)
+	}
 	var last error = model.Refuse(model.ReasonNoEndpoint, "no endpoint of the pool takes new work")
 	for i, c := range choose.Order(req.HashKey(), req.ReturnToken, f.candidates(req.Pool)) {
 		if i == maxHandOvers {
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -16,6 +16,15 @@
 	Logs      logsvc.Log
 	List      instances.List
 	Transport http.RoundTripper // to the side processes
+	Notify    Notifier          // tells the peers about a planned stop; may be nil
+	Without   Without
+}
+
+// Without turns mechanisms off. Only tests and baselines set it.
+type Without struct {
+	FrameCheck bool // frames pass unchecked and cuts are not repaired
+	Void       bool // an unknown outcome is reported as not run
+	Drain      bool // a planned stop does not wait for answers
 }
 
 // dialTimeout bounds the wait for a connection to a side process. Data centres
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -31,6 +31,14 @@
 	if address == "" {
 		return nil, model.Refuse(model.ReasonNoEndpoint, "the endpoint has left")
 	}
+	answer, err := f.run(ctx, req, address)
+	if err != nil && !req.Idempotent && model.AsRefusal(err).Outcome == model.Unknown {
+		req.Uncertain = true
+	}
+	return answer, err
+}
+
+func (f forward) run(ctx context.Context, req *model.Request, address string) (*model.Answer, error) {
 	body, err := json.Marshal(wire.FromRequest(req, time.Now()))
 	if err != nil {
 		return nil, eris.Wrap(err, "entry: request cannot be encoded")
@@ -47,13 +55,32 @@
 	return readAnswer(req, resp)
 }
 
-func (f forward) address(req *model.Request) string {
-	for _, e := range f.snapshot().Pools[req.Pool] {
-		if e.EndpointID() == req.Target {
-			return e.Address
-		}
+// resume asks the side of endpoint for the frames of req from index from on.
+// It never makes the side run the request.
+func (f forward) resume(ctx context.Context, req *model.Request, endpoint model.EndpointID, from int) (*model.Answer, error) {
+	address := f.addresses(req.Pool)[endpoint]
+	if address == "" {
+		return nil, &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonNoEndpoint, Detail: "the endpoint has left"}
+	}
+	target := "http://" + address + wire.PathResume + "?" + wire.ResumeQuery(req, from).Encode()
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "entry: resume request cannot be made")
+	}
+	call.Header.Set(wire.HeaderKey, f.key)
+	resp, err := f.client.Do(call)
+	if err != nil {
+		return nil, callRefusal(err)
 	}
-	return ""
+	return readAnswer(req, resp)
+}
+
+func (f forward) address(req *model.Request) string { return f.addresses(req.Pool)[req.Target] }
+
+// addresses returns the side of every endpoint of a pool, leaving ones
+// included, since their answers are still read.
+func (f forward) addresses(pool model.Pool) map[model.EndpointID]string {
+	return f.snapshot().Addresses[pool]
 }
 
 // callRefusal is a truthful refusal for a failed call: only a connection that
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -7,10 +7,16 @@
 
 // trafficPipeline lists the filters between decode and encode.
 func (e *Entry) trafficPipeline() pipe.Handler {
+	out := forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client}
+	without := e.deps.Without
 	return pipe.Chain(
+		countActive{e.loop},
 		identify{e.loop.Snapshot},
+		resolve{logs: e.deps.Logs, budget: e.budget, resume: out.resume, off: without.Void},
+		relay{out.resume, without.FrameCheck},
+		routeOwner{e.loop.Snapshot},
 		chooseEndpoint{e.loop.Snapshot},
-		forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client},
+		out,
 	)
 }
 
@@ -19,6 +25,7 @@
 	return []control.Stage[State]{
 		foldConfig{e.log},
 		foldMembers{},
+		decideDrain{e.settings.Instance, e.budget, e.settings.AppendBudget},
 		derive{},
 	}
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -28,12 +28,14 @@
 	deps     Deps
 	log      *slog.Logger
 	client   *http.Client
+	budget   *logsvc.Budget
 	loop     *control.Loop[State, Snapshot]
 }
 
 // New returns an entry. Start starts it.
 func New(s Settings, deps Deps) *Entry {
 	e := &Entry{settings: s, deps: deps, log: deps.Log, client: &http.Client{Transport: deps.Transport}}
+	e.budget = logsvc.NewBudget(float64(s.AppendBudget) * entryShare)
 	e.loop = control.New(control.Config[State, Snapshot]{
 		State:   newState(),
 		Stages:  e.controlPipeline(),
@@ -71,7 +73,13 @@
 		return program.Serve(background, program.NewServer(program.Admin(e.ready, e.status)), admin, time.Second)
 	})
 	e.log.Info("started", "instance", e.settings.Instance, "listen", traffic.Addr().String())
-	err := program.Serve(ctx, program.NewServer(e.Handler()), traffic, e.settings.DrainTime)
+	serving, stopServing := context.WithCancel(background)
+	go func() {
+		<-ctx.Done()
+		e.Drain(background, e.settings.DrainTime)
+		stopServing()
+	}()
+	err := program.Serve(serving, program.NewServer(e.Handler()), traffic, closeTime)
 	stop()
 	return eris.Wrap(firstError(err, g.Wait()), "entry")
 }
@@ -128,7 +136,10 @@
 	return mux
 }
 
-func (e *Entry) ready() bool { return e.loop.Snapshot().Config.Offset != config.NoBase }
+func (e *Entry) ready() bool {
+	s := e.loop.Snapshot()
+	return s.Config.Offset != config.NoBase && !s.Draining
+}
 
 // Status is the answer of the /status path.
 type Status struct {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -20,6 +20,7 @@
 	Key           string // shared key of the fleet
 	DrainTime     time.Duration
 	ControlBudget int64 // bytes a second for control traffic
+	AppendBudget  int64 // appends a second of the whole fleet
 	MaxBody       int64 // bytes of one caller's body
 	Timeout       time.Duration
 }
@@ -33,9 +34,13 @@
 	defaultControlBudget = 11_000
 	minControlBudget     = 1_000
 	maxControlBudget     = 1_000_000
-	defaultMaxBody       = 2 << 20
-	defaultTimeout       = 2 * time.Minute
-	maxTimeout           = time.Hour
+	// defaultAppendBudget stays below the several hundred appends a second
+	// that the log service takes.
+	defaultAppendBudget = 300
+	maxAppendBudget     = 10_000
+	defaultMaxBody      = 2 << 20
+	defaultTimeout      = 2 * time.Minute
+	maxTimeout          = time.Hour
 )
 
 // LoadSettings reads the settings of an entry and reports all faults together.
@@ -61,6 +66,7 @@
 		Key:           f.Required("fleet", "key"),
 		DrainTime:     f.Duration("entry", "drain_time", defaultDrainTime, time.Second, maxDrainTime),
 		ControlBudget: f.Int("fleet", "control_budget", defaultControlBudget, minControlBudget, maxControlBudget),
+		AppendBudget:  f.Int("fleet", "append_budget", defaultAppendBudget, 1, maxAppendBudget),
 		MaxBody:       f.Int("entry", "max_body", defaultMaxBody, 1, 64<<20),
 		Timeout:       f.Duration("entry", "timeout", defaultTimeout, time.Second, maxTimeout),
 	}
--- a/internal/entry/stage_derive.go
+++ b/internal/entry/stage_derive.go
@@ -27,7 +27,14 @@
 		s.Keys[w.KeyHash] = name
 	}
 	s.Pools = map[model.Pool][]member.Endpoint{}
+	s.Addresses = map[model.Pool]map[model.EndpointID]string{}
 	for _, e := range s.Members.All() {
+		if e.Role == instances.RoleEndpoint {
+			if s.Addresses[e.Pool] == nil {
+				s.Addresses[e.Pool] = map[model.EndpointID]string{}
+			}
+			s.Addresses[e.Pool][e.EndpointID()] = e.Address
+		}
 		out := s.Config.Lists.DataCentres[e.DataCentre].State == lists.Out
 		if e.Role == instances.RoleEndpoint && e.Usable() && !out {
 			s.Pools[e.Pool] = append(s.Pools[e.Pool], e)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -11,11 +11,13 @@
 
 // State is the control state of an entry. Only its control loop touches it.
 type State struct {
-	Config  *config.Accepted
-	Members *member.Table
-	Keys    map[string]model.Workspace       // by hash of the API key; replaced, never changed
-	Pools   map[model.Pool][]member.Endpoint // endpoints that may get new work; replaced, never changed
-	derived bool                             // Keys and Pools belong to Config and Members
+	Config    *config.Accepted
+	Members   *member.Table
+	Keys      map[string]model.Workspace                 // by hash of the API key; replaced, never changed
+	Pools     map[model.Pool][]member.Endpoint           // endpoints that may get new work; replaced, never changed
+	Addresses map[model.Pool]map[model.EndpointID]string // of all known endpoints; replaced, never changed
+	drain     drainState
+	derived   bool // Keys and Pools belong to Config and Members
 }
 
 // Snapshot is the published view of the state. Nobody changes it.
@@ -24,6 +26,9 @@
 	Config *config.Accepted
 	Keys   map[string]model.Workspace
 	Pools  map[model.Pool][]member.Endpoint
+
+	Addresses map[model.Pool]map[model.EndpointID]string
+	Draining  bool // a planned stop has begun
 }
 
 // Events of the entry's control pipeline.
@@ -45,5 +50,5 @@
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Keys: s.Keys, Pools: s.Pools}
+	return &Snapshot{At: now, Config: s.Config, Keys: s.Keys, Pools: s.Pools, Addresses: s.Addresses, Draining: !s.drain.since.IsZero()}
 }
--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -39,6 +39,7 @@
 	ReasonLogUnavailable Reason = "log_unavailable"
 	ReasonNotOwner       Reason = "not_owner"
 	ReasonVoided         Reason = "voided"
+	ReasonNotKept        Reason = "answer_not_kept"
 	ReasonDuplicate      Reason = "duplicate"
 	ReasonDeadline       Reason = "deadline_exceeded"
 	ReasonEndpointFailed Reason = "endpoint_failed"
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -40,6 +40,8 @@
 	From           int // index of the first frame that the receiver still lacks
 	Attempt        int // 0 for the first hand-over
 	Target         EndpointID
+	Takeover       bool    // the target may take the key's partition over from an owner that cannot be reached
+	Uncertain      bool    // an earlier hand-over may have run; only the log can tell
 	Version        Version // version that the rollout filter selected; empty means any
 	Stages         *StageTimes
 }
--- a/internal/side/codec.go
+++ b/internal/side/codec.go
@@ -17,6 +17,14 @@
 	return w.Model(time.Now()), nil
 }
 
+func decodeResume(_ context.Context, r *http.Request) (any, error) {
+	req, err := wire.DecodeResume(r.URL.Query())
+	if err != nil {
+		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
+	}
+	return req, nil
+}
+
 // encodeRun writes an answer. An error after the head cuts the connection, so
 // the entry sees that the end frame is missing.
 func encodeRun(ctx context.Context, w http.ResponseWriter, response any) error {
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -8,7 +8,10 @@
 // trafficPipeline lists the filters between decode and encode.
 func (p *Side) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
+		deduplicate{p.loop, p.deps.Without.Deduplicate},
+		claimRun{p.loop, p.deps.Without.Barrier},
 		admit{p.loop},
+		reconnect{p.deps.Without.Reconnect},
 		run{p.deps.Endpoint},
 	)
 }
@@ -18,6 +21,10 @@
 	return []control.Stage[State]{
 		foldConfig{p.log},
 		foldMean{},
+		foldList{p.settings, p.budget},
 		decideAdmission{p.settings},
+		decideClaims{p.settings, p.deps.Without.Claims, p.log},
+		keepAnswers{},
+		decideDrain{},
 	}
 }
--- /dev/null
+++ b/internal/side/resume.go
@@ -0,0 +1,31 @@
+package side
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/replay"
+)
+
+// resume serves the kept or running answer of a request. It runs nothing.
+func (p *Side) resume(ctx context.Context, request any) (any, error) {
+	req := request.(*model.Request)
+	key := replayKey(req)
+	got, err := control.Ask(ctx, p.loop, attachRequest{
+		Question: control.NewQuestion[attached](), key: key, fingerprint: req.Fingerprint, onlyKept: true,
+	})
+	if err != nil {
+		return nil, &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonCancelled, Detail: "the entry left"}
+	}
+	if got.refusal != nil {
+		return nil, got.refusal
+	}
+	answer, err := deduplicate{loop: p.loop}.read(ctx, req, key, got.buffer)
+	if eris.Is(err, replay.ErrDropped) {
+		return nil, &model.Refusal{Outcome: model.Ran, Reason: model.ReasonNotKept, Detail: "the frames are no longer kept"}
+	}
+	return answer, err
+}
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -31,12 +31,13 @@
 	settings Settings
 	deps     Deps
 	log      *slog.Logger
+	budget   *logsvc.Budget
 	loop     *control.Loop[State, Snapshot]
 }
 
 // New returns a side process. Start starts it.
 func New(s Settings, deps Deps) *Side {
-	p := &Side{settings: s, deps: deps, log: deps.Log}
+	p := &Side{settings: s, deps: deps, log: deps.Log, budget: logsvc.NewBudget(float64(s.AppendBudget) * sideShare)}
 	p.loop = control.New(control.Config[State, Snapshot]{
 		State:   newState(),
 		Stages:  p.controlPipeline(),
@@ -78,7 +79,13 @@
 		return program.Serve(background, program.NewServer(program.Admin(p.ready, p.status)), admin, time.Second)
 	})
 	p.log.Info("started", "instance", p.settings.Instance, "listen", traffic.Addr().String())
-	err := program.Serve(ctx, program.NewServer(p.Handler()), traffic, p.settings.DrainTime)
+	serving, stopServing := context.WithCancel(background)
+	go func() {
+		<-ctx.Done()
+		p.Drain(background, p.settings.DrainTime)
+		stopServing()
+	}()
+	err := program.Serve(serving, program.NewServer(p.Handler()), traffic, closeTime)
 	stop()
 	if err == nil {
 		err = g.Wait()
@@ -90,6 +97,10 @@
 func (p *Side) Start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { p.loop.Run(ctx); return nil })
 	g.Go(func() error { p.followConfig(ctx); return nil })
+	g.Go(func() error { p.followInstances(ctx); return nil })
+	for range claimWorkers {
+		g.Go(func() error { p.workClaims(ctx); return nil })
+	}
 }
 
 func (p *Side) followConfig(ctx context.Context) {
@@ -113,6 +124,8 @@
 	server := httptransport.NewServer(run, decodeRun, encodeRun, httptransport.ServerErrorEncoder(encodeError))
 	mux := http.NewServeMux()
 	mux.Handle("POST "+wire.PathRun, p.authenticate(server))
+	resume := httptransport.NewServer(p.resume, decodeResume, encodeRun, httptransport.ServerErrorEncoder(encodeError))
+	mux.Handle("GET "+wire.PathResume, p.authenticate(resume))
 	return mux
 }
 
@@ -128,7 +141,10 @@
 	})
 }
 
-func (p *Side) ready() bool { return p.loop.Snapshot().Config.Offset != config.NoBase }
+func (p *Side) ready() bool {
+	s := p.loop.Snapshot()
+	return s.Config.Offset != config.NoBase && s.Draining == ""
+}
 
 // Status is the answer of the /status path.
 type Status struct {
--- /dev/null
+++ b/internal/side/stage_replay.go
@@ -0,0 +1,86 @@
+package side
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/replay"
+)
+
+// Events of the kept answers.
+type (
+	// attachRequest asks for the buffer of a request; a new one is created if
+	// there is none.
+	attachRequest struct {
+		control.Question[attached]
+		key         replay.Key
+		fingerprint uint64
+		cancel      func()
+		replace     bool // the kept answer lacks the wanted frames
+		onlyKept    bool // refuse instead of creating
+	}
+	attached struct {
+		buffer  *replay.Buffer
+		created bool
+		refusal *model.Refusal
+	}
+	// detached ends the reading of one reader.
+	detached struct {
+		key    replay.Key
+		buffer *replay.Buffer
+	}
+	// runFinished ends the work behind a buffer.
+	runFinished struct {
+		key    replay.Key
+		buffer *replay.Buffer
+		bytes  int64
+		keep   bool
+	}
+)
+
+func (attachRequest) EventName() string { return "attach_request" }
+func (detached) EventName() string      { return "detached" }
+func (runFinished) EventName() string   { return "run_finished" }
+
+// keepAnswers indexes running and kept answers.
+type keepAnswers struct{}
+
+func (keepAnswers) Name() string { return "keep_answers" }
+
+func (st keepAnswers) Apply(s *State, now time.Time, ev control.Event) bool {
+	switch ev := ev.(type) {
+	case attachRequest:
+		ev.Reply(st.attach(s, now, ev))
+	case detached:
+		s.Replay.Detach(ev.key, ev.buffer, now)
+	case runFinished:
+		s.Replay.Finish(ev.key, ev.buffer, ev.bytes, ev.keep, now)
+	case control.Tick:
+		if n := s.Replay.Sweep(now); n > 0 {
+			metrics.GetOrCreateCounter(`goldcrest_answers_cancelled_total`).Add(n)
+		}
+	}
+	return false
+}
+
+func (keepAnswers) attach(s *State, now time.Time, ev attachRequest) attached {
+	buffer, verdict := s.Replay.Attach(ev.key, ev.fingerprint)
+	if verdict == replay.Attached && ev.replace {
+		s.Replay.Detach(ev.key, buffer, now)
+	}
+	switch {
+	case verdict == replay.Mismatch && !ev.onlyKept:
+		return attached{refusal: model.Refuse(model.ReasonDuplicate, "the id or key belongs to another request")}
+	case verdict == replay.Attached && !ev.replace:
+		metrics.GetOrCreateCounter(`goldcrest_answers_attached_total`).Inc()
+		return attached{buffer: buffer}
+	case ev.onlyKept:
+		return attached{refusal: &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonNotKept, Detail: "no answer of this request is kept"}}
+	case s.Draining != "":
+		return attached{refusal: model.Refuse(s.Draining, "the endpoint takes no new work")}
+	}
+	return attached{buffer: s.Replay.Create(ev.key, ev.fingerprint, ev.cancel), created: true}
+}
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -6,15 +6,21 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/replay"
 )
 
 // State is the control state of a side process. Only its control loop touches
 // it.
 type State struct {
-	Config  *config.Accepted
-	Running map[model.RequestID]model.Cost // admitted and not yet finished
-	Load    int64                          // cost units of Running
-	Mean    PoolMean                       // last known mean load of the pool
+	Config   *config.Accepted
+	Running  map[model.RequestID]model.Cost // admitted and not yet finished
+	Load     int64                          // cost units of Running
+	Mean     PoolMean                       // last known mean load of the pool
+	Claims   claimState
+	Replay   *replay.Index
+	Draining model.Reason // why no new work is taken; empty if it is taken
+	drainEnd []waitIdle
+	services map[model.InstanceID]struct{} // live service instances, which share the append budget
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -27,10 +33,11 @@
 
 // Snapshot is the published view of the state. Nobody changes it.
 type Snapshot struct {
-	At      time.Time
-	Config  *config.Accepted
-	Load    int64
-	Running int
+	At       time.Time
+	Config   *config.Accepted
+	Load     int64
+	Running  int
+	Draining model.Reason
 }
 
 // Events of the side's control pipeline.
@@ -57,9 +64,15 @@
 func (meanReceived) EventName() string { return "mean_received" }
 
 func newState() *State {
-	return &State{Config: config.Empty(), Running: map[model.RequestID]model.Cost{}}
+	return &State{
+		Config: config.Empty(), Running: map[model.RequestID]model.Cost{}, Claims: newClaimState(),
+		services: map[model.InstanceID]struct{}{},
+		Replay: replay.NewIndex(replay.Limits{
+			AnswerBytes: defaultKeepAnswer, TotalBytes: defaultKeepTotal, Keep: defaultKeepTime, Grace: defaultGraceTime,
+		}),
+	}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running)}
+	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running), Draining: s.Draining}
 }
--- /dev/null
+++ b/internal/wire/resume.go
@@ -0,0 +1,48 @@
+package wire
+
+import (
+	"net/url"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// maxResumeValue bounds one value of a resume query.
+const maxResumeValue = 1024
+
+// ResumeQuery returns the query that asks for the frames of req from index
+// from on.
+func ResumeQuery(req *model.Request, from int) url.Values {
+	return url.Values{
+		"request":    {string(req.ID)},
+		"workspace":  {string(req.Workspace)},
+		"route":      {string(req.Route)},
+		"key":        {req.IdempotencyKey},
+		"idempotent": {strconv.FormatBool(req.Idempotent)},
+		"fp":         {strconv.FormatUint(req.Fingerprint, 16)},
+		"from":       {strconv.Itoa(from)},
+	}
+}
+
+// DecodeResume returns the request of a resume query. It has no body and must
+// not be run.
+func DecodeResume(q url.Values) (*model.Request, error) {
+	for name, values := range q {
+		if len(values) != 1 || len(values[0]) > maxResumeValue {
+			return nil, eris.Errorf("wire: %q of the resume query is repeated or too long", name)
+		}
+	}
+	idempotent, err1 := strconv.ParseBool(q.Get("idempotent"))
+	fingerprint, err2 := strconv.ParseUint(q.Get("fp"), 16, 64)
+	from, err3 := strconv.Atoi(q.Get("from"))
+	if err1 != nil || err2 != nil || err3 != nil || from < 0 || q.Get("request") == "" {
+		return nil, eris.New("wire: resume query is malformed")
+	}
+	return &model.Request{
+		ID: model.RequestID(q.Get("request")), Workspace: model.Workspace(q.Get("workspace")),
+		Route: model.Route(q.Get("route")), IdempotencyKey: q.Get("key"), Idempotent: idempotent,
+		Fingerprint: fingerprint, From: from, Stages: &model.StageTimes{},
+	}, nil
+}
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -16,11 +17,32 @@
 // ErrCut is the error of an answer that ends before its end frame.
 var ErrCut = eris.New("wire: answer ended before its end frame")
 
+// SlowReaderTimeout is how long one frame may wait for a reader that does not
+// take it. It is far above the time between tokens, so that only a reader that
+// stopped is cut.
+const SlowReaderTimeout = 10 * time.Second
+
+// errorFrame tells the reader why the answer was cut.
+func errorFrame(id model.RequestID, err error) Frame {
+	data, _ := json.Marshal(FromRefusal(model.AsRefusal(err)))
+	return Frame{Request: id, Index: -1, Kind: model.FrameError, Data: data}
+}
+
+func refusalOf(f Frame) error {
+	var r Refusal
+	if json.Unmarshal(f.Data, &r) != nil || r.Outcome == "" {
+		return ErrCut
+	}
+	return r.Model()
+}
+
 // WriteAnswer writes the head and all frames of a to w and flushes after each.
+// A reader that does not take a frame within SlowReaderTimeout is cut.
 func WriteAnswer(ctx context.Context, w http.ResponseWriter, a *model.Answer) error {
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	enc, rc := json.NewEncoder(w), http.NewResponseController(w)
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	head := Head{
 		Request: a.Request, Status: a.Status, ContentType: a.ContentType, Endpoint: a.Endpoint,
 		Version: a.Version, LoadRatio: a.LoadRatio, CachedUnits: a.CachedUnits,
@@ -35,7 +57,10 @@
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
+		_ = rc.SetWriteDeadline(time.Now().Add(SlowReaderTimeout))
 		if err != nil {
+			_ = enc.Encode(errorFrame(a.Request, err))
+			_ = rc.Flush()
 			return eris.Wrap(err, "wire: source of the answer failed")
 		}
 		if err := enc.Encode(Frame{Request: f.Request, Index: f.Index, Kind: f.Kind, Data: f.Data}); err != nil {
@@ -49,6 +74,7 @@
 
 // Reader decodes the answer of a side process. It implements model.FrameReader.
 type Reader struct {
+	request model.RequestID
 	body    io.ReadCloser
 	scanner *bufio.Scanner
 	ended   bool
@@ -63,6 +89,7 @@
 	if err := r.line(&head); err != nil {
 		return nil, Head{}, eris.Wrap(err, "wire: head is malformed")
 	}
+	r.request = head.Request
 	return r, head, nil
 }
 
@@ -76,7 +103,10 @@
 	if err := r.line(&f); err != nil {
 		return model.Frame{}, err
 	}
-	r.ended = f.Kind == model.FrameEnd
+	if f.Request == r.request && f.Kind == model.FrameError {
+		return model.Frame{}, refusalOf(f)
+	}
+	r.ended = f.Request == r.request && f.Kind == model.FrameEnd
 	return model.Frame{Request: f.Request, Index: f.Index, Kind: f.Kind, Data: f.Data}, nil
 }
 
