Measure claims, answers and planned stops over random histories

Cause: the barrier, the relay and the drain had no proof under faults. Change: a fake network and a faulty log; three scenarios that drive the real entry and side pipelines in virtual time.

--- a/internal/endpointapi/engine.go
+++ b/internal/endpointapi/engine.go
@@ -30,6 +30,11 @@
 	return &Engine{base: base, id: id, http: &http.Client{}}
 }
 
+// WithTransport returns the client with another transport.
+func (e *Engine) WithTransport(t http.RoundTripper) *Engine {
+	return &Engine{base: e.base, id: e.id, http: &http.Client{Transport: t}}
+}
+
 // Run starts a generation and returns its answer once the engine accepted it.
 func (e *Engine) Run(ctx context.Context, req *model.Request) (*model.Answer, error) {
 	body, err := json.Marshal(GenerateRequest{
--- a/internal/endpointapi/service.go
+++ b/internal/endpointapi/service.go
@@ -27,6 +27,11 @@
 	return &Service{base: base, id: id, http: &http.Client{}}
 }
 
+// WithTransport returns the client with another transport.
+func (s *Service) WithTransport(t http.RoundTripper) *Service {
+	return &Service{base: s.base, id: s.id, http: &http.Client{Transport: t}}
+}
+
 // Run calls the service and reads its whole answer.
 func (s *Service) Run(ctx context.Context, req *model.Request) (*model.Answer, error) {
 	_, path, _ := strings.Cut(string(req.Route), "/")
--- a/internal/entry/encode.go
+++ b/internal/entry/encode.go
@@ -10,12 +10,18 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
 const headerStages = "Server-Timing" // trailer with the stage times
 
+// slowCallerTimeout is how long one event may wait for a caller that does not
+// take it. It is far above the time between tokens, so that only a caller that
+// stopped reading is cut; it can resume with Last-Event-ID.
+const slowCallerTimeout = 10 * time.Second
+
 // encodeChat writes a chat answer as JSON or as server-sent events.
 func encodeChat(ctx context.Context, w http.ResponseWriter, response any) error {
 	a := response.(*model.Answer)
@@ -58,8 +64,10 @@
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(http.StatusOK)
 	rc := http.NewResponseController(w)
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	for {
 		f, err := a.Frames.Next(ctx)
+		_ = rc.SetWriteDeadline(time.Now().Add(slowCallerTimeout))
 		if errors.Is(err, io.EOF) {
 			w.Header().Set(headerStages, stageHeader(a.Stages))
 			return nil
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -73,7 +73,11 @@
 
 // Scenarios lists all scenarios in the order in which they run.
 func Scenarios() []Scenario {
-	return []Scenario{}
+	return []Scenario{
+		{Name: "state/claims", Run: claimScenario},
+		{Name: "state/answers", Run: answerScenario},
+		{Name: "state/stops", Run: stopScenario},
+	}
 }
 
 // Run runs the scenarios whose name starts with prefix, prints their figures to
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
 )
 
 // trafficPipeline lists the filters between decode and encode.
@@ -23,7 +24,7 @@
 		foldMean{},
 		foldList{p.settings, p.budget},
 		decideAdmission{p.settings},
-		decideClaims{p.settings, p.deps.Without.Claims, p.log},
+		decideClaims{p.settings, p.deps.Without.Claims, program.WithPrefix(p.log, "claims: ")},
 		keepAnswers{},
 		decideDrain{},
 	}
--- a/internal/side/stage_claim.go
+++ b/internal/side/stage_claim.go
@@ -157,10 +157,10 @@
 	return "repeated"
 }
 
-func (decideClaims) reportMalformed(ev claimRecords) {
+func (st decideClaims) reportMalformed(ev claimRecords) {
 	for _, offset := range ev.batch.Malformed {
 		metrics.GetOrCreateCounter(`goldcrest_log_records_skipped_total{stream="claims"}`).Inc()
-		slog.Warn("claims: record was skipped", "stream", claim.Stream(ev.partition), "offset", offset)
+		st.log.Warn("record was skipped", "stream", claim.Stream(ev.partition), "offset", offset)
 	}
 }
 
