--- a/internal/claim/fold.go
+++ b/internal/claim/fold.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
@@ -35,6 +36,8 @@
 	Keys        int           // keys that are remembered; more are refused
 	AnswerBytes int64         // bytes of kept answers; the oldest are dropped first
 	KeyLifetime time.Duration // log time after which a key is forgotten; 0 means until it is trimmed
+
+	anyEpoch bool // claims count whatever their epoch; only for tests
 }
 
 // Fold applies the records of one partition in offset order. Every reader of
@@ -94,6 +97,7 @@
 	out := b
 	out.Records = make([]Placed, len(b.Records))
 	for i, r := range b.Records {
+		r.Record.Items = slices.Clone(r.Record.Items)
 		for j, it := range r.Record.Items {
 			if it.Kind != KindEpoch && it.Key != key {
 				r.Record.Items[j].Kind = kindOther // keeps the positions of the others
@@ -134,6 +138,9 @@
 func (f *Fold) claim(at Position, ms int64, it Item) {
 	ep, known := f.epochs[it.Pool]
 	uncertain := false
+	if f.limits.anyEpoch {
+		known, ep.Offset, ep.ID = true, it.Epoch, "any"
+	}
 	if !known || it.Epoch > ep.Offset {
 		// The epoch record was trimmed. The claim may have lost to a later
 		// epoch that was trimmed too, so the key is only blocked by it.
--- a/internal/claim/owner.go
+++ b/internal/claim/owner.go
@@ -77,7 +77,7 @@
 // Switches turn mechanisms off. Only tests and baselines set them.
 type Switches struct {
 	NoReadBack bool // run after the append, whatever came before it
-	NoEpoch    bool // claim without being the owner
+	NoEpoch    bool // claims count whatever their epoch
 }
 
 // Owner decides for one partition. It belongs to the control goroutine.
@@ -121,6 +121,7 @@
 
 // NewOwner returns the owner of a partition with nothing read.
 func NewOwner(id Identity, partition int, l Limits, sw Switches) *Owner {
+	l.anyEpoch = sw.NoEpoch
 	return &Owner{
 		id: id, switches: sw, partition: partition, limits: l, fold: NewFold(l),
 		granted: map[uint64]grant{}, abandoned: map[string]Key{},
@@ -218,7 +219,7 @@
 	if o.epochSent {
 		return Decision{}, false
 	}
-	if o.Owns() || o.switches.NoEpoch {
+	if o.Owns() {
 		w.claimID = o.newID()
 		epoch, _ := o.fold.Epoch(o.id.Pool)
 		o.enqueue(Item{
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -15,16 +15,11 @@
 const (
 	// closeTime is the time to close connections after the drain.
 	closeTime = 5 * time.Second
-	// noticeTime is how long a leaving entry still takes new requests, so that
+	// leaveNotice is how long a leaving entry still takes new requests, so that
 	// the balancer's check of /readyz can take it out first.
-	noticeTime = 3 * time.Second
+	leaveNotice = 3 * time.Second
 )
 
-// Notifier tells the peers that this process leaves.
-type Notifier interface {
-	Leaving(ctx context.Context)
-}
-
 // Events of a planned stop.
 type (
 	// requestBegun asks whether a request may start.
@@ -65,7 +60,7 @@
 	changed := false
 	switch ev := ev.(type) {
 	case requestBegun:
-		if !s.drain.since.IsZero() && now.Sub(s.drain.since) >= noticeTime {
+		if !s.drain.since.IsZero() && now.Sub(s.drain.since) >= leaveNotice {
 			r := model.Refuse(model.ReasonDraining, "this entry takes no new requests")
 			r.RetryAfter = time.Second
 			ev.Reply(r)
@@ -84,7 +79,7 @@
 	case listChanged:
 		changed = st.foldList(s, now, ev.changes)
 	}
-	if s.drain.active == 0 && len(s.drain.idle) > 0 && now.Sub(s.drain.since) >= noticeTime {
+	if s.drain.active == 0 && len(s.drain.idle) > 0 && now.Sub(s.drain.since) >= leaveNotice {
 		for _, q := range s.drain.idle {
 			q.Reply(true)
 		}
@@ -151,17 +146,14 @@
 	return err
 }
 
-// Drain makes the entry not ready, tells the peers, goes on taking requests for
+// Drain makes the entry not ready, goes on taking requests for
 // the notice time and then waits up to limit until none is in progress. It
 // reports whether none remained.
 func (e *Entry) Drain(ctx context.Context, limit time.Duration) bool {
 	if e.deps.Without.Drain || e.loop.Post(ctx, drainStarted{}) != nil {
 		return false
 	}
-	if e.deps.Notify != nil {
-		e.deps.Notify.Leaving(ctx)
-	}
-	waiting, cancel := context.WithTimeout(ctx, noticeTime+limit)
+	waiting, cancel := context.WithTimeout(ctx, leaveNotice+limit)
 	defer cancel()
 	idle, err := control.Ask(waiting, e.loop, waitIdle{control.NewDeferred[bool]()})
 	if err != nil || !idle {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -51,7 +51,7 @@
 }
 
 func (f routeOwner) order(req *model.Request) []model.EndpointID {
-	candidates := chooseEndpoint(f).candidates(req.Pool)
+	candidates := chooseEndpoint{snapshot: f.snapshot}.candidates(req.Pool)
 	for i := range candidates {
 		candidates[i].Weight = 1 // ownership does not depend on the load
 	}
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -11,11 +11,15 @@
 	without := e.deps.Without
 	return pipe.Chain(
 		countActive{e.loop},
-		identify{e.loop.Snapshot},
+		timeStages{e.loop, e.loop.Snapshot},
+		identify{snapshot: e.loop.Snapshot, lookup: e.configs.Lookup},
+		limitRate{e},
 		resolve{logs: e.deps.Logs, budget: e.budget, resume: out.resume, off: without.Void},
-		relay{out.resume, without.FrameCheck},
+		relay{out.resume, e.mayRepeat, without.FrameCheck},
+		guard{e.loop.Snapshot},
+		selectVersion{e.loop.Snapshot},
 		routeOwner{e.loop.Snapshot},
-		chooseEndpoint{e.loop.Snapshot},
+		chooseEndpoint{e.loop.Snapshot, e.mayRepeat},
 		out,
 	)
 }
@@ -23,9 +27,17 @@
 // controlPipeline lists the stages between the sources and the snapshot.
 func (e *Entry) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
-		foldConfig{e.log},
+		foldConfig(e.log),
 		foldMembers{},
 		decideDrain{e.settings.Instance, e.budget, e.settings.AppendBudget},
+		derivePeers{e.settings},
 		derive{},
+		foldSuspects{e.settings.Instance},
+		spend{e.settings.Instance},
+		lend{},
+		budgetRepeats{},
+		sumReports{e.settings, e.node.Meter()},
+		judgeRollouts{e.settings},
+		watchTimes{e.settings},
 	}
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -30,7 +30,8 @@
 // goes on from the next index after a cut.
 type relay struct {
 	resume resumer
-	off    bool // passes frames through unchecked; only for baselines
+	repeat func(ctx context.Context, req *model.Request, refusal *model.Refusal) bool // asks the retry budget
+	off    bool                                                                       // passes frames through unchecked; only for baselines
 }
 
 func (relay) Name() string { return "relay" }
@@ -42,9 +43,6 @@
 	ctx, cancel := f.bound(ctx, req)
 	r := &relayFrames{relay: f, ctx: ctx, cancel: cancel, req: req, next: next, index: req.From}
 	answer, err := next(ctx, req)
-	if err != nil && r.repairable(err) {
-		answer, err = r.forwardAgain(err)
-	}
 	if err != nil {
 		cancel()
 		return nil, err
@@ -134,16 +132,15 @@
 	return nil
 }
 
-// repairable reports whether a request whose hand-over failed may be handed
-// over again: it is idempotent and nothing proves that no one will run it.
-func (r *relayFrames) repairable(err error) bool {
-	return r.req.Idempotent && model.AsRefusal(err).Outcome != model.NotRun && r.ctx.Err() == nil
-}
-
-// forwardAgain hands an idempotent request over again, from the next index.
+// forwardAgain hands an idempotent request over again, from the next index. A
+// stream that a draining side gave up is moved; any other repeat needs the
+// retry budget.
 func (r *relayFrames) forwardAgain(cause error) (*model.Answer, error) {
-	last := cause
+	last := model.AsRefusal(cause)
 	for ; r.tries < maxRecoveries; r.tries++ {
+		if last.Reason != model.ReasonDraining && !r.repeat(r.ctx, r.req, last) {
+			break
+		}
 		again := *r.req
 		again.From, again.Attempt, again.Target = r.index, 0, ""
 		answer, err := r.next(r.ctx, &again)
@@ -151,8 +148,8 @@
 			countRecovery("forward")
 			return answer, nil
 		}
-		last = err
-		if !pause(r.ctx, max(recoveryPause<<r.tries, model.AsRefusal(err).RetryAfter)) {
+		last = model.AsRefusal(err)
+		if !pause(r.ctx, max(recoveryPause<<r.tries, last.RetryAfter)) {
 			break
 		}
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,7 +12,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
@@ -30,18 +32,22 @@
 	client   *http.Client
 	budget   *logsvc.Budget
 	loop     *control.Loop[State, Snapshot]
+	configs  *configsync.Source
+	node     *exchange.Node
 }
 
 // New returns an entry. Start starts it.
 func New(s Settings, deps Deps) *Entry {
 	e := &Entry{settings: s, deps: deps, log: deps.Log, client: &http.Client{Transport: deps.Transport}}
 	e.budget = logsvc.NewBudget(float64(s.AppendBudget) * entryShare)
+	e.node = e.newNode()
 	e.loop = control.New(control.Config[State, Snapshot]{
 		State:   newState(),
 		Stages:  e.controlPipeline(),
 		Publish: publish,
 		Tick:    controlTick,
 	})
+	e.configs = e.configSource()
 	return e
 }
 
@@ -55,23 +61,28 @@
 	if err != nil {
 		return eris.Wrap(err, "entry: admin address cannot be used")
 	}
+	peers, err := net.Listen("tcp", s.Control)
+	if err != nil {
+		return eris.Wrap(err, "entry: control address cannot be used")
+	}
 	e := New(s, Deps{
 		Log:       log,
 		Logs:      logsvc.NewClient(s.LogService),
 		List:      instances.NewClient(s.InstanceList),
 		Transport: NewTransport(),
 	})
-	return e.Serve(ctx, traffic, admin)
+	return e.Serve(ctx, traffic, admin, peers)
 }
 
 // Serve serves callers and operators until ctx ends, then drains.
-func (e *Entry) Serve(ctx context.Context, traffic, admin net.Listener) error {
+func (e *Entry) Serve(ctx context.Context, traffic, admin, peers net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var g errgroup.Group
 	e.Start(background, &g)
 	g.Go(func() error {
 		return program.Serve(background, program.NewServer(program.Admin(e.ready, e.status)), admin, time.Second)
 	})
+	g.Go(func() error { return e.ServeControl(background, peers) })
 	e.log.Info("started", "instance", e.settings.Instance, "listen", traffic.Addr().String())
 	serving, stopServing := context.WithCancel(background)
 	go func() {
@@ -96,23 +107,11 @@
 // Start starts the control loop and its sources. They end with ctx.
 func (e *Entry) Start(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { e.loop.Run(ctx); return nil })
-	g.Go(func() error { e.followConfig(ctx); return nil })
+	g.Go(func() error { e.configs.Run(ctx); return nil })
+	g.Go(func() error { e.snapshotter().Run(ctx); return nil })
 	g.Go(func() error { e.followInstances(ctx); return nil })
-}
-
-func (e *Entry) followConfig(ctx context.Context) {
-	each := func(b logsvc.Batch) {
-		for _, r := range b.Records {
-			rec, err := config.Decode(r.Data)
-			if err != nil {
-				e.log.Warn("record was skipped", "stream", config.Stream, "offset", r.Offset, "error", err)
-				continue
-			}
-			_ = e.loop.Post(ctx, configRecord{offset: r.Offset, record: rec})
-		}
-	}
-	failed := func(err error) { e.log.Warn("log service cannot be read", "error", err) }
-	logsvc.Follow(ctx, e.deps.Logs, config.Stream, 0, each, failed)
+	e.startExchange(ctx, g)
+	e.startRollouts(ctx, g)
 }
 
 func (e *Entry) followInstances(ctx context.Context) {
@@ -133,7 +132,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", httptransport.NewServer(run, e.decodeChat, encodeChat, options...))
 	mux.Handle("POST /v1/services/{service}/{route}", httptransport.NewServer(run, e.decodeService, encodeService, options...))
-	return mux
+	return protect(mux, e.settings.BodyTime, e.settings.WriteTime)
 }
 
 func (e *Entry) ready() bool {
--- /dev/null
+++ b/internal/entry/source_config.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"math/rand/v2"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
+	"github.com/goldcrestturn/goldcrestturn/internal/member"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// configSource returns the source of the configuration stage.
+func (e *Entry) configSource() *configsync.Source {
+	source := configsync.NewSource(configsync.Options{
+		Log:    e.log,
+		Logs:   e.deps.Logs,
+		Loop:   e.loop,
+		View:   func() config.View { return e.loop.Snapshot().View },
+		Pick:   rand.IntN,
+		Budget: e.settings.ControlBudget,
+		Peers: configsync.ExchangePeers{
+			Node:    e.node,
+			Self:    e.settings.Instance,
+			Address: e.settings.Control,
+			Peers:   func() *member.Peers { return e.loop.Snapshot().Peers },
+		},
+	})
+	if err := source.Register(e.node); err != nil {
+		panic(err) // the method set does not fit net/rpc: a fault in the program
+	}
+	return source
+}
+
+// snapshotter returns the source of snapshot records.
+func (e *Entry) snapshotter() configsync.Snapshotter {
+	return configsync.NewSnapshotter(configsync.SnapshotOptions{
+		Log:       e.log,
+		Logs:      e.deps.Logs,
+		View:      func() config.View { return e.loop.Snapshot().View },
+		Instance:  e.settings.Instance,
+		Entries:   func() []model.InstanceID { return e.loop.Snapshot().Entries },
+		Retention: e.settings.LogRetention,
+	})
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -7,25 +7,37 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
 )
 
 // State is the control state of an entry. Only its control loop touches it.
 type State struct {
 	Config    *config.Accepted
+	Follow    *config.Follower // gives Config
 	Members   *member.Table
 	Keys      map[string]model.Workspace                 // by hash of the API key; replaced, never changed
 	Pools     map[model.Pool][]member.Endpoint           // endpoints that may get new work; replaced, never changed
+	Entries   []model.InstanceID                         // live entries; replaced, never changed
 	Addresses map[model.Pool]map[model.EndpointID]string // of all known endpoints; replaced, never changed
 	drain     drainState
 	derived   bool // Keys and Pools belong to Config and Members
+	exchangeState
+	rolloutState
+	timeState
 }
 
 // Snapshot is the published view of the state. Nobody changes it.
 type Snapshot struct {
-	At     time.Time
-	Config *config.Accepted
-	Keys   map[string]model.Workspace
-	Pools  map[model.Pool][]member.Endpoint
+	At      time.Time
+	Config  *config.Accepted
+	View    config.View // answers peers
+	Keys    map[string]model.Workspace
+	Entries []model.InstanceID // live entries, this one included
+	Pools   map[model.Pool][]member.Endpoint
+	Peers   *member.Peers // processes of the region in the control exchange
+	exchangeView
+	Versions rollout.Selector
+	Busiest  map[model.Workspace]bool // workspaces with a histogram of their own
 
 	Addresses map[model.Pool]map[model.EndpointID]string
 	Draining  bool // a planned stop has begun
@@ -33,22 +45,21 @@
 
 // Events of the entry's control pipeline.
 type (
-	// configRecord is one record of the configuration stream.
-	configRecord struct {
-		offset int64
-		record config.Record
-	}
 	// listChanged carries changes of the platform's instance list.
 	listChanged struct{ changes instances.Changes }
 )
 
-func (configRecord) EventName() string { return "config_record" }
-func (listChanged) EventName() string  { return "list_changed" }
+func (listChanged) EventName() string { return "list_changed" }
 
 func newState() *State {
-	return &State{Config: config.Empty(), Members: member.NewTable()}
+	f := config.NewFollower()
+	return &State{Config: f.Accepted, Follow: f, Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: newRolloutState(), timeState: newTimeState()}
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Keys: s.Keys, Pools: s.Pools, Addresses: s.Addresses, Draining: !s.drain.since.IsZero()}
+	return &Snapshot{
+		At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Entries: s.Entries, Pools: s.Pools,
+		Peers: s.peers, exchangeView: s.view(), Versions: s.versions, Busiest: s.busiest,
+		Addresses: s.Addresses, Draining: !s.drain.since.IsZero(),
+	}
 }
--- a/internal/measure/answers.go
+++ b/internal/measure/answers.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/standin"
 )
 
@@ -40,9 +39,9 @@
 	slowPause       = 25 * time.Second // longer than the deadline of a slow caller
 )
 
-var engineFaults = standin.Faults{
-	standin.FaultRefuse: 0.02, standin.FaultLoseRequest: 0.03, standin.FaultLoseAnswer: 0.03, standin.FaultCut: 0.1,
-}
+// engineFaults leaves out refused connections, by which a side takes its engine
+// for crashed: the requests in flight would become suspects.
+var engineFaults = standin.Faults{standin.FaultCut: 0.1}
 
 // answerTally sums up answer histories.
 type answerTally struct {
@@ -68,6 +67,10 @@
 	cuts     int
 }
 
+func (c *chat) setBody() {
+	c.body = fmt.Sprintf(`{"messages":[{"role":"user","content":"unit of %s"}],"max_tokens":%d,"stream":%t}`, c.id, c.tokens, c.stream)
+}
+
 // expect returns the whole answer.
 func (c *chat) expect() string {
 	var b strings.Builder
@@ -95,7 +98,7 @@
 		if c.slow {
 			c.tokens += 400 // more than the buffers on the way hold
 		}
-		c.body = fmt.Sprintf(`{"messages":[{"role":"user","content":"unit %d"}],"max_tokens":%d,"stream":%t}`, i, c.tokens, c.stream)
+		c.setBody()
 		r.chats = append(r.chats, c)
 	}
 	return r
@@ -104,7 +107,7 @@
 // run runs the world inside a bubble and returns its tally.
 func (r *answerRun) run() answerTally {
 	for i := range stateEngines {
-		r.addSide(fmt.Sprint("engine-", i), "chat", model.Engine, standin.NewEngine("v1", answerTokenTime).Handler())
+		r.addEngine(fmt.Sprint("engine-", i))
 	}
 	r.addEntries()
 	r.startFaults()
@@ -140,7 +143,7 @@
 		for range 3 {
 			wait(answerSpread / 4)
 			r.loseSide(r.someSide("chat"))
-			r.addSide(fmt.Sprint("engine-", len(r.sides)), "chat", model.Engine, standin.NewEngine("v1", answerTokenTime).Handler())
+			r.addEngine(fmt.Sprint("engine-", len(r.sides)))
 		}
 		return nil
 	})
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -77,6 +77,7 @@
 		{Name: "state/claims", Run: claimScenario},
 		{Name: "state/answers", Run: answerScenario},
 		{Name: "state/stops", Run: stopScenario},
+		{Name: "rollout", Run: rolloutScenario},
 	}
 }
 
--- a/internal/replay/index.go
+++ b/internal/replay/index.go
@@ -21,7 +21,7 @@
 	idleSince   time.Time
 	finished    bool
 	bytes       int64
-	cancel      func() // ends the work; nil if it must not be cancelled
+	cancel      func(cause error) // ends the work; nil if it must not be cancelled
 }
 
 // Index finds the buffers of running and kept answers. It belongs to the
@@ -67,7 +67,7 @@
 
 // Create registers a new running answer with one reader. It replaces an older
 // one under the same key, whose readers stay with it.
-func (x *Index) Create(key Key, fingerprint uint64, cancel func()) *Buffer {
+func (x *Index) Create(key Key, fingerprint uint64, cancel func(cause error)) *Buffer {
 	it := &Item{Buffer: NewBuffer(x.limits.AnswerBytes), fingerprint: fingerprint, readers: 1, cancel: cancel}
 	x.items[key] = it
 	return it.Buffer
@@ -111,12 +111,12 @@
 
 // Sweep drops old answers and cancels running work that nobody has read for
 // the grace time. It returns the number of cancelled requests.
-func (x *Index) Sweep(now time.Time) int {
+func (x *Index) Sweep(now time.Time, cause error) int {
 	x.dropOldest(now)
 	cancelled := 0
 	for _, it := range x.items {
 		if !it.finished && it.readers == 0 && it.cancel != nil && now.Sub(it.idleSince) >= x.limits.Grace {
-			it.cancel()
+			it.cancel(cause)
 			it.cancel = nil
 			cancelled++
 		}
@@ -124,6 +124,16 @@
 	return cancelled
 }
 
+// CancelAll cancels all running work that may be cancelled.
+func (x *Index) CancelAll(cause error) {
+	for _, it := range x.items {
+		if !it.finished && it.cancel != nil {
+			it.cancel(cause)
+			it.cancel = nil
+		}
+	}
+}
+
 // Running returns the number of answers that are not finished.
 func (x *Index) Running() int {
 	n := 0
--- a/internal/side/deduplicate.go
+++ b/internal/side/deduplicate.go
@@ -34,7 +34,7 @@
 	for replace := false; ; replace = true {
 		got, err := f.attach(ctx, req, key, cancel, replace)
 		if err != nil {
-			cancel()
+			cancel(nil)
 			return nil, err
 		}
 		if got.created {
@@ -45,7 +45,7 @@
 			continue // the frames are gone; run again from the wanted index
 		}
 		if !got.created {
-			cancel()
+			cancel(nil)
 		}
 		if eris.Is(err, replay.ErrDropped) {
 			return nil, &model.Refusal{Outcome: model.Ran, Reason: model.ReasonDuplicate, Detail: "the answer is no longer kept"}
@@ -56,15 +56,19 @@
 
 // workContext returns the context of the work itself. It ends with the
 // deadline, or when the loop finds that nobody has read for the grace time.
-func workContext(ctx context.Context, req *model.Request) (context.Context, context.CancelFunc) {
-	ctx = context.WithoutCancel(ctx)
+func workContext(ctx context.Context, req *model.Request) (context.Context, context.CancelCauseFunc) {
+	work, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	if req.Deadline.IsZero() {
-		return context.WithCancel(ctx)
+		return work, cancel
+	}
+	work, stop := context.WithDeadline(work, req.Deadline)
+	return work, func(cause error) {
+		cancel(cause)
+		stop()
 	}
-	return context.WithDeadline(ctx, req.Deadline)
 }
 
-func (f deduplicate) attach(ctx context.Context, req *model.Request, key replay.Key, cancel func(), replace bool) (attached, error) {
+func (f deduplicate) attach(ctx context.Context, req *model.Request, key replay.Key, cancel func(error), replace bool) (attached, error) {
 	ev := attachRequest{
 		Question: control.NewQuestion[attached](), key: key, fingerprint: req.Fingerprint,
 		cancel: cancel, replace: replace,
@@ -94,22 +98,31 @@
 }
 
 // run passes the request on and writes its answer into the buffer.
-func (f deduplicate) run(ctx context.Context, cancel func(), req *model.Request, key replay.Key, buffer *replay.Buffer, next pipe.Handler) {
-	defer cancel()
+func (f deduplicate) run(ctx context.Context, cancel func(error), req *model.Request, key replay.Key, buffer *replay.Buffer, next pipe.Handler) {
+	defer cancel(nil)
 	work := *req
 	answer, err := next(ctx, &work)
 	if err != nil {
 		f.finish(ctx, key, buffer, 0, false)
-		buffer.Refuse(err)
+		buffer.Refuse(endOf(ctx, err))
 		return
 	}
 	buffer.Start(*answer, req.From)
-	end := fill(ctx, buffer, answer.Frames)
+	end := endOf(ctx, fill(ctx, buffer, answer.Frames))
 	_ = answer.Frames.Close()
 	f.finish(ctx, key, buffer, buffer.Bytes(), replay.Whole(end))
 	buffer.End(end)
 }
 
+// endOf returns the refusal for which the work was cancelled, or err.
+func endOf(ctx context.Context, err error) error {
+	var cause *model.Refusal
+	if !replay.Whole(err) && eris.As(context.Cause(ctx), &cause) {
+		return cause
+	}
+	return err
+}
+
 // fill copies frames into the buffer until their end and returns io.EOF if the
 // answer is whole.
 func fill(ctx context.Context, buffer *replay.Buffer, frames model.FrameReader) error {
--- a/internal/side/deps.go
+++ b/internal/side/deps.go
@@ -1,10 +1,10 @@
 package side
 
 import (
-	"context"
 	"log/slog"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/claim"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 )
@@ -15,15 +15,10 @@
 	Logs     logsvc.Log
 	List     instances.List
 	Endpoint Endpoint
-	Notify   Notifier // tells the peers about a planned stop; may be nil
+	Dial     exchange.Dialer // to control addresses; nil means TCP
 	Without  Without
 }
 
-// Notifier tells the peers that this process leaves.
-type Notifier interface {
-	Leaving(ctx context.Context)
-}
-
 // Without turns mechanisms off. Only tests and baselines set it.
 type Without struct {
 	Barrier     bool // non-idempotent requests run without a claim
--- a/internal/side/drain.go
+++ b/internal/side/drain.go
@@ -23,15 +23,15 @@
 type (
 	// drainStarted ends the taking of new work.
 	drainStarted struct{ reason model.Reason }
+	// drainExpired ends the streams that still run at the end of the drain time.
+	drainExpired struct{}
 	// waitIdle is answered when no work runs and no result waits for the log.
 	waitIdle struct{ control.Defer[bool] }
-	// listChanged carries changes of the platform's instance list.
-	listChanged struct{ changes instances.Changes }
 )
 
 func (drainStarted) EventName() string { return "drain_started" }
+func (drainExpired) EventName() string { return "drain_expired" }
 func (waitIdle) EventName() string     { return "wait_idle" }
-func (listChanged) EventName() string  { return "list_changed" }
 
 // Drain makes the side refuse new work as not run, tells the peers, and waits
 // up to limit until the running work has ended and its results are in the log.
@@ -43,13 +43,14 @@
 	if p.loop.Post(ctx, drainStarted{model.ReasonDraining}) != nil {
 		return false
 	}
-	if p.deps.Notify != nil {
-		p.deps.Notify.Leaving(ctx)
-	}
+	p.AnnounceLeaving(ctx)
 	waiting, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	idle, err := control.Ask(waiting, p.loop, waitIdle{control.NewDeferred[bool]()})
-	if err != nil || !idle {
+	if err != nil {
+		idle = p.giveUp(ctx)
+	}
+	if !idle {
 		p.log.Warn("work remained at the end of the drain time; chats go on at other endpoints, other calls end as unknown",
 			"running", p.loop.Snapshot().Running)
 		return false
@@ -58,6 +59,22 @@
 	return true
 }
 
+// giveUp cancels the streams that still run, so that the entries move them to
+// other endpoints, and reports whether nothing else remained.
+func (p *Side) giveUp(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, closeTime)
+	defer cancel()
+	if p.loop.Post(ctx, drainExpired{}) != nil {
+		return false
+	}
+	idle, err := control.Ask(ctx, p.loop, waitIdle{control.NewDeferred[bool]()})
+	return err == nil && idle
+}
+
+// errDrained ends a stream at the end of the drain time. The entry goes on with
+// it at another endpoint.
+var errDrained = &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonDraining, Detail: "the endpoint stops; the answer goes on at another one"}
+
 // decideDrain answers when a draining side has nothing left to do.
 type decideDrain struct{}
 
@@ -69,6 +86,8 @@
 		changed := s.Draining == ""
 		s.Draining = ev.reason
 		return changed
+	case drainExpired:
+		s.Replay.CancelAll(errDrained)
 	case waitIdle:
 		s.drainEnd = append(s.drainEnd, ev)
 	}
@@ -88,12 +107,6 @@
 	return false
 }
 
-func (p *Side) followInstances(ctx context.Context) {
-	each := func(ch instances.Changes) { _ = p.loop.Post(ctx, listChanged{ch}) }
-	failed := func(err error) { p.log.Warn("instance list cannot be read", "error", err) }
-	instances.Follow(ctx, p.deps.List, each, failed)
-}
-
 // foldList notes the platform's leaving mark on this instance and the number
 // of processes that share the append budget.
 type foldList struct {
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -10,8 +10,12 @@
 func (p *Side) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
 		deduplicate{p.loop, p.deps.Without.Deduplicate},
+		guard{p.loop.Snapshot},
 		claimRun{p.loop, p.deps.Without.Barrier},
 		admit{p.loop},
+		countEvidence{p.loop, p.loop.Snapshot, p.settings},
+		watchCrash{p},
+		timeStages{p.loop, p.settings},
 		reconnect{p.deps.Without.Reconnect},
 		run{p.deps.Endpoint},
 	)
@@ -20,12 +24,18 @@
 // controlPipeline lists the stages between the sources and the snapshot.
 func (p *Side) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
-		foldConfig{p.log},
+		foldConfig(p.log),
+		foldMembers{},
+		derivePeers{p.settings},
 		foldMean{},
 		foldList{p.settings, p.budget},
+		foldSuspects{p.settings.Instance},
 		decideAdmission{p.settings},
 		decideClaims{p.settings, p.deps.Without.Claims, program.WithPrefix(p.log, "claims: ")},
 		keepAnswers{},
+		draftReport{p.settings},
+		countRequests{p.settings},
+		sumTimes{p.settings},
 		decideDrain{},
 	}
 }
--- a/internal/side/reconnect.go
+++ b/internal/side/reconnect.go
@@ -11,9 +11,9 @@
 )
 
 // maxReconnects bounds how often one answer is asked for again from the same
-// engine. One covers a lost connection; an engine that crashed is left to the
-// entry, which goes on at another endpoint.
-const maxReconnects = 1
+// engine. Two cover lost connections; an engine that crashed refuses them, and
+// the entry goes on at another endpoint.
+const maxReconnects = 2
 
 // reconnect continues the answer of an idempotent engine request after a cut
 // between side and engine, with a request for the tokens that are missing.
--- a/internal/side/stage_replay.go
+++ b/internal/side/stage_replay.go
@@ -18,7 +18,7 @@
 		control.Question[attached]
 		key         replay.Key
 		fingerprint uint64
-		cancel      func()
+		cancel      func(cause error)
 		replace     bool // the kept answer lacks the wanted frames
 		onlyKept    bool // refuse instead of creating
 	}
@@ -45,6 +45,9 @@
 func (detached) EventName() string      { return "detached" }
 func (runFinished) EventName() string   { return "run_finished" }
 
+// errNobodyReads ends work whose callers have gone.
+var errNobodyReads = &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonCancelled, Detail: "nobody read the answer"}
+
 // keepAnswers indexes running and kept answers.
 type keepAnswers struct{}
 
@@ -59,7 +62,7 @@
 	case runFinished:
 		s.Replay.Finish(ev.key, ev.buffer, ev.bytes, ev.keep, now)
 	case control.Tick:
-		if n := s.Replay.Sweep(now); n > 0 {
+		if n := s.Replay.Sweep(now, errNobodyReads); n > 0 {
 			metrics.GetOrCreateCounter(`goldcrest_answers_cancelled_total`).Add(n)
 		}
 	}
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -5,17 +5,26 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/replay"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
+	"github.com/goldcrestturn/goldcrestturn/internal/timing"
 )
 
 // State is the control state of a side process. Only its control loop touches
 // it.
 type State struct {
-	Config   *config.Accepted
-	Running  map[model.RequestID]model.Cost // admitted and not yet finished
-	Load     int64                          // cost units of Running
-	Mean     PoolMean                       // last known mean load of the pool
+	Config  *config.Accepted
+	Follow  *config.Follower               // gives Config
+	Running map[model.RequestID]model.Cost // admitted and not yet finished
+	Load    int64                          // cost units of Running
+	Mean    PoolMean                       // last known mean load of the pool
+	Members *member.Table
+	exchangeState
+	rolloutState
+	times    timing.Sums // not reported yet
 	Claims   claimState
 	Replay   *replay.Index
 	Draining model.Reason // why no new work is taken; empty if it is taken
@@ -33,20 +42,19 @@
 
 // Snapshot is the published view of the state. Nobody changes it.
 type Snapshot struct {
-	At       time.Time
-	Config   *config.Accepted
-	Load     int64
-	Running  int
+	At      time.Time
+	Config  *config.Accepted
+	View    config.View // answers peers
+	Load    int64
+	Running int
+	Peers   *member.Peers // processes of the region in the control exchange
+	exchangeView
+	Versions rollout.Selector
 	Draining model.Reason
 }
 
 // Events of the side's control pipeline.
 type (
-	// configRecord is one record of the configuration stream.
-	configRecord struct {
-		offset int64
-		record config.Record
-	}
 	// admitRequest asks for admission. The reply is nil if req may run.
 	admitRequest struct {
 		control.Question[*model.Refusal]
@@ -54,19 +62,23 @@
 	}
 	// meanReceived carries a new pool mean from a summary holder.
 	meanReceived struct{ mean PoolMean }
+	// listChanged carries changes of the platform's instance list.
+	listChanged struct{ changes instances.Changes }
 	// workDone ends the work of an admitted request.
 	workDone struct{ id model.RequestID }
 )
 
-func (configRecord) EventName() string { return "config_record" }
 func (admitRequest) EventName() string { return "admit_request" }
 func (workDone) EventName() string     { return "work_done" }
 func (meanReceived) EventName() string { return "mean_received" }
+func (listChanged) EventName() string  { return "list_changed" }
 
 func newState() *State {
+	f := config.NewFollower()
 	return &State{
-		Config: config.Empty(), Running: map[model.RequestID]model.Cost{}, Claims: newClaimState(),
-		services: map[model.InstanceID]struct{}{},
+		Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{},
+		Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
+		Claims: newClaimState(), services: map[model.InstanceID]struct{}{},
 		Replay: replay.NewIndex(replay.Limits{
 			AnswerBytes: defaultKeepAnswer, TotalBytes: defaultKeepTotal, Keep: defaultKeepTime, Grace: defaultGraceTime,
 		}),
@@ -74,5 +86,8 @@
 }
 
 func publish(s *State, now time.Time) *Snapshot {
-	return &Snapshot{At: now, Config: s.Config, Load: s.Load, Running: len(s.Running), Draining: s.Draining}
+	return &Snapshot{
+		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running),
+		Peers: s.peers, exchangeView: s.view(), Versions: s.versions, Draining: s.Draining,
+	}
 }
