--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,6 +30,7 @@
 	deps     Deps
 	log      *slog.Logger
 	client   *http.Client
+	budget   *logsvc.Budget
 	loop     *control.Loop[State, Snapshot]
 	configs  *configsync.Source
 	node     *exchange.Node
@@ -38,6 +39,7 @@
 // New returns an entry. Start starts it.
 func New(s Settings, deps Deps) *Entry {
 	e := &Entry{settings: s, deps: deps, log: deps.Log, client: &http.Client{Transport: deps.Transport}}
+	e.budget = logsvc.NewBudget(float64(s.AppendBudget) * entryShare)
 	e.node = e.newNode()
 	e.loop = control.New(control.Config[State, Snapshot]{
 		State:   newState(),
@@ -82,7 +84,13 @@
 	})
 	g.Go(func() error { return e.ServeControl(background, peers) })
 	e.log.Info("started", "instance", e.settings.Instance, "listen", traffic.Addr().String())
-	err := program.Serve(ctx, program.NewServer(e.Handler()), traffic, e.settings.DrainTime)
+	serving, stopServing := context.WithCancel(background)
+	go func() {
+		<-ctx.Done()
+		e.Drain(background, e.settings.DrainTime)
+		stopServing()
+	}()
+	err := program.Serve(serving, program.NewServer(e.Handler()), traffic, closeTime)
 	stop()
 	return eris.Wrap(firstError(err, g.Wait()), "entry")
 }
@@ -127,7 +135,10 @@
 	return protect(mux, e.settings.BodyTime, e.settings.WriteTime)
 }
 
-func (e *Entry) ready() bool { return e.loop.Snapshot().Config.Offset != config.NoBase }
+func (e *Entry) ready() bool {
+	s := e.loop.Snapshot()
+	return s.Config.Offset != config.NoBase && !s.Draining
+}
 
 // Status is the answer of the /status path.
 type Status struct {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -13,13 +13,15 @@
 
 // State is the control state of an entry. Only its control loop touches it.
 type State struct {
-	Config  *config.Accepted
-	Follow  *config.Follower // gives Config
-	Members *member.Table
-	Keys    map[string]model.Workspace       // by hash of the API key; replaced, never changed
-	Pools   map[model.Pool][]member.Endpoint // endpoints that may get new work; replaced, never changed
-	Entries []model.InstanceID               // live entries; replaced, never changed
-	derived bool                             // Keys and Pools belong to Config and Members
+	Config    *config.Accepted
+	Follow    *config.Follower // gives Config
+	Members   *member.Table
+	Keys      map[string]model.Workspace                 // by hash of the API key; replaced, never changed
+	Pools     map[model.Pool][]member.Endpoint           // endpoints that may get new work; replaced, never changed
+	Entries   []model.InstanceID                         // live entries; replaced, never changed
+	Addresses map[model.Pool]map[model.EndpointID]string // of all known endpoints; replaced, never changed
+	drain     drainState
+	derived   bool // Keys and Pools belong to Config and Members
 	exchangeState
 	rolloutState
 	timeState
@@ -40,6 +42,8 @@
 	Busiest  map[model.Workspace]bool // workspaces with a histogram of their own
 
 	Candidates map[model.Pool]*choose.Pool
+	Addresses  map[model.Pool]map[model.EndpointID]string
+	Draining   bool // a planned stop has begun
 }
 
 // Events of the entry's control pipeline.
@@ -59,5 +63,6 @@
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Keys: s.Keys, Entries: s.Entries, Pools: s.Pools,
 		Peers: s.peers, exchangeView: s.view(), Versions: s.versions, Busiest: s.busiest, Candidates: s.Candidates,
+		Addresses: s.Addresses, Draining: !s.drain.since.IsZero(),
 	}
 }
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -44,6 +44,8 @@
 	Attempt        int // 0 for the first hand-over
 	Target         EndpointID
 	KVFrom         string  // address of the side that holds the chat's cache, if it is not the target
+	Takeover       bool    // the target may take the key's partition over from an owner that cannot be reached
+	Uncertain      bool    // an earlier hand-over may have run; only the log can tell
 	Version        Version // version that the rollout filter selected; empty means any
 	Stages         *StageTimes
 }
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -3,17 +3,21 @@
 import (
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
 )
 
 // trafficPipeline lists the filters between decode and encode.
 func (p *Side) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
+		deduplicate{p.loop, p.deps.Without.Deduplicate},
 		guard{p.loop.Snapshot},
+		claimRun{p.loop, p.deps.Without.Barrier},
 		newAdmission(p.loop),
 		countEvidence{p.loop, p.loop.Snapshot, p.settings},
 		watchCrash{p},
 		timeStages{p.loop, p.settings},
 		fetchKV{p.kv, p.settings.Key},
+		reconnect{p.deps.Without.Reconnect},
 		run{p.deps.Endpoint},
 	)
 }
@@ -26,11 +30,15 @@
 		derivePeers{p.settings},
 		decideOrders{pool: p.settings.Pool, wake: p.ordersWake},
 		foldMean{},
+		foldList{p.settings, p.budget},
 		foldSuspects{p.settings},
 		decideAdmission{p.settings},
 		planMoves{p.settings, p.kv},
+		decideClaims{p.settings, p.deps.Without.Claims, program.WithPrefix(p.log, "claims: ")},
+		keepAnswers{},
 		draftReport{p.settings},
 		countRequests{p.settings},
 		sumTimes{p.settings},
+		decideDrain{},
 	}
 }
