--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -90,11 +90,12 @@
 	server := httptest.NewServer(endpoint)
 	f.t.Cleanup(server.Close)
 	s := side.Settings{Instance: model.InstanceID(id), DataCentre: "akl-1", Region: "akl", Pool: pool, Kind: kind, Key: "shared", AppendBudget: 300}
-	var client side.Endpoint = endpointapi.NewEngine(server.URL, s.EndpointID())
+	engine := endpointapi.NewEngine(server.URL, s.EndpointID())
+	deps := side.Deps{Log: slog.New(slog.DiscardHandler), Logs: f.logs, List: f.list, Endpoint: engine, KV: engine, KVWait: time.Minute, Reports: engine}
 	if kind == model.Service {
-		client = endpointapi.NewService(server.URL, s.EndpointID())
+		deps.Endpoint, deps.KV, deps.Reports = endpointapi.NewService(server.URL, s.EndpointID()), nil, nil
 	}
-	p := side.New(s, side.Deps{Log: slog.New(slog.DiscardHandler), Logs: f.logs, List: f.list, Endpoint: client})
+	p := side.New(s, deps)
 	p.Start(f.ctx, f.group)
 	traffic := httptest.NewServer(p.Handler())
 	f.t.Cleanup(traffic.Close)
--- a/internal/endpointapi/kv.go
+++ b/internal/endpointapi/kv.go
@@ -45,6 +45,25 @@
 	return kv, eris.Wrap(err, "endpointapi: exported prefix is malformed")
 }
 
+// Report reads the engine's report on itself.
+func (e *Engine) Report(ctx context.Context) (Load, error) {
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+PathLoad, nil)
+	if err != nil {
+		return Load{}, eris.Wrap(err, "endpointapi: report cannot be asked for")
+	}
+	resp, err := e.http.Do(call)
+	if err != nil {
+		return Load{}, eris.Wrap(err, "endpointapi: report")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Load{}, eris.Errorf("endpointapi: report was answered with status %d", resp.StatusCode)
+	}
+	var l Load
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxLineBytes)).Decode(&l)
+	return l, eris.Wrap(err, "endpointapi: report is malformed")
+}
+
 // ImportKV gives the engine the cached prefix of a chat. Engines refuse one of
 // another version.
 func (e *Engine) ImportKV(ctx context.Context, kv KV) error {
--- a/internal/side/admit.go
+++ b/internal/side/admit.go
@@ -47,7 +47,7 @@
 		return nil, err
 	}
 	answer.LoadRatio = reply.ratio
-	answer.Frames = &progressReader{FrameReader: answer.Frames, loop: f.loop, ticket: ticket, chat: chatOf(req), done: done}
+	answer.Frames = &progressReader{FrameReader: answer.Frames, loop: f.loop, ticket: ticket, chat: chatOf(req), done: done, failed: f.noteFailure}
 	return answer, nil
 }
 
@@ -66,12 +66,15 @@
 	return req.HashKey()
 }
 
-// noteFailure reports a refused connection, which means that the endpoint
-// restarts and will be cold.
+// noteFailure reports a refused connection or a crash, which mean that the
+// endpoint restarts and will be cold.
 func (f admission) noteFailure(ctx context.Context, err error) {
 	r := model.AsRefusal(err)
-	if r.Outcome == model.NotRun && r.Reason == model.ReasonEndpointFailed {
+	switch {
+	case r.Outcome == model.NotRun && r.Reason == model.ReasonEndpointFailed:
 		_ = f.loop.Post(context.WithoutCancel(ctx), endpointCold{evidence: coldRefused})
+	case r.Reason == model.ReasonCrashed:
+		_ = f.loop.Post(context.WithoutCancel(ctx), endpointCold{evidence: coldCrash})
 	}
 }
 
@@ -88,6 +91,7 @@
 	chat   string // empty if the request belongs to none
 	frames int64
 	done   func()
+	failed func(ctx context.Context, err error)
 }
 
 // Next implements model.FrameReader.
@@ -95,6 +99,7 @@
 	f, err := r.FrameReader.Next(ctx)
 	if err != nil {
 		if !errors.Is(err, io.EOF) {
+			r.failed(ctx, err)
 			r.finish()
 		}
 		return f, err
--- a/internal/side/deps.go
+++ b/internal/side/deps.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
@@ -15,6 +16,8 @@
 	List     instances.List
 	Endpoint Endpoint
 	Orders   Orders          // of the endpoint; nil if it takes none
+	Reports  Reporter        // of the endpoint; nil if it makes none
+	KVWait   time.Duration   // longest wait for a copy of a chat's cache; 0 means fetchTimeout
 	KV       KVStore         // of the endpoint; nil if it has no prefix cache
 	Dial     exchange.Dialer // to control addresses; nil means TCP
 	Jitter   func() float64  // uniform in [0, 1); nil means math/rand
--- a/internal/side/kv.go
+++ b/internal/side/kv.go
@@ -1,6 +1,7 @@
 package side
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -42,6 +43,7 @@
 // for use by all traffic goroutines.
 type kvMover struct {
 	store   KVStore
+	wait    time.Duration // for a copy before a request runs
 	client  *http.Client
 	imports *rate.Limiter
 	exports *rate.Limiter
@@ -54,9 +56,9 @@
 	address string
 }
 
-func newKVMover(store KVStore) *kvMover {
+func newKVMover(store KVStore, wait time.Duration) *kvMover {
 	return &kvMover{
-		store: store, client: &http.Client{},
+		store: store, wait: cmp.Or(wait, fetchTimeout), client: &http.Client{},
 		imports: rate.NewLimiter(movesPerSecond, movesPerSecond),
 		exports: rate.NewLimiter(movesPerSecond, movesPerSecond),
 		moves:   make(chan []kvMove, 1),
@@ -84,7 +86,7 @@
 }
 
 func (f fetchKV) fetch(ctx context.Context, req *model.Request) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.kv.wait)
 	defer cancel()
 	call, err := http.NewRequestWithContext(ctx, http.MethodGet, kvURL(req.KVFrom)+url.PathEscape(req.HashKey()), nil)
 	if err != nil {
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -45,7 +45,7 @@
 
 // New returns a side process. Start starts it.
 func New(s Settings, deps Deps) *Side {
-	p := &Side{settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue), ordersWake: make(chan struct{}, 1), kv: newKVMover(deps.KV)}
+	p := &Side{settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue), ordersWake: make(chan struct{}, 1), kv: newKVMover(deps.KV, deps.KVWait)}
 	p.loop = control.New(control.Config[State, Snapshot]{
 		State:   newState(s),
 		Stages:  p.controlPipeline(),
@@ -79,7 +79,7 @@
 	}
 	if s.Kind == model.Engine {
 		engine := endpointapi.NewEngine(s.Endpoint, s.EndpointID())
-		deps.Endpoint, deps.Orders, deps.KV = engine, engine, engine
+		deps.Endpoint, deps.Orders, deps.KV, deps.Reports = engine, engine, engine, engine
 	}
 	p := New(s, deps)
 	return p.Serve(ctx, traffic, admin, peers)
@@ -116,6 +116,7 @@
 	g.Go(func() error { p.reportEvidence(ctx); return nil })
 	g.Go(func() error { p.reportTimes(ctx); return nil })
 	g.Go(func() error { p.moveChats(ctx); return nil })
+	g.Go(func() error { p.readReports(ctx); return nil })
 }
 
 // Handler returns the HTTP interface for entries.
--- a/internal/side/stage_admit.go
+++ b/internal/side/stage_admit.go
@@ -18,7 +18,6 @@
 // admissionState is what the admission keeps.
 type admissionState struct {
 	Admission   *admit.Controller
-	isDraining  bool // this process stops
 	listedOut   bool // the instance list says that this instance leaves
 	admissionOf *config.Accepted
 	asked       map[admit.Ticket]admitRequest // waiting for a decision
@@ -60,8 +59,6 @@
 				s.listedOut = in.Status == instances.Leaving
 			}
 		}
-	case drainStarted:
-		s.isDraining = true
 	}
 	st.applyState(s, now) // the event may have closed the gate
 	due = append(due, c.Step(now)...)
@@ -81,8 +78,8 @@
 	s.Admission.SetMean(admit.Mean(s.Mean), now)
 	s.Admission.SetGate(admit.Gate{
 		DataCentreOut: s.Config.Lists.DataCentres[st.settings.DataCentre].State == lists.Out,
-		Leaving:       s.isLeaving || s.listedOut,
-		Draining:      s.isDraining,
+		Leaving:       s.listedOut,
+		Draining:      s.isLeaving,
 	})
 }
 
@@ -110,6 +107,7 @@
 // The kinds of evidence besides a late first token.
 const (
 	coldRefused coldEvidence = "refused_connection"
+	coldCrash   coldEvidence = "crash"
 	coldRestart coldEvidence = "shorter_uptime"
 	coldCache   coldEvidence = "dropped_cache"
 )
@@ -170,8 +168,6 @@
 		uptime      time.Duration
 		cacheTokens int64
 	}
-	// drainStarted tells that this process stops.
-	drainStarted struct{}
 )
 
 func (admitRequest) EventName() string     { return "admit_request" }
@@ -180,4 +176,3 @@
 func (workDone) EventName() string         { return "work_done" }
 func (endpointCold) EventName() string     { return "endpoint_cold" }
 func (endpointReported) EventName() string { return "endpoint_reported" }
-func (drainStarted) EventName() string     { return "drain_started" }
