--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -30,6 +30,11 @@
 func (chooseEndpoint) Name() string { return "choose" }
 
 func (f chooseEndpoint) Handle(ctx context.Context, req *model.Request, next pipe.Handler) (*model.Answer, error) {
+	if !req.Idempotent { // the owner of the key has been selected
+		answer, err := next(ctx, req)
+		f.observe(req.Target, answer, err)
+		return answer, err
+	}
 	start := time.Now()
 	var last error = model.Refuse(model.ReasonNoEndpoint, "no endpoint of the pool takes new work")
 	order, holder := f.order(req)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -21,6 +21,7 @@
 	LogRetention  time.Duration // time for which the log service keeps records
 	DrainTime     time.Duration
 	ControlBudget int64 // bytes a second for control traffic
+	AppendBudget  int64 // appends a second of the whole fleet
 	MaxBody       int64 // bytes of one caller's body
 	Timeout       time.Duration
 	BodyTime      time.Duration // for a caller to send its body
@@ -37,6 +38,10 @@
 	minControlBudget     = 1_000
 	maxControlBudget     = 1_000_000
 	defaultMaxBody       = 2 << 20
+	// defaultAppendBudget stays below the several hundred appends a second
+	// that the log service takes.
+	defaultAppendBudget = 300
+	maxAppendBudget     = 10_000
 	// defaultLogRetention is short, so that a wrong default only costs a few
 	// more snapshots, not the start of a fleet without peers.
 	defaultLogRetention = 4 * time.Hour
@@ -74,6 +79,7 @@
 		LogRetention:  f.Duration("platform", "log_retention", defaultLogRetention, minLogRetention, maxLogRetention),
 		DrainTime:     f.Duration("entry", "drain_time", defaultDrainTime, time.Second, maxDrainTime),
 		ControlBudget: f.Int("fleet", "control_budget", defaultControlBudget, minControlBudget, maxControlBudget),
+		AppendBudget:  f.Int("fleet", "append_budget", defaultAppendBudget, 1, maxAppendBudget),
 		MaxBody:       f.Int("entry", "max_body", defaultMaxBody, 1, 64<<20),
 		Timeout:       f.Duration("entry", "timeout", defaultTimeout, time.Second, maxTimeout),
 		BodyTime:      f.Duration("entry", "body_time", defaultBodyTime, time.Millisecond, maxTimeout),
--- a/internal/entry/stage_derive.go
+++ b/internal/entry/stage_derive.go
@@ -26,8 +26,9 @@
 func (derive) Apply(s *State, now time.Time, ev control.Event) bool {
 	_, tick := ev.(control.Tick)
 	if s.derived && !(tick && (s.firstTick.IsZero() || sliceOpens(s, now))) {
-		return false
+		return refreshLoads(s)
 	}
+	s.loadsStale = false
 	deriveKeys(s)
 	noteReturns(s, now, tick)
 	derivePools(s, now)
@@ -35,6 +36,24 @@
 	return true
 }
 
+// refreshLoads gives the candidates their newest loads. They change with most
+// answers, so the rest of the index is kept.
+func refreshLoads(s *State) bool {
+	if !s.loadsStale {
+		return false
+	}
+	s.loadsStale = false
+	next := make(map[model.Pool]*choose.Pool, len(s.Candidates))
+	for name, p := range s.Candidates {
+		next[name] = p.WithLoads(func(id model.EndpointID) (float64, bool) {
+			l := s.loads[id]
+			return l.ratio, l.over
+		})
+	}
+	s.Candidates = next
+	return true
+}
+
 // sliceOpens reports whether the slices of a returning data centre change with
 // time or its return is over.
 func sliceOpens(s *State, now time.Time) bool {
@@ -60,10 +79,10 @@
 	s.keysOf = s.Config
 }
 
-// settleTime is how long after its first tick an entry takes the records that
+// historyTime is how long after its first tick an entry takes the records that
 // it reads for history. A data centre that came back in one of them returned
 // before this process started.
-const settleTime = 5 * time.Second
+const historyTime = 5 * time.Second
 
 // noteReturns notes when a data centre came back into service and forgets it
 // once every pool has given its chats back.
@@ -71,7 +90,7 @@
 	if tick && s.firstTick.IsZero() {
 		s.firstTick = now
 	}
-	settled := !s.firstTick.IsZero() && now.Sub(s.firstTick) >= settleTime
+	settled := !s.firstTick.IsZero() && now.Sub(s.firstTick) >= historyTime
 	for name, dc := range s.Config.Lists.DataCentres {
 		if dc.State == lists.Out {
 			s.wasOut[name] = true
@@ -104,12 +123,17 @@
 func derivePools(s *State, now time.Time) {
 	s.Entries = nil
 	s.Pools = map[model.Pool][]member.Endpoint{}
+	s.Addresses = map[model.Pool]map[model.EndpointID]string{}
 	known := map[model.Pool][]member.Endpoint{}
 	for _, e := range s.Members.All() {
 		switch {
 		case e.Role == instances.RoleEntry && e.Usable():
 			s.Entries = append(s.Entries, e.ID)
 		case e.Role == instances.RoleEndpoint:
+			if s.Addresses[e.Pool] == nil {
+				s.Addresses[e.Pool] = map[model.EndpointID]string{}
+			}
+			s.Addresses[e.Pool][e.EndpointID()] = e.Address
 			known[e.Pool] = append(known[e.Pool], e)
 		}
 	}
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -34,6 +34,7 @@
 	settings Settings
 	deps     Deps
 	log      *slog.Logger
+	budget   *logsvc.Budget
 	loop     *control.Loop[State, Snapshot]
 	node     *exchange.Node
 	crashes  chan suspect.Crash // to the log
@@ -45,7 +46,11 @@
 
 // New returns a side process. Start starts it.
 func New(s Settings, deps Deps) *Side {
-	p := &Side{settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue), ordersWake: make(chan struct{}, 1), kv: newKVMover(deps.KV, deps.KVWait)}
+	p := &Side{
+		settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue),
+		ordersWake: make(chan struct{}, 1), kv: newKVMover(deps.KV, deps.KVWait),
+		budget: logsvc.NewBudget(float64(s.AppendBudget) * sideShare),
+	}
 	p.loop = control.New(control.Config[State, Snapshot]{
 		State:   newState(s),
 		Stages:  p.controlPipeline(),
@@ -94,9 +99,14 @@
 		return program.Serve(background, program.NewServer(program.Admin(p.ready, p.status)), admin, time.Second)
 	})
 	g.Go(func() error { return p.ServeControl(background, peers) })
-	context.AfterFunc(ctx, func() { p.AnnounceLeaving(background) })
 	p.log.Info("started", "instance", p.settings.Instance, "listen", traffic.Addr().String())
-	err := program.Serve(ctx, program.NewServer(p.Handler()), traffic, p.settings.DrainTime)
+	serving, stopServing := context.WithCancel(background)
+	go func() {
+		<-ctx.Done()
+		p.Drain(background, p.settings.DrainTime)
+		stopServing()
+	}()
+	err := program.Serve(serving, program.NewServer(p.Handler()), traffic, closeTime)
 	stop()
 	if err == nil {
 		err = g.Wait()
@@ -117,6 +127,9 @@
 	g.Go(func() error { p.reportTimes(ctx); return nil })
 	g.Go(func() error { p.moveChats(ctx); return nil })
 	g.Go(func() error { p.readReports(ctx); return nil })
+	for range claimWorkers {
+		g.Go(func() error { p.workClaims(ctx); return nil })
+	}
 }
 
 // Handler returns the HTTP interface for entries.
@@ -127,6 +140,8 @@
 	mux.Handle("POST "+wire.PathRun, p.authenticate(server))
 	mux.Handle("GET "+wire.PathKV+"{chat}", p.authenticate(http.HandlerFunc(p.exportKV)))
 	mux.Handle("PUT "+wire.PathKV+"{chat}", p.authenticate(http.HandlerFunc(p.importKV)))
+	resume := httptransport.NewServer(p.resume, decodeResume, encodeRun, httptransport.ServerErrorEncoder(encodeError))
+	mux.Handle("GET "+wire.PathResume, p.authenticate(resume))
 	return mux
 }
 
@@ -142,7 +157,10 @@
 	})
 }
 
-func (p *Side) ready() bool { return p.loop.Snapshot().Config.Offset != config.NoBase }
+func (p *Side) ready() bool {
+	s := p.loop.Snapshot()
+	return s.Config.Offset != config.NoBase && s.Draining == ""
+}
 
 // Status is the answer of the /status path.
 type Status struct {
