--- a/internal/entry/stage_derive.go
+++ b/internal/entry/stage_derive.go
@@ -26,8 +26,9 @@
 func (derive) Apply(s *State, now time.Time, ev control.Event) bool {
 	_, tick := ev.(control.Tick)
 	if s.derived && !(tick && (s.firstTick.IsZero() || sliceOpens(s, now))) {
-		return false
+		return refreshLoads(s)
 	}
+	s.loadsStale = false
 	deriveKeys(s)
 	noteReturns(s, now, tick)
 	derivePools(s, now)
@@ -35,6 +36,24 @@
 	return true
 }
 
+// refreshLoads gives the candidates their newest loads. They change with most
+// answers, so the rest of the index is kept.
+func refreshLoads(s *State) bool {
+	if !s.loadsStale {
+		return false
+	}
+	s.loadsStale = false
+	next := make(map[model.Pool]*choose.Pool, len(s.Candidates))
+	for name, p := range s.Candidates {
+		next[name] = p.WithLoads(func(id model.EndpointID) (float64, bool) {
+			l := s.loads[id]
+			return l.ratio, l.over
+		})
+	}
+	s.Candidates = next
+	return true
+}
+
 // sliceOpens reports whether the slices of a returning data centre change with
 // time or its return is over.
 func sliceOpens(s *State, now time.Time) bool {
