Quarantine requests that shared one crash

Change: an entry holds a request that shared one crash back for 1 s and then offers it in an order that depends on its fingerprint and the list only. PipeNet loses what is sent into a partition. A test shows that the scenario fails without the notices.

Conclusion: copies in flight show whether they crash before any goes on.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -57,6 +57,9 @@
 	if pool == nil {
 		return nil
 	}
+	if req.Quarantined {
+		return quarantineOrder(f.snapshot(), req)
+	}
 	var store [choose.MaxOrder]choose.Candidate
 	var out []model.EndpointID
 	for _, c := range pool.Order(store[:0], choose.QueryOf(req), maxHandOvers) {
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -11,9 +11,9 @@
 		timeStages{e.loop, e.loop.Snapshot},
 		identify{snapshot: e.loop.Snapshot, lookup: e.configs.Lookup},
 		limitRate{e},
-		guard{e.loop.Snapshot},
+		guard{e.loop.Snapshot, e.mayRepeat},
 		selectVersion{e.loop.Snapshot},
-		chooseEndpoint{e.loop.Snapshot, e.mayRepeat, e.loop},
+		chooseEndpoint{e.loop.Snapshot, e.mayHandOver, e.loop},
 		forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client},
 	)
 }
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -13,6 +13,16 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/retry"
 )
 
+// mayHandOver is mayRepeat for the next endpoint of the same order. A request
+// that shares a crash goes back to guard, which holds it back first.
+func (e *Entry) mayHandOver(ctx context.Context, req *model.Request, refusal *model.Refusal) bool {
+	_, touched := e.loop.Snapshot().Touched.Hold(req.Fingerprint, time.Now())
+	if refusal.Reason == model.ReasonCrashed || touched && !req.Quarantined {
+		return false
+	}
+	return e.mayRepeat(ctx, req, refusal)
+}
+
 // mayRepeat reports whether a refused request may go to a further endpoint. It
 // pauses before a request is executed again.
 func (e *Entry) mayRepeat(ctx context.Context, req *model.Request, refusal *model.Refusal) bool {
--- a/internal/entry/stage_suspects.go
+++ b/internal/entry/stage_suspects.go
@@ -40,7 +40,7 @@
 		changed = s.suspects.Sweep(now) || changed
 	}
 	if changed {
-		s.refused = s.suspects.View(now)
+		s.refused, s.touched = s.suspects.View(now), s.suspects.Touched(now)
 	}
 	return changed
 }
--- a/internal/entry/state_exchange.go
+++ b/internal/entry/state_exchange.go
@@ -27,13 +27,17 @@
 	budgets   *retry.Budgets
 	suspects  *suspect.Table
 	refused   suspect.View     // replaced, never changed
+	touched   suspect.Touched  // replaced, never changed
 	released  *config.Accepted // whose released fingerprints suspects knows
 	notices   summary.Notices
 	groupTurn int // counts the reports to the roots
 }
 
 // exchangeView is the part of the snapshot that the exchange feeds.
-type exchangeView struct{ Suspects suspect.View }
+type exchangeView struct {
+	Suspects suspect.View
+	Touched  suspect.Touched
+}
 
 func newExchangeState() exchangeState {
 	return exchangeState{
@@ -44,7 +48,9 @@
 	}
 }
 
-func (s *exchangeState) view() exchangeView { return exchangeView{Suspects: s.refused} }
+func (s *exchangeState) view() exchangeView {
+	return exchangeView{Suspects: s.refused, Touched: s.touched}
+}
 
 // news is what replies carry beside their subject.
 type news struct {
--- a/internal/exchange/delay.go
+++ b/internal/exchange/delay.go
@@ -11,6 +11,8 @@
 type delayedConn struct {
 	net.Conn
 	delay time.Duration
+	cut   func() bool // what is sent while it holds is lost, and all after it
+	lost  bool
 	queue chan delayedWrite
 	done  chan struct{}
 	once  sync.Once
@@ -24,8 +26,8 @@
 // delayQueue bounds the writes on their way. More block the writer.
 const delayQueue = 256
 
-func newDelayedConn(c net.Conn, delay time.Duration) *delayedConn {
-	d := &delayedConn{Conn: c, delay: delay, queue: make(chan delayedWrite, delayQueue), done: make(chan struct{})}
+func newDelayedConn(c net.Conn, delay time.Duration, cut func() bool) *delayedConn {
+	d := &delayedConn{Conn: c, delay: delay, cut: cut, queue: make(chan delayedWrite, delayQueue), done: make(chan struct{})}
 	go d.deliver()
 	return d
 }
@@ -75,6 +77,9 @@
 	t := time.NewTimer(time.Until(w.due))
 	defer t.Stop()
 	<-t.C
+	if d.lost = d.lost || d.cut(); d.lost {
+		return true
+	}
 	_, err := d.Conn.Write(w.data)
 	return err == nil
 }
--- a/internal/exchange/pipenet.go
+++ b/internal/exchange/pipenet.go
@@ -14,8 +14,8 @@
 // peer is refused while its listener is closed or Cut says so.
 type PipeNet struct {
 	listeners map[string]*pipeListener
-	// Cut reports whether two addresses cannot reach each other; nil means that
-	// all can. It is asked when a connection is made.
+	// Cut reports whether a partition lies between two addresses; nil means none.
+	// Existing connections lose what is sent if there is a Delay.
 	Cut func(from, to string) bool
 	// Delay is the time one way; nil means none.
 	Delay func(from, to string) time.Duration
@@ -37,7 +37,11 @@
 func (p *PipeNet) Dialer(from string) Dialer {
 	return func(ctx context.Context, to string) (net.Conn, error) {
 		l := p.listeners[to]
-		if l == nil || p.Cut != nil && p.Cut(from, to) {
+		if p.Cut != nil && p.Cut(from, to) {
+			<-ctx.Done() // a partition answers nothing
+			return nil, eris.Wrap(ctx.Err(), "exchange: dial")
+		}
+		if l == nil {
 			return nil, &net.OpError{Op: "dial", Net: "pipe", Err: syscall.ECONNREFUSED}
 		}
 		near, far := p.pair(from, to)
@@ -61,7 +65,8 @@
 	if p.Delay == nil {
 		return near, far
 	}
-	return newDelayedConn(near, p.Delay(from, to)), newDelayedConn(far, p.Delay(to, from))
+	cut := func() bool { return p.Cut != nil && (p.Cut(from, to) || p.Cut(to, from)) }
+	return newDelayedConn(near, p.Delay(from, to), cut), newDelayedConn(far, p.Delay(to, from), cut)
 }
 
 type pipeListener struct {
--- a/internal/measure/suspect.go
+++ b/internal/measure/suspect.go
@@ -28,6 +28,7 @@
 	chat      bool // the caller sends a chat id
 	logDown   bool
 	lagging   bool // one entry hears nothing over the exchange, lists lag
+	alone     bool // nobody hears of crashes over the exchange; tests only
 	crashTime time.Duration
 }
 
@@ -84,6 +85,9 @@
 		cut := f.entries[0].id + ".c:1"
 		f.cut = func(from, to string) bool { return from == cut || to == cut }
 	}
+	if c.alone {
+		f.cut = func(_, to string) bool { return strings.HasSuffix(to, ".c:1") }
+	}
 	f.logDown.Store(c.logDown)
 	refused := make(chan string, 4096)
 	wait := f.innocents(refused)
--- /dev/null
+++ b/internal/measure/suspect_test.go
@@ -0,0 +1,23 @@
+package measure
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a suspect scenario that would pass without the notices: with
+// the exchange cut off, each entry learns from its own failures only and more
+// than 3 endpoints crash.
+func TestCrashNoticesAreNeeded(t *testing.T) {
+	worst := 0
+	for seed := range uint64(5) {
+		synctest.Test(t, func(*testing.T) {
+			c := suspectCase{poisons: 1, logDown: true, alone: true, crashTime: 5 * time.Millisecond}
+			worst = max(worst, runSuspects(Env{Seed: seed}, exUsers[1], c).crashed)
+		})
+	}
+	is.New(t).True(worst > exMaxCrashed)
+}
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -44,6 +44,7 @@
 	Attempt        int // 0 for the first hand-over
 	Target         EndpointID
 	Version        Version // version that the rollout filter selected; empty means any
+	Quarantined    bool    // shared one crash; equal requests go to one endpoint
 	Stages         *StageTimes
 }
 
--- a/internal/side/exchange.go
+++ b/internal/side/exchange.go
@@ -108,7 +108,9 @@
 			}
 		}
 		asked = used
-		meanAge.Set(p.MeanAge(time.Now()).Seconds())
+		if p.loop.Snapshot().Mean.Endpoints > 0 {
+			meanAge.Set(p.MeanAge(time.Now()).Seconds())
+		}
 		p.node.Meter().Follow(slices.Max(append(slices.Collect(maps.Values(asked)), 1)))
 		t.Reset(time.Duration(float64(reportPeriod) * p.node.Meter().Stretch(time.Now())))
 	}
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -138,3 +138,13 @@
 		}
 	})
 }
+
+// Guards against crashes without an id: the same crash heard twice would then
+// refuse an innocent request.
+func TestCrashIDIsNeeded(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Add(start, crash("heard over the exchange", start, 7))
+	table.Add(start, crash("heard from the log", start, 7))
+	is.True(table.View(start).Refused(7, start) > 0)
+}
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -169,6 +169,33 @@
 	return v
 }
 
+// Touched is the published set of fingerprints that shared one crash, and its
+// time. Nobody changes it.
+type Touched map[uint64]time.Time
+
+// Quarantine is the time for which a request that shared a crash waits before
+// it runs again. Copies of it that run elsewhere crash their endpoints in the
+// meantime, and the second crash refuses it.
+const Quarantine = time.Second
+
+// Hold returns the time that a request has to wait at now, and whether it
+// shared a crash.
+func (t Touched) Hold(fingerprint uint64, now time.Time) (time.Duration, bool) {
+	at, ok := t[fingerprint]
+	return max(0, at.Add(Quarantine).Sub(now)), ok
+}
+
+// Touched returns the fingerprints that shared one crash.
+func (t *Table) Touched(now time.Time) Touched {
+	out := Touched{}
+	for f, it := range t.items {
+		if len(it.crashes) < Threshold && now.Sub(it.last) < Lifetime {
+			out[f] = it.last
+		}
+	}
+	return out
+}
+
 // Recent returns the crashes of the last within, for peers that missed them.
 func (t *Table) Recent(now time.Time, within time.Duration) []Crash {
 	var out []Crash
