--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -30,6 +30,11 @@
 func (chooseEndpoint) Name() string { return "choose" }
 
 func (f chooseEndpoint) Handle(ctx context.Context, req *model.Request, next pipe.Handler) (*model.Answer, error) {
+	if !req.Idempotent { // the owner of the key has been selected
+		answer, err := next(ctx, req)
+		f.observe(req.Target, answer, err)
+		return answer, err
+	}
 	start := time.Now()
 	var last error = model.Refuse(model.ReasonNoEndpoint, "no endpoint of the pool takes new work")
 	order, holder := f.order(req)
@@ -62,7 +67,7 @@
 	if pool == nil {
 		return nil, choose.Candidate{}
 	}
-	if req.Quarantined {
+	if req.Quarantined && req.Idempotent { // others go to the owner of their key
 		return quarantineOrder(f.snapshot(), req), choose.Candidate{}
 	}
 	q := choose.QueryOf(req)
--- a/internal/side/stage_admit.go
+++ b/internal/side/stage_admit.go
@@ -170,8 +170,6 @@
 		uptime      time.Duration
 		cacheTokens int64
 	}
-	// drainStarted tells that this process stops.
-	drainStarted struct{}
 )
 
 func (admitRequest) EventName() string     { return "admit_request" }
@@ -180,4 +178,3 @@
 func (workDone) EventName() string         { return "work_done" }
 func (endpointCold) EventName() string     { return "endpoint_cold" }
 func (endpointReported) EventName() string { return "endpoint_reported" }
-func (drainStarted) EventName() string     { return "drain_started" }
