Drop details first, as soon as half of the burst is used

Cause: the classes of Meter.Allow had no caller, so details were dropped only together with the longer period.

Change: AllowDetails, used by the reports of stage times.

--- a/internal/exchange/meter.go
+++ b/internal/exchange/meter.go
@@ -28,17 +28,6 @@
 // budgetBurst is the time whose budget may be used at once.
 const budgetBurst = 2 * time.Second
 
-// Class is a class of control traffic. Lower classes are dropped first.
-type Class int
-
-// The classes in the order in which they are dropped.
-const (
-	Detail   Class = iota // details for the slow view: dropped
-	Evidence              // deltas of evidence: merged into the next report
-	Regular               // reports: their period is lengthened
-	Urgent                // leaving notices, crashes, verdicts, offsets: never dropped
-)
-
 // Meter counts the bytes of a node's connections and holds them to the budget.
 type Meter struct {
 	in, out, overhead atomic.Int64
@@ -104,16 +93,15 @@
 	}
 }
 
-// Allow reports whether a message of class c may be sent at now.
-func (m *Meter) Allow(c Class, now time.Time) bool {
-	left := m.limiter.TokensAt(now) / float64(m.limiter.Burst())
-	switch c {
-	case Detail:
-		return left > 0.5
-	case Evidence:
-		return left > 0.25
-	}
-	return true
+// detailShare is the part of the burst that must be left for details.
+const detailShare = 0.5
+
+// AllowDetails reports whether details for the slow view may be sent at now.
+// They are dropped first: before the budget is used up, and as soon as a peer
+// asks to stretch. Evidence and reports wait longer then and are merged into
+// the next ones; notices, verdicts and offsets always go.
+func (m *Meter) AllowDetails(now time.Time) bool {
+	return m.asked.Load() <= 100 && m.limiter.TokensAt(now) > detailShare*float64(m.limiter.Burst())
 }
 
 // MaxStretch is the longest report period over the regular one. A holder hears
--- a/internal/side/times.go
+++ b/internal/side/times.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return
 		}
-		if len(plan.sums) == 0 || p.node.Meter().Stretch(time.Now()) > 1 {
+		if len(plan.sums) == 0 || !p.node.Meter().AllowDetails(time.Now()) {
 			continue
 		}
 		args := exchange.FromTimes(p.settings.EndpointID(), p.settings.Pool, plan.sums)
