--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -67,6 +67,9 @@
 	if pool == nil {
 		return nil, choose.Candidate{}
 	}
+	if req.Quarantined && req.Idempotent { // others go to the owner of their key
+		return quarantineOrder(f.snapshot(), req), choose.Candidate{}
+	}
 	q := choose.QueryOf(req)
 	var store [choose.MaxOrder]choose.Candidate
 	var out []model.EndpointID
--- a/internal/entry/state_exchange.go
+++ b/internal/entry/state_exchange.go
@@ -22,27 +22,35 @@
 	wallets   *limit.Wallets
 	borrowing map[model.Workspace][]spendRequest // requests that wait for a borrow in progress
 	homeDown  map[model.InstanceID]time.Time     // homes that could not be reached, until when
+	homes     map[model.Workspace]model.InstanceID
+	homesOf   *member.Peers // from which homes were worked out
 	budgets   *retry.Budgets
 	suspects  *suspect.Table
 	refused   suspect.View     // replaced, never changed
+	touched   suspect.Touched  // replaced, never changed
 	released  *config.Accepted // whose released fingerprints suspects knows
 	notices   summary.Notices
 	groupTurn int // counts the reports to the roots
 }
 
 // exchangeView is the part of the snapshot that the exchange feeds.
-type exchangeView struct{ Suspects suspect.View }
+type exchangeView struct {
+	Suspects suspect.View
+	Touched  suspect.Touched
+}
 
 func newExchangeState() exchangeState {
 	return exchangeState{
 		peers: &member.Peers{}, holder: summary.NewHolder(), verdicts: summary.Verdicts{},
 		home: limit.NewHome(), wallets: limit.NewWallets(), borrowing: map[model.Workspace][]spendRequest{},
-		homeDown: map[model.InstanceID]time.Time{}, budgets: retry.NewBudgets(),
+		homes: map[model.Workspace]model.InstanceID{}, homeDown: map[model.InstanceID]time.Time{}, budgets: retry.NewBudgets(),
 		suspects: suspect.NewTable(), notices: summary.Notices{},
 	}
 }
 
-func (s *exchangeState) view() exchangeView { return exchangeView{Suspects: s.refused} }
+func (s *exchangeState) view() exchangeView {
+	return exchangeView{Suspects: s.refused, Touched: s.touched}
+}
 
 // news is what replies carry beside their subject.
 type news struct {
@@ -94,16 +102,16 @@
 		verdicts summary.Verdicts
 	}
 	// crashHeard is a crash notice on its way through a tree. The reply lists
-	// the addresses to which it goes on.
+	// the hops to which it goes on.
 	crashHeard struct {
-		control.Question[[]string]
+		control.Question[[]member.Hop]
 		crash suspect.Crash
 		pool  model.Pool
 		tree  int
 	}
 	// leavingHeard is a leaving notice on its way through a tree.
 	leavingHeard struct {
-		control.Question[[]string]
+		control.Question[[]member.Hop]
 		instance model.InstanceID
 		tree     int
 	}
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -47,6 +47,7 @@
 	Takeover       bool    // the target may take the key's partition over from an owner that cannot be reached
 	Uncertain      bool    // an earlier hand-over may have run; only the log can tell
 	Version        Version // version that the rollout filter selected; empty means any
+	Quarantined    bool    // shared one crash; equal requests go to one endpoint
 	Stages         *StageTimes
 }
 
