--- a/internal/config/fetch.go
+++ b/internal/config/fetch.go
@@ -30,6 +30,7 @@
 // FetchReply is the answer of a peer.
 type FetchReply struct {
 	Offset     int64     // accepted offset of the peer
+	ID         string    // of the record at Offset
 	SnapshotAt time.Time // as in Follower
 	Entries    []Entry   // accepted records after From
 	Core       *lists.Lists
@@ -53,10 +54,13 @@
 	SnapshotAt time.Time
 	history    history
 	next       FetchRequest
+	older      bool // gives its state to a peer that is ahead; only in tests that remove Monotone
 }
 
 // View returns the present view.
-func (f *Follower) View() View { return View{f.Accepted, f.SnapshotAt, f.history, f.nextRequest()} }
+func (f *Follower) View() View {
+	return View{f.Accepted, f.SnapshotAt, f.history, f.nextRequest(), f.without == Monotone}
+}
 
 // Next returns the request that brings the process forward.
 func (v View) Next() FetchRequest { return v.next }
@@ -74,14 +78,14 @@
 // Answer answers a peer. A process that is loading answers only with records,
 // since it has no whole state to give.
 func (v View) Answer(req FetchRequest) FetchReply {
-	r := FetchReply{Offset: v.Accepted.Offset, SnapshotAt: v.SnapshotAt}
+	r := FetchReply{Offset: v.Accepted.Offset, ID: v.Accepted.ID, SnapshotAt: v.SnapshotAt}
 	if entries, ok := v.history.since(req.From); ok {
 		r.Entries = entries
 	}
 	if v.Accepted.Loading || v.Accepted.Offset == NoBase {
 		return r
 	}
-	if req.From < v.Accepted.Offset && (r.Entries == nil || tooMany(r.Entries)) {
+	if (req.From < v.Accepted.Offset || v.older && req.From > v.Accepted.Offset) && (r.Entries == nil || tooMany(r.Entries)) {
 		r.Entries, r.Core = nil, v.core()
 		req.Want, req.After = WantPage, ""
 	}
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -25,7 +25,8 @@
 // the lists. It never changes a. The verdict depends on nothing but a and rec,
 // so every reader reaches the same one.
 func (a *Accepted) Next(offset int64, rec Record) (*Accepted, error) {
-	if offset <= a.Offset || rec.Base != a.Offset {
+	founds := rec.Founding && rec.Snapshot != nil
+	if offset <= a.Offset || rec.Base != a.Offset && !founds {
 		return nil, ErrStale
 	}
 	return a.apply(offset, rec, true)
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -41,6 +41,7 @@
 	SnapshotAt time.Time // append time of the last accepted record that gives the whole state; zero if unknown
 	Skipped    int64     // malformed and unsuitable records
 
+	first   int64  // oldest retained record as of the last read of the log
 	next    int64  // offset after the last folded record of the log
 	proof   *proof // set while records before the retained ones are missing
 	load    *load  // set while workspaces are being loaded from a peer
@@ -64,6 +65,7 @@
 // ApplyLog folds a read of the log. It returns the records that were skipped
 // and whether the accepted configuration changed.
 func (f *Follower) ApplyLog(b Batch) (skipped []Skip, changed bool) {
+	f.first = b.First
 	if f.load != nil {
 		// The verdict on a record needs all workspaces; peers pass on only
 		// accepted records, so the loading process takes them from there.
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -15,6 +15,10 @@
 // add appends the accepted record e. A snapshot is kept as its changes against
 // the state before, which are usually none, since it takes megabytes.
 func (h *history) add(before *lists.Lists, e Entry) {
+	if e.Record.Founding {
+		h.entries = nil
+		return
+	}
 	if n := len(h.entries); n > 0 && h.entries[n-1].Offset != e.Record.Base {
 		h.entries = nil
 	}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -27,6 +27,11 @@
 // nothing for this process.
 func (f *Follower) ApplyPeer(req FetchRequest, r FetchReply) (changed bool, err error) {
 	before := f.Accepted
+	// A peer whose state the log can no longer bring forward lags. A process
+	// that starts must not go back to it, as it may have had a newer one before.
+	if before.Offset == NoBase && r.Offset+1 < f.first && f.without != Monotone {
+		return false, ErrNotNewer
+	}
 	for _, e := range r.Entries {
 		if err := f.applyPeerEntry(e); err != nil {
 			return f.Accepted != before, err
@@ -86,7 +91,7 @@
 func (f *Follower) startLoad(r FetchReply) {
 	core := *r.Core
 	core.Workspaces = f.Accepted.Lists.Workspaces
-	f.accept(&Accepted{Offset: r.Offset, Lists: &core, Loading: true})
+	f.accept(&Accepted{Offset: r.Offset, ID: r.ID, Lists: &core, Loading: true})
 	f.history.restart()
 	f.proof = nil
 	f.load = &load{changed: map[model.Workspace]int64{}}
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -25,6 +25,10 @@
 	Author   string         `json:"author,omitempty"`   // for the operators' log
 	Changes  []lists.Change `json:"changes,omitempty"`  // changes against the base
 	Snapshot *lists.Lists   `json:"snapshot,omitempty"` // whole accepted state, appended before retention passes it
+	// Founding is set by an operator on a snapshot that is accepted whatever its
+	// base, when the records that would tell the accepted state were trimmed
+	// before any process read them.
+	Founding bool `json:"founding,omitempty"`
 }
 
 // Entry is one record with its place in the stream. A malformed one has Err
--- a/internal/configsync/snapshot.go
+++ b/internal/configsync/snapshot.go
@@ -25,10 +25,14 @@
 }
 
 // Snapshotter appends the accepted state again before the log trims it.
-type Snapshotter struct{ o SnapshotOptions }
+type Snapshotter struct {
+	o       SnapshotOptions
+	tried   int64     // offset of the last snapshot that this process appended
+	triedAt time.Time // when it did
+}
 
 // NewSnapshotter returns a snapshotter. Run starts it.
-func NewSnapshotter(o SnapshotOptions) Snapshotter { return Snapshotter{o} }
+func NewSnapshotter(o SnapshotOptions) *Snapshotter { return &Snapshotter{o: o, tried: config.NoBase} }
 
 // checksInRetention is how often the need for a snapshot is checked within the
 // retention. Ranks differ by a hundredth of it.
@@ -37,7 +41,7 @@
 var snapshotsTotal = metrics.NewCounter("goldcrest_config_snapshots_appended_total")
 
 // Run appends snapshots until ctx ends.
-func (s Snapshotter) Run(ctx context.Context) {
+func (s *Snapshotter) Run(ctx context.Context) {
 	t := time.NewTicker(max(time.Second, s.o.Retention/checksInRetention))
 	defer t.Stop()
 	for {
@@ -50,11 +54,15 @@
 	}
 }
 
-func (s Snapshotter) check(ctx context.Context, now time.Time) {
+func (s *Snapshotter) check(ctx context.Context, now time.Time) {
 	view := s.o.View()
 	if !view.SnapshotDue(now, s.rank(view.Accepted.ID), s.o.Retention) {
 		return
 	}
+	if view.Accepted.Offset == s.tried && now.Sub(s.triedAt) < config.SnapshotRetry(s.o.Retention) {
+		return
+	}
+	s.tried, s.triedAt = view.Accepted.Offset, now
 	rec := view.Snapshot(fmt.Sprintf("snapshot-%s-%d", s.o.Instance, view.Accepted.Offset), string(s.o.Instance))
 	data, err := rec.Encode()
 	if err == nil {
@@ -69,7 +77,7 @@
 }
 
 // rank returns the place of this entry in the rendezvous order of key.
-func (s Snapshotter) rank(key string) int {
+func (s *Snapshotter) rank(key string) int {
 	var candidates []choose.Candidate
 	for _, id := range s.o.Entries() {
 		candidates = append(candidates, choose.Candidate{ID: model.EndpointID(id), Weight: 1})
--- a/internal/configsync/source.go
+++ b/internal/configsync/source.go
@@ -37,17 +37,20 @@
 // Source brings configuration from the log and from peers to the control loop.
 type Source struct {
 	o       Options
-	heard   chan string // address of a peer that is ahead
+	heard   chan string   // address of a peer that is ahead
+	changed chan struct{} // the accepted configuration changed
 	pages   *rate.Limiter
 	lookups *rate.Limiter
 }
 
 // Times of a source.
 const (
-	// pullPeriod is the time between questions to a random peer. Asked in both
-	// directions, 28 processes learn a record in about five rounds, which stays
-	// within 4 s even if the log hangs without an error.
-	pullPeriod = 400 * time.Millisecond
+	// pullPeriod is the time between questions to a random peer. Entries tell
+	// each other of a change at once, so a side that only pulls learns it within
+	// about one period, also while the log hangs without an error.
+	pullPeriod = time.Second
+	// tellPeers is the number of peers that a process tells of a change.
+	tellPeers = 2
 	// startWait is how long a new process looks for peers before it reads the
 	// log, whose snapshots are far larger than what one peer sends.
 	startWait  = 2 * time.Second
@@ -55,6 +58,8 @@
 	// startPeers is the number of peers whose state a new process compares, so
 	// that one that lags does not decide.
 	startPeers = 3
+	// afterAll is an offset that no stream reaches.
+	afterAll = 1 << 60
 )
 
 // loadShare is the part of the control budget that a load of workspaces may
@@ -64,7 +69,7 @@
 // NewSource returns a source. Run starts it.
 func NewSource(o Options) *Source {
 	share := loadShare * float64(o.Budget)
-	return &Source{o: o, heard: make(chan string, 1), pages: rate.NewLimiter(rate.Limit(share), pageBurst), lookups: newLookupLimit()}
+	return &Source{o: o, heard: make(chan string, 1), changed: make(chan struct{}, 1), pages: rate.NewLimiter(rate.Limit(share), pageBurst), lookups: newLookupLimit()}
 }
 
 // pageBurst is what may be sent at once: two pages of about 7 KB.
@@ -100,6 +105,11 @@
 			return
 		case address := <-s.heard:
 			s.pull(ctx, address)
+		case <-s.changed:
+			// A question carries the asker's offset; a peer behind it asks back.
+			for range tellPeers {
+				s.pullAny(ctx)
+			}
 		case <-timer.C:
 			timer.Reset(pullPeriod)
 			s.pullAny(ctx)
@@ -112,10 +122,14 @@
 	}
 }
 
-// start asks a few peers for their state.
+// start asks a few peers for their state, after it has learned where the
+// retained part of the log begins.
 func (s *Source) start(ctx context.Context) {
 	limit, cancel := context.WithTimeout(ctx, startWait)
 	defer cancel()
+	if b, err := s.o.Logs.Read(limit, config.Stream, afterAll, 0); err == nil {
+		_, _ = s.read(limit, config.Batch{First: b.First})
+	}
 	check := time.NewTicker(startCheck)
 	defer check.Stop()
 	for asked := 0; asked < startPeers; {
@@ -168,9 +182,25 @@
 		return false, reply
 	}
 	changed, err := control.Ask(ctx, s.o.Loop, PeerReplied{Question: control.NewQuestion[bool](), Request: req, Reply: reply})
+	if err == nil && changed {
+		s.note()
+	}
 	return err == nil && changed, reply
 }
 
+// read has the loop apply a read of the log.
+func (s *Source) read(ctx context.Context, b config.Batch) (bool, error) {
+	return control.Ask(ctx, s.o.Loop, LogRead{Question: control.NewQuestion[bool](), Batch: b})
+}
+
+// note makes Run tell peers of a change.
+func (s *Source) note() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
 // loadPages loads the workspaces that are still missing, paced by the budget.
 func (s *Source) loadPages(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -205,7 +235,9 @@
 
 func (s *Source) followLog(ctx context.Context) {
 	each := func(b logsvc.Batch) {
-		_ = s.o.Loop.Post(ctx, LogRead{decode(b)})
+		if changed, err := s.read(ctx, decode(b)); err == nil && changed {
+			s.note()
+		}
 	}
 	failed := func(err error) { s.o.Log.Warn("log service cannot be read", "stream", config.Stream, "error", err) }
 	logsvc.Follow(ctx, s.o.Logs, config.Stream, s.o.View().Accepted.Offset+1, each, failed)
--- a/internal/configsync/stage.go
+++ b/internal/configsync/stage.go
@@ -12,10 +12,13 @@
 
 // Events of the source.
 type (
-	// LogRead carries one read of the configuration stream.
-	LogRead struct{ Batch config.Batch }
-	// PeerReplied carries the answer of a peer. The reply tells whether it
-	// changed the accepted configuration.
+	// LogRead carries one read of the configuration stream. Its reply, and that
+	// of PeerReplied, tells whether the accepted configuration changed.
+	LogRead struct {
+		control.Question[bool]
+		Batch config.Batch
+	}
+	// PeerReplied carries the answer of a peer.
 	PeerReplied struct {
 		control.Question[bool]
 		Request config.FetchRequest
@@ -53,6 +56,7 @@
 			skippedTotal.Inc()
 			st.Log.Warn("record was skipped", "stream", config.Stream, "offset", sk.Offset, "error", sk.Err)
 		}
+		ev.Question.Reply(changed)
 	case PeerReplied:
 		changed, _ = f.ApplyPeer(ev.Request, ev.Reply)
 		ev.Question.Reply(changed)
--- a/internal/ctl/cmd_apply.go
+++ b/internal/ctl/cmd_apply.go
@@ -5,7 +5,10 @@
 func applyCommand() Command {
 	return Command{
 		Name: "apply", Summary: "put the lists in force",
-		Flags: waitFlag,
+		Flags: func(fs *flag.FlagSet, job *Job) {
+			waitFlag(fs, job)
+			fs.BoolVar(&job.Found, "found", false, "start anew from the lists although the log does not prove the accepted configuration")
+		},
 		Filters: func(*Job) []Filter {
 			return []Filter{readLists{}, readAccepted{}, guardService{}, diff{}, appendRecord{}, wait{}}
 		},
--- a/internal/ctl/filter_append.go
+++ b/internal/ctl/filter_append.go
@@ -37,6 +37,10 @@
 		return err
 	}
 	rec := config.Record{ID: rand.Text(), Base: base.Offset, Author: job.Options.Author, Changes: job.Changes}
+	if job.Found {
+		// Nobody knows the accepted state, so the lists are the whole of it.
+		rec.Founding, rec.Changes, rec.Snapshot = true, nil, job.Wanted
+	}
 	data, err := rec.Encode()
 	if err != nil {
 		return err
@@ -63,6 +67,10 @@
 		next, err := readOn(ctx, job, from)
 		if err == nil {
 			from = next
+			if job.Found && job.Follower.Accepted.ID == rec.ID {
+				job.Offset = job.Follower.Accepted.Offset
+				return nil
+			}
 			if winner, ok := job.Follower.View().First(rec.Base); ok {
 				if winner.Record.ID != rec.ID {
 					return eris.Wrapf(ErrLost, "record %d by %q", winner.Offset, winner.Record.Author)
--- a/internal/ctl/filter_read.go
+++ b/internal/ctl/filter_read.go
@@ -43,7 +43,10 @@
 
 // ErrUnproven is returned when the retained records do not tell which state is
 // the accepted one.
-var ErrUnproven = eris.New("the log does not prove any accepted configuration yet; the fleet appends a snapshot within a quarter of the retention")
+var ErrUnproven = eris.New("the log does not prove any accepted configuration; the fleet appends a snapshot within a quarter of the retention, and goldcrestctl apply -found starts anew from the lists if none comes")
+
+// ErrProven is returned when a founding record is not needed.
+var ErrProven = eris.New("the log proves the accepted configuration; use apply without -found")
 
 func (readAccepted) Run(ctx context.Context, job *Job) error {
 	if job.Logs == nil {
@@ -53,9 +56,12 @@
 	if _, err := readOn(ctx, job, 0); err != nil {
 		return err
 	}
-	if job.Follower.Proving() {
+	if job.Follower.Proving() && !job.Found {
 		return ErrUnproven
 	}
+	if !job.Follower.Proving() && job.Found {
+		return ErrProven
+	}
 	return nil
 }
 
--- a/internal/ctl/job.go
+++ b/internal/ctl/job.go
@@ -30,6 +30,7 @@
 	Offset   int64 // offset of this job's accepted record; -1 if there is none
 	Fleet    []Member
 	Wait     bool
+	Found    bool // append a founding record
 	Rollout  rolloutFlags
 }
 
--- a/internal/entry/source_config.go
+++ b/internal/entry/source_config.go
@@ -32,7 +32,7 @@
 }
 
 // snapshotter returns the source of snapshot records.
-func (e *Entry) snapshotter() configsync.Snapshotter {
+func (e *Entry) snapshotter() *configsync.Snapshotter {
 	return configsync.NewSnapshotter(configsync.SnapshotOptions{
 		Log:       e.log,
 		Logs:      e.deps.Logs,
--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -30,6 +30,7 @@
 // FetchReply is the message form of config.FetchReply.
 type FetchReply struct {
 	Offset        int64
+	ID            string
 	SnapshotAgeMS int64 // -1 if unknown; clocks are not compared
 	Entries       []FetchedRecord
 	Core          []byte // compressed JSON of lists.Lists
@@ -71,7 +72,7 @@
 
 // FromFetchReply returns the message form of r at now.
 func FromFetchReply(r config.FetchReply, now time.Time) (FetchReply, error) {
-	out := FetchReply{Offset: r.Offset, SnapshotAgeMS: -1, Last: r.Last}
+	out := FetchReply{Offset: r.Offset, SnapshotAgeMS: -1, ID: r.ID, Last: r.Last}
 	if !r.SnapshotAt.IsZero() {
 		out.SnapshotAgeMS = max(0, now.Sub(r.SnapshotAt).Milliseconds())
 	}
@@ -97,7 +98,7 @@
 	if len(r.Entries) > maxFetched {
 		return config.FetchReply{}, ErrMalformed
 	}
-	out := config.FetchReply{Offset: r.Offset, Last: r.Last}
+	out := config.FetchReply{Offset: r.Offset, ID: r.ID, Last: r.Last}
 	if r.SnapshotAgeMS >= 0 {
 		out.SnapshotAt = now.Add(-time.Duration(r.SnapshotAgeMS) * time.Millisecond)
 	}
--- a/internal/logsvc/follow.go
+++ b/internal/logsvc/follow.go
@@ -12,11 +12,17 @@
 // service that recovers and the delay of the records that it then serves.
 const retryPause = 250 * time.Millisecond
 
+// readMargin is the time beyond FollowWait after which a read counts as failed.
+// Without it a service that hangs would never be asked again.
+const readMargin = 5 * time.Second
+
 // Follow reads stream from offset on and hands every batch to each, until ctx
 // ends. It reports a failed read to failed and goes on from the same offset.
 func Follow(ctx context.Context, log Log, stream string, from int64, each func(Batch), failed func(error)) {
 	for ctx.Err() == nil {
-		batch, err := log.Read(ctx, stream, from, FollowWait)
+		limit, cancel := context.WithTimeout(ctx, FollowWait+readMargin)
+		batch, err := log.Read(limit, stream, from, FollowWait)
+		cancel()
 		if err != nil {
 			if ctx.Err() != nil {
 				return
--- /dev/null
+++ b/internal/measure/config_time.go
@@ -0,0 +1,228 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/configsync"
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
+	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/lists"
+	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+	"github.com/goldcrestturn/goldcrestturn/internal/member"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/standin"
+)
+
+// configRounds is the number of records whose spread is timed for each case.
+const configRounds = 20
+
+// logFault is how the log fails for all but one process right after a record.
+type logFault int32
+
+const (
+	logUp logFault = iota
+	logRefuses
+	logHangs
+)
+
+// configTimes measures the time from an accepted record to in force everywhere.
+func configTimes(env Env) []Figure {
+	var out []Figure
+	for _, user := range configUsers {
+		for _, fault := range []struct {
+			name string
+			kind logFault
+		}{{"log_up", logUp}, {"outage_after_record", logRefuses}, {"log_hangs_after_record", logHangs}} {
+			var worst time.Duration
+			var bytes float64
+			env.Bubble(func() { worst, bytes = spreadTimes(env.Seed, user, fault.kind) })
+			name := "config/time/" + user.name + "/" + fault.name
+			out = append(out,
+				Figure{Name: name, Value: worst.Seconds(), Unit: "s", Relation: AtMost, Target: 4, Baseline: fmt.Sprintf("worst of %d records", configRounds)},
+				Figure{Name: name + "/quiet_bytes_busiest_node", Value: bytes, Unit: "B/s", Relation: AtMost, Target: 4000})
+		}
+	}
+	return out
+}
+
+// configNode is one process with its configuration part only.
+type configNode struct {
+	address string
+	loop    *control.Loop[configNodeState, config.View]
+	node    *exchange.Node
+	logs    *partialLog
+}
+
+type configNodeState struct{ follow *config.Follower }
+
+// partialLog is the log as one process sees it.
+type partialLog struct {
+	logsvc.Log
+	fault atomic.Int32
+}
+
+var errLogDown = eris.New("log service is down")
+
+// Read implements logsvc.Log.
+func (l *partialLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (logsvc.Batch, error) {
+	b, err := l.Log.Read(ctx, stream, from, wait)
+	switch logFault(l.fault.Load()) {
+	case logRefuses:
+		return logsvc.Batch{}, errLogDown
+	case logHangs:
+		<-ctx.Done()
+		return logsvc.Batch{}, ctx.Err()
+	}
+	return b, err
+}
+
+// spreadTimes runs a fleet and returns the worst time until a record is in
+// force everywhere, and the bytes a second of its busiest node without changes.
+func spreadTimes(seed uint64, user configUser, fault logFault) (worst time.Duration, bytesPerNode float64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	defer func() { cancel(); _ = g.Wait() }()
+	rng := rand.New(rand.NewPCG(seed, uint64(fault)))
+	logs := standin.NewLogService()
+	g.Go(func() error { logs.Run(ctx); return nil })
+	nodes := startConfigNodes(ctx, &g, user, logs, seed)
+	first := lists.New()
+	first.Plans["gold"] = lists.Plan{Priority: 1, Rate: 1, Burst: 1}
+	offset := appendConfig(ctx, logs, config.Record{ID: "first", Base: config.NoBase, Snapshot: first})
+	awaitOffset(nodes, offset)
+	bytesPerNode = quietBytes(nodes)
+	for i := range configRounds {
+		wait(time.Duration(rng.Int64N(int64(time.Second))))
+		reader := rng.IntN(len(nodes))
+		if fault == logHangs {
+			// A read that hangs ends only after its timeout, so one side reads on.
+			reader = len(nodes) - 1
+		}
+		for j, n := range nodes {
+			if j != reader {
+				n.logs.fault.Store(int32(fault))
+			}
+		}
+		plan, err := lists.NewChange(lists.KindPlan, "gold", lists.Plan{Priority: i, Rate: 1, Burst: 1})
+		if err != nil {
+			panic(err) // a plan always encodes
+		}
+		start := time.Now()
+		offset = appendConfig(ctx, logs, config.Record{ID: fmt.Sprint("r", i), Base: offset, Changes: []lists.Change{plan}})
+		awaitOffset(nodes, offset)
+		worst = max(worst, time.Since(start))
+		for _, n := range nodes {
+			n.logs.fault.Store(int32(logUp))
+		}
+	}
+	return worst, bytesPerNode
+}
+
+func startConfigNodes(ctx context.Context, g *errgroup.Group, user configUser, logs logsvc.Log, seed uint64) []*configNode {
+	var addresses []string
+	table := member.NewTable()
+	for i := range user.entries + user.sides {
+		address := fmt.Sprintf("10.0.0.%d:7000", i+1)
+		addresses = append(addresses, address)
+		role := instances.RoleEndpoint
+		if i < user.entries {
+			role = instances.RoleEntry
+		}
+		table.ApplyList(instances.Changes{Instances: []instances.Instance{{
+			ID: model.InstanceID(address), Role: role, Control: address, Status: instances.Live,
+		}}})
+	}
+	network := exchange.NewPipeNet(addresses...)
+	peers := table.PeersOf(func(model.DataCentre) bool { return true })
+	nodes := make([]*configNode, len(addresses))
+	for i, address := range addresses {
+		n := &configNode{address: address, logs: &partialLog{Log: logs}}
+		nodes[i] = n
+		log := slog.New(slog.DiscardHandler)
+		n.node = exchange.New(exchange.Config{Key: "shared", Budget: 4000, Dial: network.Dialer(address)})
+		n.loop = control.New(control.Config[configNodeState, config.View]{
+			State: &configNodeState{config.NewFollower()},
+			Stages: []control.Stage[configNodeState]{configsync.Stage[configNodeState]{
+				Log: log, Follower: func(s *configNodeState) *config.Follower { return s.follow }, Changed: func(*configNodeState) {},
+			}},
+			Publish: func(s *configNodeState, _ time.Time) *config.View { v := s.follow.View(); return &v },
+		})
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		source := configsync.NewSource(configsync.Options{
+			Log: log, Logs: n.logs, Loop: n.loop, View: func() config.View { return *n.loop.Snapshot() },
+			Peers: configsync.ExchangePeers{Node: n.node, Self: model.InstanceID(address), Address: address, Peers: func() *member.Peers { return peers }},
+			Pick:  rng.IntN, Budget: 4000,
+		})
+		if err := source.Register(n.node); err != nil {
+			panic(err) // the method set does not fit net/rpc: a fault in the program
+		}
+		g.Go(func() error { n.loop.Run(ctx); return nil })
+		g.Go(func() error { n.node.Run(ctx); return nil })
+		g.Go(func() error { return n.node.Serve(ctx, network.Listen(address)) })
+		g.Go(func() error { source.Run(ctx); return nil })
+	}
+	return nodes
+}
+
+func appendConfig(ctx context.Context, logs logsvc.Log, rec config.Record) int64 {
+	data, err := rec.Encode()
+	if err != nil {
+		panic(err) // records of a scenario always encode
+	}
+	offset, err := logs.Append(ctx, config.Stream, data)
+	if err != nil {
+		panic(err) // the stand-in takes every append of this scenario
+	}
+	return offset
+}
+
+// spreadLimit ends a wait for a configuration that does not come.
+const spreadLimit = time.Minute
+
+func awaitOffset(nodes []*configNode, offset int64) {
+	for until := time.Now().Add(spreadLimit); time.Now().Before(until); wait(10 * time.Millisecond) {
+		behind := 0
+		for _, n := range nodes {
+			if n.loop.Snapshot().Accepted.Offset < offset {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return
+		}
+	}
+}
+
+// quietTime is the time over which the bytes of a fleet without changes are
+// counted.
+const quietTime = time.Minute
+
+// quietBytes returns the bytes a second of the busiest node without changes.
+func quietBytes(nodes []*configNode) float64 {
+	before := make([]int64, len(nodes))
+	for i, n := range nodes {
+		before[i] = n.node.Meter().Usage().Total()
+	}
+	wait(quietTime)
+	var most int64
+	for i, n := range nodes {
+		most = max(most, n.node.Meter().Usage().Total()-before[i])
+	}
+	return float64(most) / quietTime.Seconds()
+}
+
+func wait(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	<-t.C
+}
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -75,6 +75,8 @@
 func Scenarios() []Scenario {
 	return []Scenario{
 		{Name: "rollout", Run: rolloutScenario},
+		{Name: "config/history", Run: configHistories},
+		{Name: "config/time", Run: configTimes},
 	}
 }
 
