--- a/internal/ctl/job.go
+++ b/internal/ctl/job.go
@@ -32,6 +32,7 @@
 	Wait     bool
 	Found    bool // append a founding record
 	Rollout  rolloutFlags
+	Slow     slowFlags
 }
 
 func newJob() *Job { return &Job{Offset: config.NoBase} }
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -13,7 +13,7 @@
 		limitRate{e},
 		guard{e.loop.Snapshot},
 		selectVersion{e.loop.Snapshot},
-		chooseEndpoint{e.loop.Snapshot, e.mayRepeat},
+		chooseEndpoint{e.loop.Snapshot, e.mayRepeat, e.loop},
 		forward{snapshot: e.loop.Snapshot, key: e.settings.Key, client: e.client},
 	)
 }
--- a/internal/entry/stage_rollout.go
+++ b/internal/entry/stage_rollout.go
@@ -56,6 +56,7 @@
 		address string
 		key     summary.Key
 		source  string
+		rollout string
 		total   rollout.Evidence
 		news    news
 	}
@@ -126,7 +127,7 @@
 
 // isRoot reports whether this entry merges the groups of a pool in its region.
 func (st judgeRollouts) isRoot(s *State, k summary.Key) bool {
-	groups := summary.Groups(s.peers.Endpoints[k.Pool])
+	groups := summary.Groups(s.peers.Count(k.Pool))
 	return slices.Contains(summary.Roots(k, groups, s.peers.Entries), st.settings.Instance)
 }
 
@@ -173,13 +174,14 @@
 	var out []evidencePlan
 	for k, ledger := range s.reports {
 		total := ledger.Total()
-		groups := summary.Groups(s.peers.Endpoints[k.Pool])
-		if len(total) == 0 || groups == 1 {
+		active, ok := s.versions.Active(k.Pool)
+		groups := summary.Groups(s.peers.Count(k.Pool))
+		if !ok || len(total) == 0 || groups == 1 {
 			continue
 		}
 		roots := slices.DeleteFunc(summary.Roots(k, groups, s.peers.Entries), func(id model.InstanceID) bool { return id == st.settings.Instance })
 		for _, address := range s.peers.Addresses(roots) {
-			out = append(out, evidencePlan{address: address, key: k, source: string(st.settings.Instance), total: total, news: s.news(now)})
+			out = append(out, evidencePlan{address: address, key: k, source: string(st.settings.Instance), rollout: active.Name, total: total, news: s.news(now)})
 		}
 	}
 	return out
@@ -240,3 +242,9 @@
 func rolloutID(instance model.InstanceID, base int64) string {
 	return "rollout/" + string(instance) + "/" + strconv.FormatInt(base, 10)
 }
+
+// Versions returns the versions in force at this entry.
+func (e *Entry) Versions() rollout.Selector { return e.loop.Snapshot().Versions }
+
+// Accepted returns the configuration in force at this entry.
+func (e *Entry) Accepted() *config.Accepted { return e.loop.Snapshot().Config }
--- a/internal/measure/config.go
+++ b/internal/measure/config.go
@@ -7,6 +7,13 @@
 	"golang.org/x/sync/errgroup"
 )
 
+func configScenarios() []Scenario {
+	return []Scenario{
+		{Name: "config/history", Run: configHistories},
+		{Name: "config/time", Run: configTimes},
+	}
+}
+
 // configUser is the size of a first user's fleet.
 type configUser struct {
 	name           string
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Cost is the work of one request in tokens.
 type Cost struct {
@@ -40,13 +43,19 @@
 	From           int // index of the first frame that the receiver still lacks
 	Attempt        int // 0 for the first hand-over
 	Target         EndpointID
+	KVFrom         string  // address of the side that holds the chat's cache, if it is not the target
 	Version        Version // version that the rollout filter selected; empty means any
 	Stages         *StageTimes
 }
 
 // HashKey returns the string that decides the endpoint order of the request.
-// Requests of one chat share it at every entry.
+// Requests of one chat share it at every entry. Without a chat, equal requests
+// share it, so that copies of a request that crashes endpoints meet at one
+// endpoint instead of crashing one each.
 func (r *Request) HashKey() string {
+	if r.Chat == "" && r.Fingerprint != 0 {
+		return string(r.Workspace) + "\x00" + strconv.FormatUint(r.Fingerprint, 16)
+	}
 	if r.Chat == "" {
 		return string(r.Workspace) + "\x00" + string(r.ID)
 	}
--- a/internal/side/exchange.go
+++ b/internal/side/exchange.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -16,12 +19,37 @@
 )
 
 func (p *Side) newNode() *exchange.Node {
-	return exchange.New(exchange.Config{Key: p.settings.Key, Budget: p.settings.ControlBudget, Dial: p.deps.Dial})
+	n := exchange.New(exchange.Config{Key: p.settings.Key, Budget: p.settings.ControlBudget, Dial: p.deps.Dial})
+	if err := n.Register(exchange.Service, &peerService{p}); err != nil {
+		panic(err) // the method set does not fit net/rpc: a fault in the program
+	}
+	return n
+}
+
+// peerService turns the messages of peers into events and questions.
+type peerService struct{ p *Side }
+
+// Crash takes a crash notice and passes it on.
+func (s *peerService) Crash(a exchange.CrashArgs, _ *exchange.Ack) error {
+	ctx, cancel := context.WithTimeout(context.Background(), exchange.CallTimeout)
+	defer cancel()
+	crash, err := a.Crash.Model(time.Now())
+	if err != nil {
+		return err
+	}
+	next, err := control.Ask(ctx, s.p.loop, crashHeard{Question: control.NewQuestion[[]string](), crash: crash, tree: a.Tree})
+	s.p.node.PassOn(next, a)
+	return err
 }
 
 // Meter returns the byte counts of the control exchange.
 func (p *Side) Meter() *exchange.Meter { return p.node.Meter() }
 
+// MeanAge returns the age of the pool mean at now.
+func (p *Side) MeanAge(now time.Time) time.Duration {
+	return now.Sub(p.loop.Snapshot().Mean.MeasuredAt)
+}
+
 // ServeControl serves the peers of the control exchange until ctx ends.
 func (p *Side) ServeControl(ctx context.Context, l net.Listener) error { return p.node.Serve(ctx, l) }
 
@@ -73,19 +101,11 @@
 			}
 		}
 		asked = used
-		t.Reset(time.Duration(float64(reportPeriod) * p.stretch(asked)))
+		p.node.Meter().Follow(slices.Max(append(slices.Collect(maps.Values(asked)), 1)))
+		t.Reset(time.Duration(float64(reportPeriod) * p.node.Meter().Stretch(time.Now())))
 	}
 }
 
-// stretch returns the largest factor that a holder or the own budget asks for.
-func (p *Side) stretch(asked map[string]float64) float64 {
-	factor := p.node.Meter().Stretch(time.Now())
-	for _, f := range asked {
-		factor = max(factor, f)
-	}
-	return min(factor, exchange.MaxStretch)
-}
-
 // report sends one report and posts what the reply brings. It returns the
 // stretch that the holder asks for.
 func (p *Side) report(ctx context.Context, address string, plan reportPlan) (float64, error) {
@@ -111,6 +131,7 @@
 		_ = p.loop.Post(ctx, meanReceived{PoolMean{PerEndpoint: mean.PerEndpoint, Endpoints: mean.Endpoints, MeasuredAt: sent.Add(-mean.Age)}})
 	}
 	_ = p.loop.Post(ctx, newsHeard{offset: reply.News.ConfigOffset, verdicts: reply.News.Verdicts, crashes: crashes})
+	p.configs.Heard(address, reply.News.ConfigOffset)
 	return float64(reply.Percent) / 100, nil
 }
 
@@ -142,3 +163,10 @@
 	}
 	logsvc.Follow(ctx, p.deps.Logs, suspect.Stream, 0, each, func(error) {})
 }
+
+func (p *Side) jitter() float64 {
+	if p.deps.Jitter != nil {
+		return p.deps.Jitter()
+	}
+	return rand.Float64()
+}
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -9,10 +9,11 @@
 func (p *Side) trafficPipeline() pipe.Handler {
 	return pipe.Chain(
 		guard{p.loop.Snapshot},
-		admit{p.loop},
+		newAdmission(p.loop),
 		countEvidence{p.loop, p.loop.Snapshot, p.settings},
 		watchCrash{p},
 		timeStages{p.loop, p.settings},
+		fetchKV{p.kv, p.settings.Key},
 		run{p.deps.Endpoint},
 	)
 }
@@ -25,8 +26,9 @@
 		derivePeers{p.settings},
 		decideOrders{pool: p.settings.Pool, wake: p.ordersWake},
 		foldMean{},
-		foldSuspects{p.settings.Instance},
+		foldSuspects{p.settings},
 		decideAdmission{p.settings},
+		planMoves{p.settings, p.kv},
 		draftReport{p.settings},
 		countRequests{p.settings},
 		sumTimes{p.settings},
--- a/internal/side/stage_members.go
+++ b/internal/side/stage_members.go
@@ -12,12 +12,15 @@
 
 func (foldMembers) Name() string { return "fold_members" }
 
-func (foldMembers) Apply(s *State, _ time.Time, ev control.Event) bool {
+func (foldMembers) Apply(s *State, now time.Time, ev control.Event) bool {
 	list, ok := ev.(listChanged)
+	if _, tick := ev.(control.Tick); tick {
+		s.Members.Step(now)
+	}
 	if !ok {
 		return false
 	}
-	s.Members.ApplyList(list.changes)
+	s.Members.ApplyList(list.changes, now)
 	s.peersOf = nil
 	return true
 }
