--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -81,6 +81,7 @@
 		rolloutScenarios(),
 		routingScenarios(),
 		configScenarios(),
+		orderScenarios(),
 	)
 }
 
--- a/internal/order/machine.go
+++ b/internal/order/machine.go
@@ -92,7 +92,8 @@
 	settled time.Time // from when loads may start as far as the members go
 
 	state     *State
-	busy      bool // a step is being carried out
+	loadedAt  time.Time // when the last order to load was decided
+	busy      bool      // a step is being carried out
 	again     time.Time
 	lastTick  time.Time
 	heldUntil time.Time
@@ -136,6 +137,11 @@
 		m.heldUntil = now.Add(resumeHold)
 		m.state = nil
 	}
+	// A member may have come and gone during the pause, so that the list looks
+	// unchanged while other sides still rank by another one.
+	if now.Sub(m.lastTick) > pauseLimit {
+		m.settled = now.Add(settle)
+	}
 	m.lastTick = now
 }
 
@@ -166,6 +172,7 @@
 			return Step{Until: minTime(start, m.again)}
 		}
 		o.NotAfter = minTime(o.NotAfter, end)
+		m.loadedAt = now
 	}
 	m.busy = true
 	return Step{Order: &o}
@@ -184,8 +191,13 @@
 // loadTime returns the next time span in which this endpoint may start a load.
 func (m *Machine) loadTime(now time.Time) (start, end time.Time) {
 	from := now
-	if m.settled.After(from) {
-		from = m.settled
+	if len(m.members) == 0 {
+		from = now.Add(settle) // the list has not been read yet
+	}
+	for _, t := range []time.Time{m.settled, m.loadedAt.Add(m.spacing)} {
+		if t.After(from) {
+			from = t
+		}
 	}
 	return newSlots(m.spacing, m.self, m.members).next(from)
 }
--- a/internal/order/slot.go
+++ b/internal/order/slot.go
@@ -13,8 +13,11 @@
 // in which a load may start and by the difference between two clocks, so that
 // the loads of neighbouring slots are at least the spacing apart.
 const (
-	windowParts = 4 // a load starts within the first quarter of the spacing
-	clockParts  = 4 // clocks differ by up to a quarter of the spacing
+	windowParts = 4 // a load starts within the first quarter of the spacing,
+	// and within 2 s, so that a process that restarts finds its own window over
+	// once its hold has passed.
+	maxWindow  = 2 * time.Second
+	clockParts = 4 // clocks differ by up to a quarter of the spacing
 )
 
 // slots are the times at which the endpoint may load from the weight store.
@@ -28,7 +31,7 @@
 // newSlots ranks self among the members of its pool by hash. Every side that
 // knows the same members finds the same ranks.
 func newSlots(spacing time.Duration, self model.EndpointID, members []model.EndpointID) slots {
-	window := spacing / windowParts
+	window := min(spacing/windowParts, maxWindow)
 	s := slots{length: spacing + window + spacing/clockParts, window: window, count: int64(max(1, len(members)))}
 	own := xxhash.Sum64String(string(self))
 	for _, m := range members {
