--- a/internal/entry/stage_derive.go
+++ b/internal/entry/stage_derive.go
@@ -60,10 +60,10 @@
 	s.keysOf = s.Config
 }
 
-// settleTime is how long after its first tick an entry takes the records that
+// historyTime is how long after its first tick an entry takes the records that
 // it reads for history. A data centre that came back in one of them returned
 // before this process started.
-const settleTime = 5 * time.Second
+const historyTime = 5 * time.Second
 
 // noteReturns notes when a data centre came back into service and forgets it
 // once every pool has given its chats back.
@@ -71,7 +71,7 @@
 	if tick && s.firstTick.IsZero() {
 		s.firstTick = now
 	}
-	settled := !s.firstTick.IsZero() && now.Sub(s.firstTick) >= settleTime
+	settled := !s.firstTick.IsZero() && now.Sub(s.firstTick) >= historyTime
 	for name, dc := range s.Config.Lists.DataCentres {
 		if dc.State == lists.Out {
 			s.wasOut[name] = true
@@ -104,12 +104,17 @@
 func derivePools(s *State, now time.Time) {
 	s.Entries = nil
 	s.Pools = map[model.Pool][]member.Endpoint{}
+	s.Addresses = map[model.Pool]map[model.EndpointID]string{}
 	known := map[model.Pool][]member.Endpoint{}
 	for _, e := range s.Members.All() {
 		switch {
 		case e.Role == instances.RoleEntry && e.Usable():
 			s.Entries = append(s.Entries, e.ID)
 		case e.Role == instances.RoleEndpoint:
+			if s.Addresses[e.Pool] == nil {
+				s.Addresses[e.Pool] = map[model.EndpointID]string{}
+			}
+			s.Addresses[e.Pool][e.EndpointID()] = e.Address
 			known[e.Pool] = append(known[e.Pool], e)
 		}
 	}
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -6,6 +6,8 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/replay"
 	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
 	"github.com/goldcrestturn/goldcrestturn/internal/timing"
 )
@@ -23,6 +25,11 @@
 	rolloutState
 	times timing.Sums // not reported yet
 	admissionState
+	Claims   claimState
+	Replay   *replay.Index
+	Draining model.Reason // why no new work is taken; empty if it is taken
+	drainEnd []waitIdle
+	services map[model.InstanceID]struct{} // live service instances, which share the append budget
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -46,6 +53,7 @@
 	Peers       *member.Peers // processes of the region in the control exchange
 	exchangeView
 	Versions rollout.Selector
+	Draining model.Reason
 }
 
 // Events of the side's control pipeline.
@@ -63,7 +71,12 @@
 	f := config.NewFollower()
 	return &State{
 		Config: f.Accepted, Follow: f, admissionState: newAdmissionState(),
-		Members: member.NewTable(), orderState: newOrderState(settings), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
+		Members: member.NewTable(), orderState: newOrderState(settings), exchangeState: newExchangeState(),
+		rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
+		Claims: newClaimState(), services: map[model.InstanceID]struct{}{},
+		Replay: replay.NewIndex(replay.Limits{
+			AnswerBytes: defaultKeepAnswer, TotalBytes: defaultKeepTotal, Keep: defaultKeepTime, Grace: defaultGraceTime,
+		}),
 	}
 }
 
@@ -71,5 +84,6 @@
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: s.Admission.Running(),
 		Mean: s.Mean, Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(), Versions: s.versions,
+		Draining: s.Draining,
 	}
 }
