--- a/internal/measure/config_history.go
+++ b/internal/measure/config_history.go
@@ -103,13 +103,13 @@
 const newReaderEvery = 8
 
 // readOn brings the operator's view of the accepted configuration up to date.
-func (h *history) readOn(o *historyOperator, limit int) {
+func (h *configHistory) readOn(o *historyOperator, limit int) {
 	b := h.log.read(o.from, limit)
 	o.reader.ApplyLog(b)
 	o.from = max(o.from, b.First) + int64(len(b.Entries))
 }
 
-type history struct {
+type configHistory struct {
 	rng       *rand.Rand
 	count     *historyCount
 	faults    historyFaults
@@ -139,8 +139,8 @@
 	return c
 }
 
-func newHistory(rng *rand.Rand, c *historyCount, entries, sides int, large bool, faults historyFaults) *history {
-	h := &history{
+func newHistory(rng *rand.Rand, c *historyCount, entries, sides int, large bool, faults historyFaults) *configHistory {
+	h := &configHistory{
 		rng: rng, count: c, faults: faults, now: time.Unix(1_000_000, 0), entries: entries,
 		reference: config.NewFollower(), chain: map[int64]string{}, won: map[int64]string{},
 	}
@@ -166,14 +166,14 @@
 // follower returns a follower without the safeguard under test. The list check
 // is removed from every second process only, since a verdict that all share
 // cannot differ.
-func (h *history) follower() *config.Follower {
+func (h *configHistory) follower() *config.Follower {
 	if h.faults.without == config.ListCheck && len(h.procs)%2 == 0 {
 		return config.NewFollower()
 	}
 	return config.NewFollower(h.faults.without)
 }
 
-func (h *history) appendRecord(rec config.Record) {
+func (h *configHistory) appendRecord(rec config.Record) {
 	data, err := rec.Encode()
 	if err != nil {
 		panic(err) // records of a history always encode
@@ -183,7 +183,7 @@
 
 // appendData appends to the log and keeps the reference fold, which reads every
 // record at once.
-func (h *history) appendData(data []byte) {
+func (h *configHistory) appendData(data []byte) {
 	at := h.log.end()
 	h.log.append(h.now, data)
 	h.reference.ApplyLog(h.log.read(at, 1))
@@ -194,7 +194,7 @@
 }
 
 // step makes one second pass.
-func (h *history) step() {
+func (h *configHistory) step() {
 	h.now = h.now.Add(time.Second)
 	h.switchFaults()
 	h.trim()
@@ -233,7 +233,7 @@
 	}
 }
 
-func (h *history) switchFaults() {
+func (h *configHistory) switchFaults() {
 	switch {
 	case h.log.down:
 		h.log.down = h.rng.IntN(60) > 0
@@ -253,7 +253,7 @@
 }
 
 // badRecord appends a malformed or unsuitable record on the accepted offset.
-func (h *history) badRecord() {
+func (h *configHistory) badRecord() {
 	h.count.badRecords++
 	switch h.rng.IntN(3) {
 	case 0:
@@ -265,14 +265,14 @@
 	}
 }
 
-func (h *history) id() string {
+func (h *configHistory) id() string {
 	h.serial++
 	return fmt.Sprint("r", h.serial)
 }
 
 // change returns a record on the accepted configuration that gives a workspace
 // a plan.
-func (h *history) change(plan model.Plan) config.Record {
+func (h *configHistory) change(plan model.Plan) config.Record {
 	c, err := lists.NewChange(lists.KindWorkspace, fmt.Sprintf("ws-%04d", h.rng.IntN(5)), lists.Workspace{Plan: plan, KeyHash: h.id()})
 	if err != nil {
 		panic(err) // a workspace always encodes
@@ -281,7 +281,7 @@
 }
 
 // trim removes what is older than the retention.
-func (h *history) trim() {
+func (h *configHistory) trim() {
 	n := 0
 	for n < len(h.log.entries) && h.now.Sub(h.log.entries[n].At) > historyRetention {
 		n++
@@ -295,7 +295,7 @@
 
 // snapshots lets each entry append the accepted state when it is due, one time
 // in every. Two may do so at once.
-func (h *history) snapshots(every int) {
+func (h *configHistory) snapshots(every int) {
 	if h.log.down {
 		return
 	}
@@ -314,7 +314,7 @@
 	}
 }
 
-func (h *history) readLog(p *historyProcess, limit int) {
+func (h *configHistory) readLog(p *historyProcess, limit int) {
 	if h.log.down || p.follow.Accepted.Loading {
 		return
 	}
@@ -330,7 +330,7 @@
 }
 
 // pull asks a random entry; the answer arrives at a later step.
-func (h *history) pull(p *historyProcess) {
+func (h *configHistory) pull(p *historyProcess) {
 	if p.reply != nil {
 		return
 	}
@@ -344,7 +344,7 @@
 	}
 }
 
-func (h *history) deliver(p *historyProcess) {
+func (h *configHistory) deliver(p *historyProcess) {
 	if p.reply == nil {
 		return
 	}
@@ -357,7 +357,7 @@
 }
 
 // restart replaces a process. It asks all entries, then reads the log.
-func (h *history) restart(p *historyProcess) {
+func (h *configHistory) restart(p *historyProcess) {
 	h.count.restarts++
 	p.pausedUntil = time.Time{}
 	if h.log.down {
@@ -394,7 +394,7 @@
 }
 
 // operate takes an operator one step further.
-func (h *history) operate(o *historyOperator) {
+func (h *configHistory) operate(o *historyOperator) {
 	if h.log.down {
 		return
 	}
@@ -436,7 +436,7 @@
 
 // settle reads back who won on the operator's base. Without the base rule the
 // operator believes what it sees when its own record passes by.
-func (h *history) settle(o *historyOperator) {
+func (h *configHistory) settle(o *historyOperator) {
 	limit := max(1, len(h.log.entries))
 	if h.faults.without == config.BaseRule {
 		limit = 1
@@ -465,7 +465,7 @@
 
 // check compares a process with what the instance had before and with the
 // accepted chain.
-func (h *history) check(p *historyProcess) {
+func (h *configHistory) check(p *historyProcess) {
 	a := p.follow.Accepted
 	if a.Offset == config.NoBase {
 		return
@@ -481,7 +481,7 @@
 
 // finish ends all faults, lets a snapshot pass and compares all processes after
 // each has read the log alone.
-func (h *history) finish() {
+func (h *configHistory) finish() {
 	h.log.down, h.lossy = false, false
 	for _, p := range h.procs {
 		p.pausedUntil = time.Time{}
@@ -518,7 +518,7 @@
 
 // found appends a founding record, as an operator does, if the records that
 // would tell the accepted state were trimmed before any entry read them.
-func (h *history) found() {
+func (h *configHistory) found() {
 	newest := h.procs[0].follow.Accepted
 	for _, p := range h.procs[:h.entries] {
 		if a := p.follow.Accepted; a.Offset > newest.Offset {
@@ -537,7 +537,7 @@
 }
 
 // settleLoad ends a load that is in progress.
-func (h *history) settleLoad(p *historyProcess) {
+func (h *configHistory) settleLoad(p *historyProcess) {
 	for i := 0; p.follow.Accepted.Loading && i < 10*h.entries; i++ {
 		p.reply = nil
 		h.pull(p)
--- a/internal/measure/config_time.go
+++ b/internal/measure/config_time.go
@@ -99,7 +99,7 @@
 	awaitOffset(nodes, offset)
 	bytesPerNode = quietBytes(nodes)
 	for i := range configRounds {
-		wait(time.Duration(rng.Int64N(int64(time.Second))))
+		waitFor(time.Duration(rng.Int64N(int64(time.Second))))
 		reader := rng.IntN(len(nodes))
 		if fault == logHangs {
 			// A read that hangs ends only after its timeout, so one side reads on.
@@ -187,7 +187,7 @@
 const spreadLimit = time.Minute
 
 func awaitOffset(nodes []*configNode, offset int64) {
-	for until := time.Now().Add(spreadLimit); time.Now().Before(until); wait(10 * time.Millisecond) {
+	for until := time.Now().Add(spreadLimit); time.Now().Before(until); waitFor(10 * time.Millisecond) {
 		behind := 0
 		for _, n := range nodes {
 			if n.loop.Snapshot().Accepted.Offset < offset {
@@ -210,7 +210,7 @@
 	for i, n := range nodes {
 		before[i] = n.node.Meter().Usage().Total()
 	}
-	wait(quietTime)
+	waitFor(quietTime)
 	var most int64
 	for i, n := range nodes {
 		most = max(most, n.node.Meter().Usage().Total()-before[i])
@@ -218,7 +218,7 @@
 	return float64(most) / quietTime.Seconds()
 }
 
-func wait(d time.Duration) {
+func waitFor(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	<-t.C
