--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -81,6 +81,8 @@
 		retryScenarios(),
 		rolloutScenarios(),
 		routingScenarios(),
+		configScenarios(),
+		orderScenarios(),
 	)
 }
 
