--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -74,6 +74,7 @@
 // Scenarios lists all scenarios in the order in which they run.
 func Scenarios() []Scenario {
 	return slices.Concat(
+		stateScenarios(),
 		exchangeScenarios(),
 		suspectScenarios(),
 		limitScenarios(),
@@ -100,3 +101,11 @@
 	}
 	return missed
 }
+
+func stateScenarios() []Scenario {
+	return []Scenario{
+		{Name: "state/claims", Run: claimScenario},
+		{Name: "state/answers", Run: answerScenario},
+		{Name: "state/stops", Run: stopScenario},
+	}
+}
--- a/internal/side/deps.go
+++ b/internal/side/deps.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/claim"
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
@@ -15,6 +16,17 @@
 	List     instances.List
 	Endpoint Endpoint
 	Orders   Orders          // of the endpoint; nil if it takes none
+	KV       KVStore         // of the endpoint; nil if it has no prefix cache
 	Dial     exchange.Dialer // to control addresses; nil means TCP
 	Jitter   func() float64  // uniform in [0, 1); nil means math/rand
+	Without  Without
+}
+
+// Without turns mechanisms off. Only tests and baselines set it.
+type Without struct {
+	Barrier     bool // non-idempotent requests run without a claim
+	Deduplicate bool // repeats run again
+	Drain       bool // a planned stop ends running work at once
+	Reconnect   bool // a cut between side and engine is not repaired
+	Claims      claim.Switches
 }
--- a/internal/side/stage_admit.go
+++ b/internal/side/stage_admit.go
@@ -23,6 +23,7 @@
 	admissionOf *config.Accepted
 	asked       map[admit.Ticket]admitRequest // waiting for a decision
 	report      endpointReported              // last report of the endpoint
+	moveState
 }
 
 func newAdmissionState() admissionState {
@@ -151,7 +152,10 @@
 		ratio   float64
 	}
 	// workStarted tells that the first frame arrived.
-	workStarted struct{ ticket admit.Ticket }
+	workStarted struct {
+		ticket admit.Ticket
+		chat   string
+	}
 	// workProgress tells how many tokens have been generated so far.
 	workProgress struct {
 		ticket admit.Ticket
@@ -166,8 +170,6 @@
 		uptime      time.Duration
 		cacheTokens int64
 	}
-	// drainStarted tells that this process stops.
-	drainStarted struct{}
 )
 
 func (admitRequest) EventName() string     { return "admit_request" }
@@ -176,4 +178,3 @@
 func (workDone) EventName() string         { return "work_done" }
 func (endpointCold) EventName() string     { return "endpoint_cold" }
 func (endpointReported) EventName() string { return "endpoint_reported" }
-func (drainStarted) EventName() string     { return "drain_started" }
