--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -235,6 +235,7 @@
 		}
 		is.NoErr(fenced.Give(ctx, load(7)))
 		is.Equal(fenced.State().Loading, []model.Version{"v2"})
+		synctest.Wait() // its load has started
 		is.True(errors.Is(fenced.Give(ctx, load(6)), endpointapi.ErrOldFence))
 		is.NoErr(loose.Give(ctx, load(7))) // the store refuses its load
 		is.NoErr(loose.Give(ctx, endpointapi.Order{Fence: 6, Kind: endpointapi.OrderRole, Role: "decode"}))
