Show that streams run when the quick start stops a side

Cause: the claim about the planned stop would also hold if nothing ran on the side, and nobody had seen it fail. Change: the script waits for 3 streams on engine-3 before the stop and claims it; QUICKSTART_STOP=KILL replaces the planned stop by a crash.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -6,6 +6,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 BASE=${QUICKSTART_PORT:-27400} # first of about 80 ports on 127.0.0.1
+STOP_SIGNAL=${QUICKSTART_STOP:-TERM} # KILL shows that the last claim can fail
 BIN=$PWD/bin
 RUN=$PWD/run/quickstart
 rm -rf "$RUN" && mkdir -p "$RUN"
@@ -140,7 +141,9 @@
 "$BIN/goldcrest-load" -settings "$RUN/load-stop.ini" -duration 8s >"$RUN/load-stop.txt" 2>"$RUN/load-stop.log" &
 LOAD=$!
 wait_for 5 "load is running" grows "$(started_in_akl1)" || FAILED=1
-kill -TERM "${ENTRY_PID[1]}" "${SIDE_PID[3]}"
+streams() { [ "$(curl -fsS "http://$(engine 3)/load" | field running)" -ge "$1" ]; }
+claim "streams run on engine-3 when its side is stopped" wait_for 5 "3 streams on engine-3" streams 3
+kill -"$STOP_SIGNAL" "${ENTRY_PID[1]}" "${SIDE_PID[3]}"
 claim "entry-1 ended by itself" ended "${ENTRY_PID[1]}" 20
 claim "the side of engine-3 ended by itself" ended "${SIDE_PID[3]}" 20
 wait $LOAD
