--- a/internal/endpointapi/engine.go
+++ b/internal/endpointapi/engine.go
@@ -27,7 +27,7 @@
 
 // NewEngine returns a client of the engine at base.
 func NewEngine(base string, id model.EndpointID) *Engine {
-	return &Engine{base: base, id: id, http: &http.Client{}}
+	return &Engine{base: base, id: id, http: newClient()}
 }
 
 // WithTransport returns the client with another transport.
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -51,9 +51,9 @@
 }
 
 func (f routeOwner) order(req *model.Request) []model.EndpointID {
-	candidates := chooseEndpoint{snapshot: f.snapshot}.candidates(req.Pool)
-	for i := range candidates {
-		candidates[i].Weight = 1 // ownership does not depend on the load
+	var candidates []choose.Candidate
+	for _, e := range f.snapshot().Pools[req.Pool] {
+		candidates = append(candidates, choose.Candidate{ID: e.EndpointID(), Weight: 1}) // ownership does not depend on the load
 	}
 	var out []model.EndpointID
 	for _, c := range choose.Order(claim.OrderKey(claim.KeyOf(req).Partition()), "", candidates) {
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -19,7 +19,7 @@
 		guard{e.loop.Snapshot},
 		selectVersion{e.loop.Snapshot},
 		routeOwner{e.loop.Snapshot},
-		chooseEndpoint{e.loop.Snapshot, e.mayRepeat},
+		chooseEndpoint{e.loop.Snapshot, e.mayRepeat, e.loop},
 		out,
 	)
 }
--- a/internal/exchange/meter.go
+++ b/internal/exchange/meter.go
@@ -11,13 +11,14 @@
 
 // Overhead that a node adds to the bytes of its connections, since the kernel
 // does not tell them: IPv4 and TCP headers with the timestamp option are 52
-// bytes a segment, and every segment is taken to cost one acknowledgement
-// without data in the other direction. Delayed acknowledgements ride on a reply
-// in most exchanges, so the true count lies below.
+// bytes a segment. The acknowledgement of a request rides on its reply, which
+// comes within the 40 ms for which Linux delays it; that of the reply is a
+// segment of its own. So two segments with data cost one without, half of which
+// is charged to each.
 const (
 	segmentBytes  = 1448
 	headerBytes   = 52
-	overheadBytes = 2 * headerBytes
+	overheadBytes = headerBytes + headerBytes/2
 )
 
 // budgetBurst is the time whose budget may be used at once.
@@ -39,7 +40,8 @@
 	in, out, overhead atomic.Int64
 	budget            int64
 	limiter           *rate.Limiter
-	stretch           bool // lengthen the report period; switched off by tests only
+	asked             atomic.Int64 // percent that peers ask for
+	stretch           bool         // lengthen the report period; switched off by tests only
 }
 
 // DefaultBudget is the limit of control traffic of a node at the target size,
@@ -112,15 +114,19 @@
 const MaxStretch = 2.0
 
 // Stretch returns the factor by which the report period must be lengthened at
-// now: 1 within the budget, and one more for each second of debt.
+// now: 1 within the budget, and one more for each second of debt. A larger
+// factor that a peer asks for counts.
 func (m *Meter) Stretch(now time.Time) float64 {
 	debt := -m.limiter.TokensAt(now) / float64(m.budget)
 	if !m.stretch {
 		return 1
 	}
-	return min(MaxStretch, 1+max(0, debt))
+	return min(MaxStretch, max(1+max(0, debt), float64(m.asked.Load())/100))
 }
 
+// Follow notes the factor that the receivers of this node's reports ask for.
+func (m *Meter) Follow(factor float64) { m.asked.Store(int64(factor * 100)) }
+
 // countedConn counts what passes through a connection.
 type countedConn struct {
 	net.Conn
--- a/internal/measure/claim_figures.go
+++ b/internal/measure/claim_figures.go
@@ -105,3 +105,12 @@
 func withoutDrain() without {
 	return without{side: side.Without{Drain: true}, entry: entry.Without{Drain: true}}
 }
+
+// stateScenarios are the scenarios of claims, answers and planned stops.
+func stateScenarios() []Scenario {
+	return []Scenario{
+		{Name: "state/claims", Run: claimScenario},
+		{Name: "state/answers", Run: answerScenario},
+		{Name: "state/stops", Run: stopScenario},
+	}
+}
--- a/internal/measure/stop.go
+++ b/internal/measure/stop.go
@@ -137,7 +137,14 @@
 func (r *stopRun) liveChat(c *chat, rng *rand.Rand) {
 	wait(time.Duration(rng.Int64N(int64(stopSpread))))
 	one := &answerRun{world: r.world}
-	one.ask(c, r.balance(rng))
+	for range maxSends {
+		one.ask(c, r.balance(rng))
+		if c.last.Outcome != model.NotRun {
+			return
+		}
+		atomic.AddInt64(&r.tally.refused, 1)
+		wait(500 * time.Millisecond)
+	}
 }
 
 // liveCall reserves once and sends a call that was refused as not run again.
--- a/internal/side/drain.go
+++ b/internal/side/drain.go
@@ -21,15 +21,12 @@
 
 // Events of a planned stop and of the instance list.
 type (
-	// drainStarted ends the taking of new work.
-	drainStarted struct{ reason model.Reason }
 	// drainExpired ends the streams that still run at the end of the drain time.
 	drainExpired struct{}
 	// waitIdle is answered when no work runs and no result waits for the log.
 	waitIdle struct{ control.Defer[bool] }
 )
 
-func (drainStarted) EventName() string { return "drain_started" }
 func (drainExpired) EventName() string { return "drain_expired" }
 func (waitIdle) EventName() string     { return "wait_idle" }
 
@@ -40,7 +37,7 @@
 	if p.deps.Without.Drain {
 		return false
 	}
-	if p.loop.Post(ctx, drainStarted{model.ReasonDraining}) != nil {
+	if p.loop.Post(ctx, drainStarted{}) != nil {
 		return false
 	}
 	p.AnnounceLeaving(ctx)
@@ -84,7 +81,7 @@
 	switch ev := ev.(type) {
 	case drainStarted:
 		changed := s.Draining == ""
-		s.Draining = ev.reason
+		s.Draining = model.ReasonDraining
 		return changed
 	case drainExpired:
 		s.Replay.CancelAll(errDrained)
@@ -98,7 +95,7 @@
 		o.Flush()
 	}
 	if s.Replay.Running() == 0 && s.Claims.idleClaims() {
-		invariant.Check(invariant.CleanStop, len(s.Running) == 0, "%d requests run on a drained side", len(s.Running))
+		invariant.Check(invariant.CleanStop, s.Admission.Running() == 0, "%d requests run on a drained side", s.Admission.Running())
 		for _, q := range s.drainEnd {
 			q.Reply(true)
 		}
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
-	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
@@ -17,11 +16,11 @@
 // it.
 type State struct {
 	Config  *config.Accepted
-	Follow  *config.Follower               // gives Config
-	Running map[model.RequestID]model.Cost // admitted and not yet finished
-	Load    int64                          // cost units of Running
-	Mean    PoolMean                       // last known mean load of the pool
+	Follow  *config.Follower // gives Config
+	Load    int64            // cost units of the running and the waiting work; the pool mean is taken from it
+	Mean    PoolMean         // last known mean load of the pool
 	Members *member.Table
+	orderState
 	exchangeState
 	rolloutState
 	times    timing.Sums // not reported yet
@@ -30,6 +29,7 @@
 	Draining model.Reason // why no new work is taken; empty if it is taken
 	drainEnd []waitIdle
 	services map[model.InstanceID]struct{} // live service instances, which share the append budget
+	admissionState
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -47,7 +47,10 @@
 	View    config.View // answers peers
 	Load    int64
 	Running int
-	Peers   *member.Peers // processes of the region in the control exchange
+	// OrdersKnown is the lowest fence that an order to the engine may have.
+	OrdersKnown int64
+	Mean        PoolMean
+	Peers       *member.Peers // processes of the region in the control exchange
 	exchangeView
 	Versions rollout.Selector
 	Draining model.Reason
@@ -55,29 +58,20 @@
 
 // Events of the side's control pipeline.
 type (
-	// admitRequest asks for admission. The reply is nil if req may run.
-	admitRequest struct {
-		control.Question[*model.Refusal]
-		req *model.Request
-	}
 	// meanReceived carries a new pool mean from a summary holder.
 	meanReceived struct{ mean PoolMean }
 	// listChanged carries changes of the platform's instance list.
 	listChanged struct{ changes instances.Changes }
-	// workDone ends the work of an admitted request.
-	workDone struct{ id model.RequestID }
 )
 
-func (admitRequest) EventName() string { return "admit_request" }
-func (workDone) EventName() string     { return "work_done" }
 func (meanReceived) EventName() string { return "mean_received" }
 func (listChanged) EventName() string  { return "list_changed" }
 
-func newState() *State {
+func newState(settings Settings) *State {
 	f := config.NewFollower()
 	return &State{
-		Config: f.Accepted, Follow: f, Running: map[model.RequestID]model.Cost{},
-		Members: member.NewTable(), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
+		Config: f.Accepted, Follow: f, admissionState: newAdmissionState(),
+		Members: member.NewTable(), orderState: newOrderState(settings), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
 		Claims: newClaimState(), services: map[model.InstanceID]struct{}{},
 		Replay: replay.NewIndex(replay.Limits{
 			AnswerBytes: defaultKeepAnswer, TotalBytes: defaultKeepTotal, Keep: defaultKeepTime, Grace: defaultGraceTime,
@@ -87,7 +81,7 @@
 
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
-		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: len(s.Running),
-		Peers: s.peers, exchangeView: s.view(), Versions: s.versions, Draining: s.Draining,
+		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: s.Admission.Running(),
+		Mean: s.Mean, Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(), Versions: s.versions, Draining: s.Draining,
 	}
 }
