Name the request in refusals between entry and side

A refusal did not name its request, so a crossed answer gave a call the refusal of another one while the call ran.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -133,12 +133,14 @@
 }
 
 // forwardAgain hands an idempotent request over again, from the next index. A
-// stream that a draining side gave up is moved; any other repeat needs the
-// retry budget.
+// stream that a draining side gave up is moved: it is offered until its deadline
+// as long as no endpoint has worked on it again, since a planned stop must not
+// cut it. Any other repeat needs the retry budget.
 func (r *relayFrames) forwardAgain(cause error) (*model.Answer, error) {
 	last := model.AsRefusal(cause)
-	for ; r.tries < maxRecoveries; r.tries++ {
-		if last.Reason != model.ReasonDraining && !r.repeat(r.ctx, r.req, last) {
+	moved := last.Reason == model.ReasonDraining
+	for ; moved || r.tries < maxRecoveries; r.tries++ {
+		if !moved && !r.repeat(r.ctx, r.req, last) {
 			break
 		}
 		again := *r.req
@@ -149,7 +151,8 @@
 			return answer, nil
 		}
 		last = model.AsRefusal(err)
-		if !pause(r.ctx, max(recoveryPause<<r.tries, last.RetryAfter)) {
+		moved = moved && last.Outcome == model.NotRun
+		if !pause(r.ctx, max(recoveryPause<<min(r.tries, maxRecoveries), last.RetryAfter)) {
 			break
 		}
 	}
--- a/internal/entry/stage_derive.go
+++ b/internal/entry/stage_derive.go
@@ -60,10 +60,10 @@
 	s.keysOf = s.Config
 }
 
-// settleTime is how long after its first tick an entry takes the records that
+// historyTime is how long after its first tick an entry takes the records that
 // it reads for history. A data centre that came back in one of them returned
 // before this process started.
-const settleTime = 5 * time.Second
+const historyTime = 5 * time.Second
 
 // noteReturns notes when a data centre came back into service and forgets it
 // once every pool has given its chats back.
@@ -71,7 +71,7 @@
 	if tick && s.firstTick.IsZero() {
 		s.firstTick = now
 	}
-	settled := !s.firstTick.IsZero() && now.Sub(s.firstTick) >= settleTime
+	settled := !s.firstTick.IsZero() && now.Sub(s.firstTick) >= historyTime
 	for name, dc := range s.Config.Lists.DataCentres {
 		if dc.State == lists.Out {
 			s.wasOut[name] = true
@@ -98,27 +98,34 @@
 	return longest
 }
 
+// derivePools sorts the endpoints by pool: those that may get new work, and all
+// of them as candidates with their marks, since a chat's cache may be on one
+// that takes no new work.
 func derivePools(s *State, now time.Time) {
 	s.Entries = nil
 	s.Pools = map[model.Pool][]member.Endpoint{}
 	s.Addresses = map[model.Pool]map[model.EndpointID]string{}
+	known := map[model.Pool][]member.Endpoint{}
 	for _, e := range s.Members.All() {
-		if e.Role == instances.RoleEndpoint {
+		switch {
+		case e.Role == instances.RoleEntry && e.Usable():
+			s.Entries = append(s.Entries, e.ID)
+		case e.Role == instances.RoleEndpoint:
 			if s.Addresses[e.Pool] == nil {
 				s.Addresses[e.Pool] = map[model.EndpointID]string{}
 			}
 			s.Addresses[e.Pool][e.EndpointID()] = e.Address
-		}
-		if e.Role == instances.RoleEntry && e.Usable() {
-			s.Entries = append(s.Entries, e.ID)
-		}
-		if e.Role == instances.RoleEndpoint && e.Usable() && !isOut(s, e.DataCentre) {
-			s.Pools[e.Pool] = append(s.Pools[e.Pool], e)
+			known[e.Pool] = append(known[e.Pool], e)
 		}
 	}
-	s.Candidates = make(map[model.Pool]*choose.Pool, len(s.Pools))
-	for name, list := range s.Pools {
+	s.Candidates = make(map[model.Pool]*choose.Pool, len(known))
+	for name, list := range known {
 		slices.SortFunc(list, func(a, b member.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+		for _, e := range list {
+			if e.Usable() && !isOut(s, e.DataCentre) {
+				s.Pools[name] = append(s.Pools[name], e)
+			}
+		}
 		s.Candidates[name] = choose.NewPool(s.Config.Lists.Pools[name].Plans, candidatesOf(s, name, list, now))
 	}
 }
@@ -134,14 +141,14 @@
 		load := s.loads[e.EndpointID()]
 		out[i] = choose.Candidate{
 			ID: e.EndpointID(), Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
-			Weight: 1, LoadRatio: load.ratio, OverBound: load.over,
+			Weight: 1, LoadRatio: load.ratio, OverBound: load.over, Out: isOut(s, e.DataCentre), Leaving: !e.Usable(),
 		}
 		if since, ok := s.returning[e.DataCentre]; ok {
 			out[i].Withheld = max(0, 1-float64(now.Sub(since))/float64(returnTime))
 			out[i].Reclaims = true
 		}
 	}
-	if !slices.ContainsFunc(out, func(c choose.Candidate) bool { return c.Withheld == 0 }) {
+	if !slices.ContainsFunc(out, func(c choose.Candidate) bool { return c.Withheld == 0 && !c.Out && !c.Leaving }) {
 		for i := range out {
 			out[i].Withheld = 0 // nothing else can serve the chats meanwhile
 		}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -41,9 +41,9 @@
 	Versions rollout.Selector
 	Busiest  map[model.Workspace]bool // workspaces with a histogram of their own
 
+	Candidates map[model.Pool]*choose.Pool
 	Addresses  map[model.Pool]map[model.EndpointID]string
 	Draining   bool // a planned stop has begun
-	Candidates map[model.Pool]*choose.Pool
 }
 
 // Events of the entry's control pipeline.
--- a/internal/measure/answers.go
+++ b/internal/measure/answers.go
@@ -12,8 +12,9 @@
 	"sync"
 	"time"
 
-	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/standin"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
 // answerFault is one kind of fault of the answer histories.
@@ -66,22 +67,6 @@
 	wrong    bool
 	calls    int
 	cuts     int
-	last     problem // of the last call; zero if it was answered
-}
-
-// problem is the part of a refusal that callers act on.
-type problem struct {
-	Type    string        `json:"type"`
-	Outcome model.Outcome `json:"outcome"`
-}
-
-// problemOf returns the refusal in a response, or a zero problem.
-func problemOf(resp *http.Response) problem {
-	var p problem
-	if resp.StatusCode != http.StatusOK && json.NewDecoder(resp.Body).Decode(&p) != nil {
-		p.Type = "cut"
-	}
-	return p
 }
 
 func (c *chat) setBody() {
@@ -179,7 +164,8 @@
 	}
 }
 
-func (r *answerRun) ask(c *chat, to int) {
+// ask sends the chat once and reports whether it was refused as not run.
+func (r *answerRun) ask(c *chat, to int) (refused bool) {
 	ctx, cancel := context.WithTimeout(r.ctx, answerTimeout)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.entries[to].id+"/v1/chat/completions", strings.NewReader(c.body))
@@ -191,18 +177,28 @@
 	}
 	resp, err := r.callers.RoundTrip(req)
 	if err != nil {
-		return
+		return false
 	}
 	defer resp.Body.Close()
-	c.last = problemOf(resp)
-	if c.last.Type != "" || resp.Header.Get("Request-Id") != "r-"+c.id {
-		return
+	if resp.StatusCode != http.StatusOK {
+		return refusedNotRun(resp.Body)
 	}
-	if c.stream {
+	switch {
+	case resp.Header.Get("Request-Id") != "r-"+c.id:
+	case c.stream:
 		c.readEvents(resp.Body)
-		return
+	default:
+		c.readWhole(resp.Body)
+	}
+	return false
+}
+
+// refusedNotRun reports whether body is a refusal that says "not run".
+func refusedNotRun(body io.Reader) bool {
+	var p struct {
+		Outcome model.Outcome `json:"outcome"`
 	}
-	c.readWhole(resp.Body)
+	return json.NewDecoder(body).Decode(&p) == nil && p.Outcome == model.NotRun
 }
 
 func (c *chat) readWhole(body io.Reader) {
--- a/internal/measure/stop.go
+++ b/internal/measure/stop.go
@@ -137,12 +137,7 @@
 func (r *stopRun) liveChat(c *chat, rng *rand.Rand) {
 	wait(time.Duration(rng.Int64N(int64(stopSpread))))
 	one := &answerRun{world: r.world}
-	for range maxSends {
-		one.ask(c, r.balance(rng))
-		if c.last.Outcome != model.NotRun {
-			return
-		}
-		atomic.AddInt64(&r.tally.refused, 1)
+	for end := time.Now().Add(stopSpread); one.ask(c, r.balance(rng)) && time.Now().Before(end); {
 		wait(500 * time.Millisecond)
 	}
 }
--- a/internal/side/drain.go
+++ b/internal/side/drain.go
@@ -21,12 +21,15 @@
 
 // Events of a planned stop and of the instance list.
 type (
+	// drainStarted ends the taking of new work.
+	drainStarted struct{ reason model.Reason }
 	// drainExpired ends the streams that still run at the end of the drain time.
 	drainExpired struct{}
 	// waitIdle is answered when no work runs and no result waits for the log.
 	waitIdle struct{ control.Defer[bool] }
 )
 
+func (drainStarted) EventName() string { return "drain_started" }
 func (drainExpired) EventName() string { return "drain_expired" }
 func (waitIdle) EventName() string     { return "wait_idle" }
 
@@ -37,7 +40,7 @@
 	if p.deps.Without.Drain {
 		return false
 	}
-	if p.loop.Post(ctx, drainStarted{}) != nil {
+	if p.loop.Post(ctx, drainStarted{model.ReasonDraining}) != nil {
 		return false
 	}
 	p.AnnounceLeaving(ctx)
@@ -81,7 +84,7 @@
 	switch ev := ev.(type) {
 	case drainStarted:
 		changed := s.Draining == ""
-		s.Draining = model.ReasonDraining
+		s.Draining = ev.reason
 		return changed
 	case drainExpired:
 		s.Replay.CancelAll(errDrained)
--- a/internal/side/pipeline.go
+++ b/internal/side/pipeline.go
@@ -16,6 +16,7 @@
 		countEvidence{p.loop, p.loop.Snapshot, p.settings},
 		watchCrash{p},
 		timeStages{p.loop, p.settings},
+		fetchKV{p.kv, p.settings.Key},
 		reconnect{p.deps.Without.Reconnect},
 		run{p.deps.Endpoint},
 	)
@@ -32,6 +33,7 @@
 		foldList{p.settings, p.budget},
 		foldSuspects{p.settings},
 		decideAdmission{p.settings},
+		planMoves{p.settings, p.kv},
 		decideClaims{p.settings, p.deps.Without.Claims, program.WithPrefix(p.log, "claims: ")},
 		keepAnswers{},
 		draftReport{p.settings},
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -23,13 +23,13 @@
 	orderState
 	exchangeState
 	rolloutState
-	times    timing.Sums // not reported yet
+	times timing.Sums // not reported yet
+	admissionState
 	Claims   claimState
 	Replay   *replay.Index
 	Draining model.Reason // why no new work is taken; empty if it is taken
 	drainEnd []waitIdle
 	services map[model.InstanceID]struct{} // live service instances, which share the append budget
-	admissionState
 }
 
 // PoolMean is the mean load of the pool's endpoints as the summary holders
@@ -71,7 +71,8 @@
 	f := config.NewFollower()
 	return &State{
 		Config: f.Accepted, Follow: f, admissionState: newAdmissionState(),
-		Members: member.NewTable(), orderState: newOrderState(settings), exchangeState: newExchangeState(), rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
+		Members: member.NewTable(), orderState: newOrderState(settings), exchangeState: newExchangeState(),
+		rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
 		Claims: newClaimState(), services: map[model.InstanceID]struct{}{},
 		Replay: replay.NewIndex(replay.Limits{
 			AnswerBytes: defaultKeepAnswer, TotalBytes: defaultKeepTotal, Keep: defaultKeepTime, Grace: defaultGraceTime,
@@ -82,6 +83,7 @@
 func publish(s *State, now time.Time) *Snapshot {
 	return &Snapshot{
 		At: now, Config: s.Config, View: s.Follow.View(), Load: s.Load, Running: s.Admission.Running(),
-		Mean: s.Mean, Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(), Versions: s.versions, Draining: s.Draining,
+		Mean: s.Mean, Peers: s.peers, OrdersKnown: s.Orders.Known(), exchangeView: s.view(), Versions: s.versions,
+		Draining: s.Draining,
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -18,6 +18,7 @@
 const (
 	PathRun    = "/side/run"
 	PathResume = "/side/resume"
+	PathKV     = "/side/kv/"     // GET and PUT, followed by the chat
 	HeaderKey  = "Goldcrest-Key" // shared key of the fleet
 )
 
@@ -46,6 +47,7 @@
 	From           int                `json:"from,omitempty"`
 	Attempt        int                `json:"attempt,omitempty"`
 	Version        model.Version      `json:"version,omitempty"`
+	KVFrom         string             `json:"kv_from,omitempty"` // address of the side that holds the chat's cache
 	Takeover       bool               `json:"takeover,omitempty"`
 	Body           []byte             `json:"body,omitempty"`
 }
@@ -57,7 +59,7 @@
 		Chat: req.Chat, Route: req.Route, Pool: req.Pool, Kind: req.Kind,
 		Idempotent: req.Idempotent, IdempotencyKey: req.IdempotencyKey,
 		Fingerprint: req.Fingerprint, Prefill: req.Cost.Prefill, Generate: req.Cost.Generate,
-		From: req.From, Attempt: req.Attempt, Version: req.Version, Takeover: req.Takeover, Body: req.Body,
+		From: req.From, Attempt: req.Attempt, Version: req.Version, Takeover: req.Takeover, KVFrom: req.KVFrom, Body: req.Body,
 	}
 	if !req.Deadline.IsZero() {
 		w.TimeoutMS = max(1, req.Deadline.Sub(now).Milliseconds())
@@ -72,7 +74,7 @@
 		Chat: w.Chat, Route: w.Route, Pool: w.Pool, Kind: w.Kind,
 		Idempotent: w.Idempotent, IdempotencyKey: w.IdempotencyKey,
 		Fingerprint: w.Fingerprint, Cost: model.Cost{Prefill: w.Prefill, Generate: w.Generate},
-		From: w.From, Attempt: w.Attempt, Version: w.Version, Takeover: w.Takeover, Body: w.Body,
+		From: w.From, Attempt: w.Attempt, Version: w.Version, Takeover: w.Takeover, KVFrom: w.KVFrom, Body: w.Body,
 		Stages: &model.StageTimes{},
 	}
 	if w.TimeoutMS > 0 {
@@ -104,6 +106,7 @@
 
 // Refusal is the encoded form of model.Refusal.
 type Refusal struct {
+	Request      model.RequestID  `json:"request"` // the refused request; a refusal can arrive on another one's connection
 	Outcome      model.Outcome    `json:"outcome"`
 	Reason       model.Reason     `json:"reason"`
 	Detail       string           `json:"detail,omitempty"`
@@ -113,9 +116,10 @@
 	Crash        string           `json:"crash,omitempty"`
 }
 
-// FromRefusal returns the encoded form of r.
-func FromRefusal(r *model.Refusal) Refusal {
+// FromRefusal returns the encoded form of the refusal r of request id.
+func FromRefusal(id model.RequestID, r *model.Refusal) Refusal {
 	return Refusal{
+		Request: id,
 		Outcome: r.Outcome, Reason: r.Reason, Detail: r.Detail,
 		RetryAfterMS: r.RetryAfter.Milliseconds(), LoadRatio: r.LoadRatio, Owner: r.Owner, Crash: r.Crash,
 	}
@@ -141,10 +145,10 @@
 	return w, nil
 }
 
-// WriteRefusal answers with a refusal. The status is 409 whatever the reason,
+// WriteRefusal answers with the refusal of request id. The status is 409 whatever the reason,
 // so that a status from anything in between cannot be taken for a refusal.
-func WriteRefusal(w http.ResponseWriter, r *model.Refusal) {
+func WriteRefusal(w http.ResponseWriter, id model.RequestID, r *model.Refusal) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusConflict)
-	_ = json.NewEncoder(w).Encode(FromRefusal(r))
+	_ = json.NewEncoder(w).Encode(FromRefusal(id, r))
 }
