--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -135,12 +135,15 @@
 // Handler returns the HTTP interface for entries.
 func (p *Side) Handler() http.Handler {
 	run := pipe.Endpoint(p.trafficPipeline())
-	server := httptransport.NewServer(run, decodeRun, encodeRun, httptransport.ServerErrorEncoder(encodeError))
+	options := []httptransport.ServerOption{
+		httptransport.ServerBefore(withRequest), httptransport.ServerErrorEncoder(encodeError),
+	}
+	server := httptransport.NewServer(run, decodeRun, encodeRun, options...)
 	mux := http.NewServeMux()
 	mux.Handle("POST "+wire.PathRun, p.authenticate(server))
 	mux.Handle("GET "+wire.PathKV+"{chat}", p.authenticate(http.HandlerFunc(p.exportKV)))
 	mux.Handle("PUT "+wire.PathKV+"{chat}", p.authenticate(http.HandlerFunc(p.importKV)))
-	resume := httptransport.NewServer(p.resume, decodeResume, encodeRun, httptransport.ServerErrorEncoder(encodeError))
+	resume := httptransport.NewServer(p.resume, decodeResume, encodeRun, options...)
 	mux.Handle("GET "+wire.PathResume, p.authenticate(resume))
 	return mux
 }
