--- a/internal/entry/stage_derive.go
+++ b/internal/entry/stage_derive.go
@@ -124,8 +124,8 @@
 	s.Entries = nil
 	s.Pools = map[model.Pool][]member.Endpoint{}
 	s.Addresses = map[model.Pool]map[model.EndpointID]string{}
-	known := map[model.Pool][]member.Endpoint{}
-	for _, e := range s.Members.All() {
+	known := map[model.Pool][]choose.Candidate{}
+	for _, e := range s.Members.Sorted() {
 		switch {
 		case e.Role == instances.RoleEntry && e.Usable():
 			s.Entries = append(s.Entries, e.ID)
@@ -134,18 +134,17 @@
 				s.Addresses[e.Pool] = map[model.EndpointID]string{}
 			}
 			s.Addresses[e.Pool][e.EndpointID()] = e.Address
-			known[e.Pool] = append(known[e.Pool], e)
+			c := candidateOf(s, &e, now)
+			known[e.Pool] = append(known[e.Pool], c)
+			if !c.Leaving && !c.Out {
+				s.Pools[e.Pool] = append(s.Pools[e.Pool], e)
+			}
 		}
 	}
 	s.Candidates = make(map[model.Pool]*choose.Pool, len(known))
 	for name, list := range known {
-		slices.SortFunc(list, func(a, b member.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-		for _, e := range list {
-			if e.Usable() && !isOut(s, e.DataCentre) {
-				s.Pools[name] = append(s.Pools[name], e)
-			}
-		}
-		s.Candidates[name] = choose.NewPool(s.Config.Lists.Pools[name].Plans, candidatesOf(s, name, list, now))
+		giveAllWithoutOthers(list)
+		s.Candidates[name] = choose.NewPool(s.Config.Lists.Pools[name].Plans, list)
 	}
 }
 
@@ -153,24 +152,28 @@
 	return s.Config.Lists.DataCentres[dc].State == lists.Out
 }
 
-func candidatesOf(s *State, pool model.Pool, list []member.Endpoint, now time.Time) []choose.Candidate {
-	returnTime := cmp.Or(s.Config.Lists.Pools[pool].ReturnTime, defaultReturnTime)
-	out := make([]choose.Candidate, len(list))
-	for i, e := range list {
-		load := s.loads[e.EndpointID()]
-		out[i] = choose.Candidate{
-			ID: e.EndpointID(), Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
-			Weight: 1, LoadRatio: load.ratio, OverBound: load.over, Out: isOut(s, e.DataCentre), Leaving: !e.Usable(),
-		}
-		if since, ok := s.returning[e.DataCentre]; ok {
-			out[i].Withheld = max(0, 1-float64(now.Sub(since))/float64(returnTime))
-			out[i].Reclaims = true
-		}
+// candidateOf returns the endpoint with its marks.
+func candidateOf(s *State, e *member.Endpoint, now time.Time) choose.Candidate {
+	load := s.loads[e.EndpointID()]
+	c := choose.Candidate{
+		ID: e.EndpointID(), Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
+		Weight: 1, LoadRatio: load.ratio, OverBound: load.over, Out: isOut(s, e.DataCentre), Leaving: !e.Usable(),
 	}
-	if !slices.ContainsFunc(out, func(c choose.Candidate) bool { return c.Withheld == 0 && !c.Out && !c.Leaving }) {
-		for i := range out {
-			out[i].Withheld = 0 // nothing else can serve the chats meanwhile
-		}
+	if since, ok := s.returning[e.DataCentre]; ok {
+		returnTime := cmp.Or(s.Config.Lists.Pools[e.Pool].ReturnTime, defaultReturnTime)
+		c.Withheld = max(0, 1-float64(now.Sub(since))/float64(returnTime))
+		c.Reclaims = true
+	}
+	return c
+}
+
+// giveAllWithoutOthers ends the slices if no other endpoint can serve the chats
+// meanwhile.
+func giveAllWithoutOthers(list []choose.Candidate) {
+	if slices.ContainsFunc(list, func(c choose.Candidate) bool { return c.Withheld == 0 && !c.Out && !c.Leaving }) {
+		return
+	}
+	for i := range list {
+		list[i].Withheld = 0
 	}
-	return out
 }
--- a/internal/measure/routing.go
+++ b/internal/measure/routing.go
@@ -82,6 +82,7 @@
 	ms := methods(admit.Switches{})
 	steady := compare(size, seed, churn{name: "steady", apply: func(*routingRun) {}}, ms)
 	out := []Figure{{Name: name("reuse_steady"), Value: steady.ofIdeal(0), Unit: "of_ideal", Relation: AtLeast, Target: reuseSteady, Baseline: steady.baselines()}}
+	out = append(out, lowLoadFigure(name("reuse_low_load"), size, seed, ms))
 	worst := steady.fleet().observed.worst
 	total := make([]float64, len(ms)) // cached over prompt units of all churns together
 	var prompts float64
@@ -119,6 +120,15 @@
 		Figure{Name: name("lost_churn"), Value: float64(lost), Unit: "requests", Relation: Equal})
 }
 
+// lowLoadFigure prints the reuse with about 2 running requests an engine, where
+// the bound over a small mean makes many chats overflow.
+func lowLoadFigure(name string, size fleetSize, seed uint64, ms []method) Figure {
+	size.rate /= 9
+	size.chats /= 9
+	c := compare(size, seed, churn{name: "low_load", apply: func(*routingRun) {}}, ms)
+	return Figure{Name: name, Value: c.ofIdeal(0), Unit: "of_ideal", Baseline: fmt.Sprintf("%s; refusals %d of %d", c.baselines(), c.fleet().stats.refused, c.fleet().stats.arrived)}
+}
+
 func totals(ms []method, total []float64) string {
 	var parts []string
 	for i := 2; i < len(ms); i++ {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
@@ -28,7 +29,7 @@
 	PenaltyHalfLife = 15 * time.Second
 	// MaxHold bounds the pause that any penalty causes, so that an endpoint
 	// that works is always tried again.
-	MaxHold = 30 * time.Second
+	MaxHold = 16 * time.Second
 	// maxPenalty is the number of recent failures at which the pause is MaxHold.
 	maxPenalty = 5
 	// goneKept is how long the penalty of an instance outlives its removal.
@@ -189,6 +190,23 @@
 	return e, ok
 }
 
+// Sorted returns the view in order of the ids, without the instances that All
+// leaves out.
+func (t *Table) Sorted() []Endpoint {
+	ids := make([]model.InstanceID, 0, len(t.items))
+	for id, e := range t.items {
+		if e.Status != instances.Gone || e.usable {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	out := make([]Endpoint, len(ids))
+	for i, id := range ids {
+		out[i] = t.items[id]
+	}
+	return out
+}
+
 // All returns a copy of the view. Instances that the list removed are in it
 // only while they are still used.
 func (t *Table) All() map[model.InstanceID]Endpoint {
