--- a/internal/exchange/meter.go
+++ b/internal/exchange/meter.go
@@ -21,24 +21,17 @@
 	overheadBytes = headerBytes + headerBytes/2
 )
 
+// budgetShare is the part of the budget to which the meter holds a node. The
+// rest covers notices, which are never held back.
+const budgetShare = 0.9
+
 // budgetBurst is the time whose budget may be used at once.
 const budgetBurst = 2 * time.Second
 
-// Class is a class of control traffic. Lower classes are dropped first.
-type Class int
-
-// The classes in the order in which they are dropped.
-const (
-	Detail   Class = iota // details for the slow view: dropped
-	Evidence              // deltas of evidence: merged into the next report
-	Regular               // reports: their period is lengthened
-	Urgent                // leaving notices, crashes, verdicts, offsets: never dropped
-)
-
 // Meter counts the bytes of a node's connections and holds them to the budget.
 type Meter struct {
 	in, out, overhead atomic.Int64
-	budget            int64
+	budget            int64 // bytes a second to which the node is held
 	limiter           *rate.Limiter
 	asked             atomic.Int64 // percent that peers ask for
 	stretch           bool         // lengthen the report period; switched off by tests only
@@ -54,12 +47,15 @@
 	bytesOverhead = metrics.GetOrCreateCounter(`goldcrest_control_bytes_total{direction="overhead"}`)
 )
 
+var stretchGauge = metrics.GetOrCreateGauge(`goldcrest_control_stretch`, nil)
+
 // NewMeter returns a meter with a budget in bytes a second; 0 means
 // DefaultBudget.
 func NewMeter(budget int64) *Meter {
 	if budget <= 0 {
 		budget = DefaultBudget
 	}
+	budget = int64(budgetShare * float64(budget))
 	return &Meter{
 		budget: budget, stretch: true,
 		limiter: rate.NewLimiter(rate.Limit(budget), int(float64(budget)*budgetBurst.Seconds())),
@@ -97,16 +93,15 @@
 	}
 }
 
-// Allow reports whether a message of class c may be sent at now.
-func (m *Meter) Allow(c Class, now time.Time) bool {
-	left := m.limiter.TokensAt(now) / float64(m.limiter.Burst())
-	switch c {
-	case Detail:
-		return left > 0.5
-	case Evidence:
-		return left > 0.25
-	}
-	return true
+// detailShare is the part of the burst that must be left for details.
+const detailShare = 0.5
+
+// AllowDetails reports whether details for the slow view may be sent at now.
+// They are dropped first: before the budget is used up, and as soon as a peer
+// asks to stretch. Evidence and reports wait longer then and are merged into
+// the next ones; notices, verdicts and offsets always go.
+func (m *Meter) AllowDetails(now time.Time) bool {
+	return m.asked.Load() <= 100 && m.limiter.TokensAt(now) > detailShare*float64(m.limiter.Burst())
 }
 
 // MaxStretch is the longest report period over the regular one. A holder hears
@@ -121,7 +116,9 @@
 	if !m.stretch {
 		return 1
 	}
-	return min(MaxStretch, max(1+max(0, debt), float64(m.asked.Load())/100))
+	factor := min(MaxStretch, max(1+max(0, debt), float64(m.asked.Load())/100))
+	stretchGauge.Set(factor)
+	return factor
 }
 
 // Follow notes the factor that the receivers of this node's reports ask for.
