--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -24,8 +24,8 @@
 	maxResends = 3
 	// resendPause lets a new owner take over and a result reach the log.
 	resendPause = 200 * time.Millisecond
-	// settleTime bounds the void and its reading back after the deadline.
-	settleTime = 5 * time.Second
+	// voidTime bounds the void and its reading back after the deadline.
+	voidTime = 5 * time.Second
 	// maxWholeAnswer bounds the answer of a non-idempotent request, in bytes.
 	maxWholeAnswer = 2 << 20
 	// entryShare is the part of the fleet's append budget for voids.
@@ -129,10 +129,10 @@
 
 // settle appends a void and reports what the log then says about the key.
 func (f resolve) settle(ctx context.Context, req *model.Request, unknown *model.Refusal) (*model.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	ctx, cancel := context.WithTimeout(ctx, voidTime)
 	defer cancel()
 	key := claim.KeyOf(req)
-	if !f.budget.WaitFor(ctx, settleTime/2) {
+	if !f.budget.WaitFor(ctx, voidTime/2) {
 		countVoid("no_budget")
 		return nil, unknownOutcome(unknown)
 	}
