Send a service call once, whatever the HTTP client does

Cause: a trial with faults on real processes found a key that ran twice. Go's HTTP client sends a request with an Idempotency-Key again when a reused connection ends before the answer, although the service may have run it. Change: the body is hidden from the client's replay, and redirects are answers. goldcrest-load names the keys that ran twice.

--- a/internal/endpointapi/client.go
+++ b/internal/endpointapi/client.go
@@ -14,5 +14,9 @@
 const idleTime = time.Minute
 
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTime}}
+	return &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTime},
+		// An endpoint's redirect is an answer; following it would run a call twice.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
--- a/internal/endpointapi/service.go
+++ b/internal/endpointapi/service.go
@@ -35,10 +35,13 @@
 // Run calls the service and reads its whole answer.
 func (s *Service) Run(ctx context.Context, req *model.Request) (*model.Answer, error) {
 	_, path, _ := strings.Cut(string(req.Route), "/")
-	call, err := http.NewRequestWithContext(ctx, http.MethodPost, s.base+"/"+path, bytes.NewReader(req.Body))
+	// The body is hidden from net/http, which otherwise sends a request with an
+	// Idempotency-Key again when a reused connection ends before the answer.
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, s.base+"/"+path, io.NopCloser(bytes.NewReader(req.Body)))
 	if err != nil {
 		return nil, eris.Wrap(err, "endpointapi: request cannot be made")
 	}
+	call.ContentLength = int64(len(req.Body))
 	call.Header.Set(HeaderRequest, string(req.ID))
 	call.Header.Set(HeaderKey, req.IdempotencyKey)
 	call.Header.Set("Content-Type", "application/json")
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -171,6 +171,11 @@
 		}
 	}
 	o.Duplicates = int64(len(r.duplicated))
+	for _, key := range slices.Sorted(maps.Keys(r.duplicated)) {
+		if len(o.Examples) < maxExamples {
+			o.Examples = append(o.Examples, "duplicate "+key)
+		}
+	}
 	r.check()
 	return *o
 }
