--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -55,6 +55,18 @@
 	return p
 }
 
+// WithLoads returns a pool whose candidates have the loads that load yields. It
+// shares everything else with p and costs one copy of the candidates.
+func (p *Pool) WithLoads(load func(model.EndpointID) (ratio float64, over bool)) *Pool {
+	next := *p
+	next.Candidates = slices.Clone(p.Candidates)
+	for i := range next.Candidates {
+		c := &next.Candidates[i]
+		c.LoadRatio, c.OverBound = load(c.ID)
+	}
+	return &next
+}
+
 // Query is what the order of a request depends on.
 type Query struct {
 	Key         string // model.Request.HashKey
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -102,6 +102,9 @@
 		if err := json.NewDecoder(io.LimitReader(resp.Body, wire.MaxFrameBytes)).Decode(&refusal); err != nil {
 			return nil, eris.Wrap(err, "entry: refusal is malformed")
 		}
+		if refusal.Request != req.ID {
+			return nil, eris.Errorf("entry: refusal belongs to request %s, not %s", refusal.Request, req.ID)
+		}
 		return nil, refusal.Model()
 	default:
 		resp.Body.Close()
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -16,10 +16,10 @@
 		limitRate{e},
 		resolve{logs: e.deps.Logs, budget: e.budget, resume: out.resume, off: without.Void},
 		relay{out.resume, e.mayRepeat, without.FrameCheck},
-		guard{e.loop.Snapshot},
+		guard{e.loop.Snapshot, e.mayRepeat},
 		selectVersion{e.loop.Snapshot},
 		routeOwner{e.loop.Snapshot},
-		chooseEndpoint{e.loop.Snapshot, e.mayRepeat, e.loop},
+		chooseEndpoint{e.loop.Snapshot, e.mayHandOver, e.loop},
 		out,
 	)
 }
--- a/internal/measure/exchange_fleet.go
+++ b/internal/measure/exchange_fleet.go
@@ -61,8 +61,8 @@
 	logs    *standin.LogService
 	list    *standin.InstanceList
 	logDown atomic.Bool
-	lag     func(id string) time.Duration // of the instance list, per process
-	cut     func(from, to string) bool    // in the control exchange
+	lag     atomic.Pointer[func(id string) time.Duration] // of the instance list, per process
+	cut     atomic.Pointer[func(from, to string) bool]    // in the control exchange
 	entries []*exEntry
 	sides   []*exSide
 }
@@ -108,8 +108,8 @@
 
 func (l exList) Since(ctx context.Context, seq int64, wait time.Duration) (instances.Changes, error) {
 	ch, err := l.f.list.Since(ctx, seq, wait)
-	if err == nil && seq > 0 && l.f.lag != nil {
-		exPause(ctx, l.f.lag(l.id))
+	if lag := l.f.lag.Load(); err == nil && seq > 0 && lag != nil {
+		exPause(ctx, (*lag)(l.id))
 	}
 	return ch, err
 }
@@ -140,7 +140,10 @@
 		_, _ = h.Write([]byte(from + ">" + to))
 		return u.oneWay + time.Duration(h.Sum32()%100_000)*time.Nanosecond
 	}
-	f.pipes.Cut = func(from, to string) bool { return f.cut != nil && f.cut(from, to) }
+	f.pipes.Cut = func(from, to string) bool {
+		cut := f.cut.Load()
+		return cut != nil && (*cut)(from, to)
+	}
 	f.apply()
 	for i := range u.engines {
 		f.addSide(fmt.Sprintf("engine-%d", i), "chat", model.Engine, i)
@@ -169,6 +172,12 @@
 	return out
 }
 
+// lags sets the lag of the instance list, per process.
+func (f *exFleet) lags(lag func(id string) time.Duration) { f.lag.Store(&lag) }
+
+// cuts sets the partition of the control exchange.
+func (f *exFleet) cuts(cut func(from, to string) bool) { f.cut.Store(&cut) }
+
 // end stops all processes.
 func (f *exFleet) end() {
 	f.stop()
@@ -308,14 +317,14 @@
 // exLife is one life of an endpoint process.
 type exLife struct {
 	ended chan struct{}
-	up    time.Time
+	up    atomic.Int64 // nanoseconds since 1970, once dead
 	dead  atomic.Bool
 }
 
 func (e *exEndpoint) life() *exLife {
 	for {
 		l := e.state.Load()
-		if l != nil && (!l.dead.Load() || time.Now().Before(l.up)) {
+		if l != nil && (!l.dead.Load() || l.up.Load() == 0 || time.Now().UnixNano() < l.up.Load()) {
 			return l
 		}
 		if next := (&exLife{ended: make(chan struct{})}); e.state.CompareAndSwap(l, next) {
@@ -325,8 +334,8 @@
 }
 
 func (e *exEndpoint) crash(l *exLife) {
-	l.up = time.Now().Add(e.down)
 	if l.dead.CompareAndSwap(false, true) {
+		l.up.Store(time.Now().Add(e.down).UnixNano())
 		e.crashes.Add(1)
 		close(l.ended)
 	}
--- a/internal/side/codec.go
+++ b/internal/side/codec.go
@@ -9,19 +9,34 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/wire"
 )
 
-func decodeRun(_ context.Context, r *http.Request) (any, error) {
+type requestKey struct{}
+
+// withRequest makes room for the id of the request, which a refusal names.
+func withRequest(ctx context.Context, _ *http.Request) context.Context {
+	return context.WithValue(ctx, requestKey{}, new(model.RequestID))
+}
+
+func noteRequest(ctx context.Context, id model.RequestID) {
+	if to, ok := ctx.Value(requestKey{}).(*model.RequestID); ok {
+		*to = id
+	}
+}
+
+func decodeRun(ctx context.Context, r *http.Request) (any, error) {
 	w, err := wire.DecodeRequest(r.Body)
 	if err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
 	}
+	noteRequest(ctx, w.ID)
 	return w.Model(time.Now()), nil
 }
 
-func decodeResume(_ context.Context, r *http.Request) (any, error) {
+func decodeResume(ctx context.Context, r *http.Request) (any, error) {
 	req, err := wire.DecodeResume(r.URL.Query())
 	if err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
 	}
+	noteRequest(ctx, req.ID)
 	return req, nil
 }
 
@@ -36,6 +51,10 @@
 	return nil
 }
 
-func encodeError(_ context.Context, err error, w http.ResponseWriter) {
-	wire.WriteRefusal(w, model.AsRefusal(err))
+func encodeError(ctx context.Context, err error, w http.ResponseWriter) {
+	id, _ := ctx.Value(requestKey{}).(*model.RequestID)
+	if id == nil {
+		id = new(model.RequestID)
+	}
+	wire.WriteRefusal(w, *id, model.AsRefusal(err))
 }
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -24,7 +24,7 @@
 
 // errorFrame tells the reader why the answer was cut.
 func errorFrame(id model.RequestID, err error) Frame {
-	data, _ := json.Marshal(FromRefusal(model.AsRefusal(err)))
+	data, _ := json.Marshal(FromRefusal(id, model.AsRefusal(err)))
 	return Frame{Request: id, Index: -1, Kind: model.FrameError, Data: data}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -106,6 +106,7 @@
 
 // Refusal is the encoded form of model.Refusal.
 type Refusal struct {
+	Request      model.RequestID  `json:"request"` // the refused request; a refusal can arrive on another one's connection
 	Outcome      model.Outcome    `json:"outcome"`
 	Reason       model.Reason     `json:"reason"`
 	Detail       string           `json:"detail,omitempty"`
@@ -115,9 +116,10 @@
 	Crash        string           `json:"crash,omitempty"`
 }
 
-// FromRefusal returns the encoded form of r.
-func FromRefusal(r *model.Refusal) Refusal {
+// FromRefusal returns the encoded form of the refusal r of request id.
+func FromRefusal(id model.RequestID, r *model.Refusal) Refusal {
 	return Refusal{
+		Request: id,
 		Outcome: r.Outcome, Reason: r.Reason, Detail: r.Detail,
 		RetryAfterMS: r.RetryAfter.Milliseconds(), LoadRatio: r.LoadRatio, Owner: r.Owner, Crash: r.Crash,
 	}
@@ -143,10 +145,10 @@
 	return w, nil
 }
 
-// WriteRefusal answers with a refusal. The status is 409 whatever the reason,
+// WriteRefusal answers with the refusal of request id. The status is 409 whatever the reason,
 // so that a status from anything in between cannot be taken for a refusal.
-func WriteRefusal(w http.ResponseWriter, r *model.Refusal) {
+func WriteRefusal(w http.ResponseWriter, id model.RequestID, r *model.Refusal) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusConflict)
-	_ = json.NewEncoder(w).Encode(FromRefusal(r))
+	_ = json.NewEncoder(w).Encode(FromRefusal(id, r))
 }
