Warm the engines up before the crashing requests come

Cause: with cold admission merged, each engine ran one request at a time, so no innocent request was in flight at a crash and the zero of refused innocents meant nothing.

Change: 6 streams an engine, 8 s of warming up, and a figure that requires innocents in flight at crashes.

Conclusion: the zero is no longer vacuous.

--- a/internal/measure/suspect.go
+++ b/internal/measure/suspect.go
@@ -42,6 +42,7 @@
 func suspectCrash(env Env) []Figure {
 	var out []Figure
 	for _, u := range exUsers {
+		touched := 0
 		for _, c := range suspectCases {
 			env.Bubble(func() {
 				r := runSuspects(env, u, c)
@@ -49,10 +50,12 @@
 				out = append(out,
 					Figure{Name: name + "/endpoints", Value: float64(r.crashed), Unit: "endpoints", Relation: AtMost, Target: exMaxCrashed},
 					Figure{Name: name + "/innocents", Value: float64(r.refused), Unit: "refused", Relation: Equal, Target: 0},
-					Figure{Name: name + "/touched", Value: float64(r.touched), Unit: "innocents"},
 				)
+				touched += r.touched
 			})
 		}
+		// Without innocents in flight at a crash, none refused would mean nothing.
+		out = append(out, Figure{Name: "suspect/" + u.name + "/touched", Value: float64(touched), Unit: "innocents", Relation: AtLeast, Target: 1})
 	}
 	return out
 }
@@ -91,7 +94,7 @@
 	f.logDown.Store(c.logDown)
 	refused := make(chan string, 4096)
 	wait := f.innocents(refused)
-	f.wait(time.Second)
+	f.wait(8 * time.Second) // the endpoints become warm and run several requests at once
 	done := make(chan struct{})
 	for p := range c.poisons {
 		for _, e := range f.entries {
@@ -157,7 +160,7 @@
 // bodies of those refused as suspects.
 func (f *exFleet) innocents(refused chan<- string) (wait func()) {
 	ctx, stop := context.WithCancel(f.ctx)
-	const streams = 24
+	streams := 6 * f.user.engines // several requests at once at each engine
 	done := make(chan struct{})
 	for n := range streams {
 		start := time.Duration(f.rng.IntN(100_000)) * time.Microsecond
