--- a/internal/entry/stage_members.go
+++ b/internal/entry/stage_members.go
@@ -28,6 +28,7 @@
 	keysOf     *config.Accepted            // configuration that Keys belongs to
 	loads      map[model.EndpointID]endpointLoad
 	loadsMoved bool // a load ratio changed since the last tick
+	loadsStale bool // Candidates lack the newest loads
 	firstTick  time.Time
 	wasOut     map[model.DataCentre]bool
 	returning  map[model.DataCentre]time.Time // since when a data centre is back in service
@@ -58,21 +59,22 @@
 func (foldMembers) Name() string { return "fold_members" }
 
 func (st foldMembers) Apply(s *State, now time.Time, ev control.Event) bool {
-	changed := false
+	members, loads := false, false
 	switch ev := ev.(type) {
 	case listChanged:
 		s.Members.ApplyList(ev.changes, now)
-		changed = true
+		members = true
 	case endpointSeen:
-		changed = noteEvidence(s, now, ev) || noteLoad(s, now, ev)
+		members, loads = noteEvidence(s, now, ev), noteLoad(s, now, ev)
 	case control.Tick:
-		changed = s.Members.Step(now) || expireLoads(s, now)
+		members, loads = s.Members.Step(now), expireLoads(s, now)
 	}
-	if changed {
+	if members {
 		s.derived = false
 		metrics.GetOrCreateCounter(`goldcrest_entry_membership_changes_total`).Inc()
 	}
-	return changed
+	s.loadsStale = s.loadsStale || loads
+	return members || loads
 }
 
 // noteEvidence merges direct evidence. It reports whether usability changed.
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -48,7 +48,7 @@
 func New(s Settings, deps Deps) *Side {
 	p := &Side{
 		settings: s, deps: deps, log: deps.Log, crashes: make(chan suspect.Crash, crashesQueue),
-		ordersWake: make(chan struct{}, 1), kv: newKVMover(deps.KV),
+		ordersWake: make(chan struct{}, 1), kv: newKVMover(deps.KV, deps.KVWait),
 		budget: logsvc.NewBudget(float64(s.AppendBudget) * sideShare),
 	}
 	p.loop = control.New(control.Config[State, Snapshot]{
@@ -84,7 +84,7 @@
 	}
 	if s.Kind == model.Engine {
 		engine := endpointapi.NewEngine(s.Endpoint, s.EndpointID())
-		deps.Endpoint, deps.Orders, deps.KV = engine, engine, engine
+		deps.Endpoint, deps.Orders, deps.KV, deps.Reports = engine, engine, engine, engine
 	}
 	p := New(s, deps)
 	return p.Serve(ctx, traffic, admin, peers)
@@ -126,6 +126,7 @@
 	g.Go(func() error { p.reportEvidence(ctx); return nil })
 	g.Go(func() error { p.reportTimes(ctx); return nil })
 	g.Go(func() error { p.moveChats(ctx); return nil })
+	g.Go(func() error { p.readReports(ctx); return nil })
 	for range claimWorkers {
 		g.Go(func() error { p.workClaims(ctx); return nil })
 	}
@@ -134,12 +135,15 @@
 // Handler returns the HTTP interface for entries.
 func (p *Side) Handler() http.Handler {
 	run := pipe.Endpoint(p.trafficPipeline())
-	server := httptransport.NewServer(run, decodeRun, encodeRun, httptransport.ServerErrorEncoder(encodeError))
+	options := []httptransport.ServerOption{
+		httptransport.ServerBefore(withRequest), httptransport.ServerErrorEncoder(encodeError),
+	}
+	server := httptransport.NewServer(run, decodeRun, encodeRun, options...)
 	mux := http.NewServeMux()
 	mux.Handle("POST "+wire.PathRun, p.authenticate(server))
 	mux.Handle("GET "+wire.PathKV+"{chat}", p.authenticate(http.HandlerFunc(p.exportKV)))
 	mux.Handle("PUT "+wire.PathKV+"{chat}", p.authenticate(http.HandlerFunc(p.importKV)))
-	resume := httptransport.NewServer(p.resume, decodeResume, encodeRun, httptransport.ServerErrorEncoder(encodeError))
+	resume := httptransport.NewServer(p.resume, decodeResume, encodeRun, options...)
 	mux.Handle("GET "+wire.PathResume, p.authenticate(resume))
 	return mux
 }
