--- a/internal/configsync/stage.go
+++ b/internal/configsync/stage.go
@@ -12,20 +12,29 @@
 
 // Events of the source.
 type (
-	// LogRead carries one read of the configuration stream. Its reply, and that
-	// of PeerReplied, tells whether the accepted configuration changed.
+	// LogRead carries one read of the configuration stream.
 	LogRead struct {
-		control.Question[bool]
+		applied
 		Batch config.Batch
 	}
 	// PeerReplied carries the answer of a peer.
 	PeerReplied struct {
-		control.Question[bool]
+		applied
 		Request config.FetchRequest
 		Reply   config.FetchReply
 	}
 )
 
+// applied is the part of an event whose sender waits until the snapshot with its
+// effect is published. The stage does not reply itself, since the loop publishes
+// after the stages and would then be too late for the sender.
+type applied struct {
+	control.Question[struct{}]
+	changed *bool // whether the accepted configuration changed
+}
+
+func newApplied() applied { return applied{control.NewQuestion[struct{}](), new(bool)} }
+
 // EventName implements control.Event.
 func (LogRead) EventName() string { return "config_log_read" }
 
@@ -56,10 +65,10 @@
 			skippedTotal.Inc()
 			st.Log.Warn("record was skipped", "stream", config.Stream, "offset", sk.Offset, "error", sk.Err)
 		}
-		ev.Question.Reply(changed)
+		*ev.changed = changed
 	case PeerReplied:
 		changed, _ = f.ApplyPeer(ev.Request, ev.Reply)
-		ev.Question.Reply(changed)
+		*ev.changed = changed
 	}
 	if changed {
 		st.Changed(s)
--- /dev/null
+++ b/internal/order/machine_test.go
@@ -0,0 +1,75 @@
+package order_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/lists"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/order"
+)
+
+func accepted(offset int64, version model.Version, rollouts map[string]lists.Rollout) *config.Accepted {
+	l := lists.New()
+	l.Pools["chat"] = lists.Pool{Kind: model.Engine, Version: version}
+	l.Rollouts = rollouts
+	return &config.Accepted{Offset: offset, Lists: l}
+}
+
+// Guards against a target that drops the old version during a rollout, or keeps
+// the new one after it was rolled back.
+func TestTargetFollowsTheRollout(t *testing.T) {
+	is := is.New(t)
+	r := lists.Rollout{Pool: "chat", Old: "v1", New: "v2", Start: time.Unix(1, 0), State: lists.RolloutActive}
+	target := func() []model.Version {
+		return order.Derive(accepted(0, "v1", map[string]lists.Rollout{"r": r}).Lists, "chat").Versions
+	}
+	is.Equal(target(), []model.Version{"v1", "v2"})
+	r.State = lists.RolloutTakenBack
+	is.Equal(target(), []model.Version{"v1"})
+	r.State = lists.RolloutDone
+	is.Equal(target(), []model.Version{"v2"})
+}
+
+// Guards against an order that is given twice after a lost answer, against an
+// unload that cuts streams, and against an order from before a newer target.
+func TestOrdersAreSerialisedAndReadBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := order.New("e1", "chat")
+	m.Members(now, []model.EndpointID{"e1"})
+	pass := func(d time.Duration) {
+		for range int(d / time.Second) {
+			now = now.Add(time.Second)
+			m.Tick(now)
+		}
+	}
+	m.Tick(now)
+	m.Accept(now, accepted(4, "v2", nil))
+	is.True(!m.Next(now).Read) // held after the start
+	pass(15 * time.Second)
+	is.True(m.Next(now).Read)
+	is.True(m.Next(now).Order == nil && !m.Next(now).Read) // one step at a time
+	m.Read(now, &order.State{Loaded: []model.Version{"v1"}})
+	load := m.Next(now).Order
+	is.Equal(load.Kind, order.Load)
+	is.Equal(load.Fence, int64(4))
+	m.Given(now, true) // the answer was lost
+	is.Equal(m.Next(now).Order, nil)
+	pass(2 * time.Second)
+	is.True(m.Next(now).Read)
+	m.Read(now, &order.State{Loaded: []model.Version{"v1", "v2"}})
+	is.Equal(m.Next(now).Order, nil) // streams of v1 still run
+	pass(time.Minute)
+	is.True(m.Next(now).Read)
+	m.Read(now, &order.State{Loaded: []model.Version{"v1", "v2"}})
+	unload := m.Next(now).Order
+	is.Equal(unload.Kind, order.Unload)
+	is.Equal(unload.Version, model.Version("v1"))
+	is.True(order.Pass(*unload, m.Known(), now))
+	m.Accept(now, accepted(7, "v1", nil)) // taken back while the sender was paused
+	is.True(!order.Pass(*unload, m.Known(), now))
+}
