--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -17,7 +17,7 @@
 // purePackages decide without a clock, a socket or hidden randomness.
 var purePackages = []string{
 	"admit", "choose", "claim", "config", "finding", "limit", "lists", "member",
-	"model", "order", "pipe", "replay", "retry", "rollout", "summary", "suspect",
+	"model", "order", "pipe", "replay", "retry", "rollout", "summary", "suspect", "timing",
 }
 
 // bannedImports never appear in product code: a process starts no process and
