Add make faults, and find free ports for runs side by side

Cause: a quick start failed because another one on the machine used its ports; its stand-ins went on running without their address, so the cause was hidden. Change: the scripts look for 80 free ports; a stand-in ends when one of its parts fails; scripts/fleet.sh is shared; scripts/faults.sh runs load while faults come, one after the other and two together. TestStandinEndsWhenItsAddressIsTaken hung before.

In the full run of make test, configsync's TestFirstLoadFromAPeerIsPacedAndServesLookups failed once; go test -race -count=3 ./internal/configsync passed after it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS = -X github.com/goldcrestturn/goldcrestturn/internal/program.Version=$(VERSION)
 
-.PHONY: build quickstart test lint measure capacity ci
+.PHONY: build quickstart faults test lint measure capacity ci
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -10,6 +10,9 @@
 quickstart:
 	bash scripts/quickstart.sh
 
+faults:
+	bash scripts/faults.sh
+
 # The race detector of go1.26.8 crashes (SIGSEGV in its stack depot) in bubbles
 # of testing/synctest with many deadlines, so the measurements run without it.
 test:
--- a/internal/standin/engine_http_test.go
+++ b/internal/standin/engine_http_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -101,3 +102,16 @@
 	is.Equal(do("POST", "/generate", `{"id":"r","max_tokens":1}`), http.StatusInternalServerError)
 	is.Equal(do("POST", "/generate", `{"id":"r","max_tokens":1,"version":"v9"}`), http.StatusConflict)
 }
+
+// Guards against a stand-in that cannot use its address and goes on running,
+// which hides that another process answers in its place.
+func TestStandinEndsWhenItsAddressIsTaken(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer taken.Close()
+	for _, role := range []string{rolePlatform, roleEngine, roleService} {
+		err := Run(context.Background(), slog.New(slog.DiscardHandler), Settings{Role: role, Listen: taken.Addr().String()})
+		is.True(errors.Is(err, syscall.EADDRINUSE))
+	}
+}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -129,7 +129,7 @@
 
 // Run serves the stand-in of the given settings until ctx ends.
 func Run(ctx context.Context, log *slog.Logger, s Settings) error {
-	var g errgroup.Group
+	g, ctx := errgroup.WithContext(ctx) // a part that fails ends the others
 	log.Info("started", "role", s.Role, "listen", s.Listen)
 	switch s.Role {
 	case roleEngine:
@@ -141,7 +141,7 @@
 		g.Go(func() error { sv.Run(ctx); return nil })
 		g.Go(func() error { return serve(ctx, s.Listen, sv.Handler()) })
 	case rolePlatform:
-		h := startPlatform(ctx, &g, s)
+		h := startPlatform(ctx, g, s)
 		g.Go(func() error { return serve(ctx, s.Listen, h) })
 	}
 	return g.Wait()
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -12,6 +12,20 @@
 	PIDS+=("$PID")
 }
 
+# free_base BASE: prints the first of BASE, BASE+100, ... from which 80 ports on
+# 127.0.0.1 have no listener, so that two runs on one machine do not meet.
+free_base() {
+	local base port
+	for ((base = $1; base < $1 + 1000; base += 100)); do
+		for ((port = base; port < base + 80; port++)); do
+			(exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue 2
+		done
+		echo "$base"
+		return
+	done
+	return 1
+}
+
 # stop_all stops every process that was started, by its id, entries and sides
 # before the stand-ins that they talk to.
 stop_all() {
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -5,106 +5,17 @@
 # minute. The exit code is not zero if a claim did not hold.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-BASE=${QUICKSTART_PORT:-27400} # first of about 80 ports on 127.0.0.1
 STOP_SIGNAL=${QUICKSTART_STOP:-TERM} # KILL shows that the last claim can fail
 BIN=$PWD/bin
 RUN=$PWD/run/quickstart
 rm -rf "$RUN" && mkdir -p "$RUN"
 . scripts/lib.sh
+BASE=$(free_base "${QUICKSTART_PORT:-27400}") || exit 1 # first of about 80 ports on 127.0.0.1
+. scripts/fleet.sh
 trap 'stop_all; exit 130' INT TERM
 
-KEY=quickstart-key # API key of the workspace studio
-PLATFORM=127.0.0.1:$BASE
-SERVICE=127.0.0.1:$((BASE + 15))
-engine() { echo "127.0.0.1:$((BASE + 10 + $1))"; }
-entry() { echo "127.0.0.1:$((BASE + 50 + $1))"; }
-admin() { echo "127.0.0.1:$((BASE + 70 + $1))"; }
-
-# write_settings writes the settings of every process.
-write_settings() {
-	{
-		printf '[standin]\nrole = platform\nlisten = %s\n' "$PLATFORM"
-		for i in 1 2 3 4 5; do
-			kind=engine pool=chat version=v1 dc=akl-$(((i + 1) / 2))
-			[ "$i" = 5 ] && kind=service pool=tracker version='' dc=akl-2
-			printf '[instance %s]\nrole = endpoint\nkind = %s\npool = %s\nversion = %s\ndata_centre = %s\n' "$(name "$i")" $kind $pool "$version" $dc
-			printf 'address = 127.0.0.1:%d\ncontrol = 127.0.0.1:%d\nadmin = 127.0.0.1:%d\n' $((BASE + 20 + i)) $((BASE + 30 + i)) $((BASE + 40 + i))
-			write_side "$i" $kind $pool "$version" $dc
-		done
-		for i in 1 2; do
-			printf '[instance entry-%d]\nrole = entry\ndata_centre = akl-%d\naddress = %s\ncontrol = 127.0.0.1:%d\nadmin = %s\n' $i $i "$(entry $i)" $((BASE + 60 + i)) "$(admin $i)"
-			write_entry $i
-		done
-	} >"$RUN/platform.ini"
-	printf '[standin]\nrole = service\nlisten = %s\n' "$SERVICE" >"$RUN/tracker.ini"
-	for i in 1 2 3 4; do
-		printf '[standin]\nrole = engine\nlisten = %s\n[engine]\nversion = v1\ntoken_time = 20ms\nprefill_time = 20us\nslots = 32\ncold_time = 200ms\ncold_bears = 20000\n' "$(engine $i)" >"$RUN/engine-$i.ini"
-	done
-	printf '[ctl]\nlog_service = http://%s\ninstance_list = http://%s\nlists = %s\nauthor = quickstart\n' "$PLATFORM" "$PLATFORM" "$PWD/examples/quickstart" >"$RUN/ctl.ini"
-	seed=0
-	for load in move stop; do
-		seed=$((seed + 1)) # different seeds give different idempotency keys
-		sed -e "s/SEED/$seed/; s/ENTRY1/$(entry 1)/; s/ENTRY2/$(entry 2)/; s/SERVICE/$SERVICE/; s/APIKEY/$KEY/" examples/quickstart/load.ini >"$RUN/load-$load.ini"
-	done
-}
-
-name() { if [ "$1" = 5 ]; then echo service-1; else echo "engine-$1"; fi; }
-
-shared() { printf '[platform]\nlog_service = http://%s\ninstance_list = http://%s\n[fleet]\nkey = shared-quickstart\ncontrol_budget = 4000\n' "$PLATFORM" "$PLATFORM"; }
-
-write_side() {
-	local endpoint
-	endpoint=$(engine "$1")
-	[ "$2" = service ] && endpoint=$SERVICE
-	{
-		printf '[side]\ninstance = %s\ndata_centre = %s\nregion = akl\npool = %s\nkind = %s\nversion = %s\nendpoint = http://%s\n' "$(name "$1")" "$5" "$3" "$2" "$4" "$endpoint"
-		printf 'listen = 127.0.0.1:%d\ncontrol = 127.0.0.1:%d\nadmin = 127.0.0.1:%d\n' $((BASE + 20 + $1)) $((BASE + 30 + $1)) $((BASE + 40 + $1))
-		shared
-	} >"$RUN/side-$1.ini"
-}
-
-write_entry() {
-	{
-		printf '[entry]\ninstance = entry-%d\ndata_centre = akl-%d\nregion = akl\nlisten = %s\ncontrol = 127.0.0.1:%d\nadmin = %s\n' "$1" "$1" "$(entry "$1")" $((BASE + 60 + $1)) "$(admin "$1")"
-		shared
-	} >"$RUN/entry-$1.ini"
-}
-
-# ctl ARGUMENTS: runs goldcrestctl and shows what it prints.
-ctl() {
-	local command=$1
-	shift
-	"$BIN/goldcrestctl" "$command" -settings "$RUN/ctl.ini" -timeout 10s "$@" 2>&1 | sed 's/^/   /'
-	return "${PIPESTATUS[0]}"
-}
-
-started() { curl -fsS "http://$(engine "$1")/stats" | field started; }
-started_in_akl1() { echo $(($(started 1) + $(started 2))); }
-grows() { [ "$(started_in_akl1)" -gt "$1" ]; }
-chat_works() { curl -fsS -o /dev/null -H "Authorization: Bearer $KEY" -d '{"messages":[{"role":"user","content":"ready?"}],"max_tokens":1}' "http://$(entry "$1")/v1/chat/completions"; }
-
 echo "1. Build and start: 2 data centres, 4 engines, 1 service, 2 entries"
-make -s build || exit 1
-write_settings
-start platform goldcrest-standin
-wait_for 5 "platform up" curl -fsS "http://$PLATFORM/instances?since=0" || FAILED=1
-for i in 1 2 3 4; do start engine-$i goldcrest-standin; done
-start tracker goldcrest-standin
-for i in 1 2 3 4 5; do
-	start side-$i goldcrest-side
-	SIDE_PID[$i]=$PID
-done
-for i in 1 2; do
-	start entry-$i goldcrest-entry
-	ENTRY_PID[$i]=$PID
-done
-ctl apply -wait || FAILED=1
-for i in 1 2; do wait_for 10 "entry-$i serves chats" chat_works $i || FAILED=1; done
-if [ $FAILED != 0 ]; then
-	stop_all
-	echo "The fleet did not start; settings and logs are in $RUN."
-	exit 1
-fi
+start_fleet
 
 echo "2. A streamed answer through entry-1"
 curl -fsSN -H "Authorization: Bearer $KEY" -H 'Chat-Id: bug-41' -d '{"messages":[{"role":"user","content":"summarise bug 41"}],"max_tokens":4,"stream":true}' \
--- a/scripts/traffic-slopes.sh
+++ b/scripts/traffic-slopes.sh
@@ -5,12 +5,12 @@
 # depend on the machine, so no check of CI uses them. Takes about two minutes.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-BASE=${SLOPES_PORT:-28400}
 SECONDS_PER_RUN=${SLOPES_SECONDS:-8}
 BIN=$PWD/bin
 RUN=$PWD/run/traffic-slopes
 rm -rf "$RUN" && mkdir -p "$RUN"
 . scripts/lib.sh
+BASE=$(free_base "${SLOPES_PORT:-28400}") || exit 1 # first of about 80 ports on 127.0.0.1
 trap stop_all EXIT
 trap 'exit 130' INT TERM
 
