--- a/internal/configsync/source.go
+++ b/internal/configsync/source.go
@@ -189,23 +189,16 @@
 	if reply.Offset < req.From || reply.Offset == req.From && req.Want == config.WantChanges {
 		return false, reply
 	}
-	ev := PeerReplied{applied: newApplied(), Request: req, Reply: reply}
-	if _, err := control.Ask(ctx, s.o.Loop, ev); err != nil {
-		return false, reply
-	}
-	if *ev.changed {
+	changed, err := control.Ask(ctx, s.o.Loop, PeerReplied{Question: control.NewQuestion[bool](), Request: req, PeerReply: reply})
+	if err == nil && changed {
 		s.note()
 	}
-	return *ev.changed, reply
+	return err == nil && changed, reply
 }
 
 // read has the loop apply a read of the log.
 func (s *Source) read(ctx context.Context, b config.Batch) (bool, error) {
-	ev := LogRead{applied: newApplied(), Batch: b}
-	if _, err := control.Ask(ctx, s.o.Loop, ev); err != nil {
-		return false, err
-	}
-	return *ev.changed, nil
+	return control.Ask(ctx, s.o.Loop, LogRead{Question: control.NewQuestion[bool](), Batch: b})
 }
 
 // note makes Run tell peers of a change.
--- a/internal/configsync/stage.go
+++ b/internal/configsync/stage.go
@@ -12,29 +12,20 @@
 
 // Events of the source.
 type (
-	// LogRead carries one read of the configuration stream.
+	// LogRead carries one read of the configuration stream. Its reply, and that
+	// of PeerReplied, tells whether the accepted configuration changed.
 	LogRead struct {
-		applied
+		control.Question[bool]
 		Batch config.Batch
 	}
 	// PeerReplied carries the answer of a peer.
 	PeerReplied struct {
-		applied
-		Request config.FetchRequest
-		Reply   config.FetchReply
+		control.Question[bool]
+		Request   config.FetchRequest
+		PeerReply config.FetchReply
 	}
 )
 
-// applied is the part of an event whose sender waits until the snapshot with its
-// effect is published. The stage does not reply itself, since the loop publishes
-// after the stages and would then be too late for the sender.
-type applied struct {
-	control.Question[struct{}]
-	changed *bool // whether the accepted configuration changed
-}
-
-func newApplied() applied { return applied{control.NewQuestion[struct{}](), new(bool)} }
-
 // EventName implements control.Event.
 func (LogRead) EventName() string { return "config_log_read" }
 
@@ -65,10 +56,10 @@
 			skippedTotal.Inc()
 			st.Log.Warn("record was skipped", "stream", config.Stream, "offset", sk.Offset, "error", sk.Err)
 		}
-		*ev.changed = changed
+		ev.Reply(changed)
 	case PeerReplied:
-		changed, _ = f.ApplyPeer(ev.Request, ev.Reply)
-		*ev.changed = changed
+		changed, _ = f.ApplyPeer(ev.Request, ev.PeerReply)
+		ev.Reply(changed)
 	}
 	if changed {
 		st.Changed(s)
--- a/internal/control/ask.go
+++ b/internal/control/ask.go
@@ -6,30 +6,38 @@
 	"github.com/rotisserie/eris"
 )
 
-type replier interface{ finish() }
+// finisher is a question whose reply is due once the snapshot is published.
+type finisher interface{ Finish() }
 
 // Question is embedded in events whose sender waits for an answer of type R.
 // Create it with NewQuestion. A stage answers with Reply; a question that no
-// stage answers yields the zero R.
+// stage answers yields the zero R. The sender gets the answer after the snapshot
+// is published, so it finds what its event changed.
 type Question[R any] struct {
-	reply chan R
+	pending *pendingReply[R]
+}
+
+type pendingReply[R any] struct {
+	value    R
+	answered bool
+	reply    chan R
 }
 
 // NewQuestion returns a question ready to be asked once.
-func NewQuestion[R any]() Question[R] { return Question[R]{reply: make(chan R, 1)} }
+func NewQuestion[R any]() Question[R] {
+	return Question[R]{&pendingReply[R]{reply: make(chan R, 1)}}
+}
 
-// Reply answers the question. Only the first reply counts.
+// Reply answers the question. Only the first reply counts. Stages call it while
+// they apply the event.
 func (q Question[R]) Reply(r R) {
-	select {
-	case q.reply <- r:
-	default:
+	if !q.pending.answered {
+		q.pending.value, q.pending.answered = r, true
 	}
 }
 
-func (q Question[R]) finish() {
-	var zero R
-	q.Reply(zero)
-}
+// Finish sends the answer. The loop calls it once, after publishing.
+func (q Question[R]) Finish() { q.pending.reply <- q.pending.value }
 
 // Defer marks a question whose answer comes from a later event. A stage that
 // keeps the question must answer it eventually.
@@ -49,7 +57,7 @@
 }
 
 // Replied returns the channel that yields the reply.
-func (q Question[R]) Replied() <-chan R { return q.reply }
+func (q Question[R]) Replied() <-chan R { return q.pending.reply }
 
 // Replied returns the channel that yields the reply.
 func (q Defer[R]) Replied() <-chan R { return q.reply }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -96,8 +96,8 @@
 	if changed {
 		l.snap.Store(l.cfg.Publish(l.cfg.State, now))
 	}
-	if r, ok := ev.(replier); ok {
-		r.finish()
+	if q, ok := ev.(finisher); ok {
+		q.Finish()
 	}
 }
 
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -123,6 +123,22 @@
 	})
 }
 
+// Guards against an answer that arrives before the snapshot that holds what the
+// question changed.
+func TestAnswerComesAfterThePublication(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	l := newCounter(0)
+	go l.Run(ctx)
+	for i := range 2000 {
+		sum, err := ask(ctx, l, 1)
+		is.NoErr(err)
+		is.Equal(sum, i+1)
+		is.True(l.Snapshot().sum >= sum)
+	}
+}
+
 // Guards against sources that fill the memory of a loop that is behind.
 func TestQueueIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/stage_limit_test.go
+++ b/internal/entry/stage_limit_test.go
@@ -61,6 +61,7 @@
 				}
 			}
 			st.Apply(s, now, d)
+			d.Finish()
 			if v := <-d.Replied(); v.address != "" {
 				t.Fatal("a borrow led to another one of the same request")
 			}
@@ -99,6 +100,7 @@
 	is.True(v.address != "")
 	d := borrowDone{Question: control.NewQuestion[spendVerdict](), request: r, home: v.home, wishes: v.wishes}
 	st.Apply(s, now, d)
+	d.Finish()
 	is.True((<-d.Replied()).allowed) // from the local share
 	next := spendOf(100)
 	st.Apply(s, now, next)
