--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"io"
@@ -39,6 +40,9 @@
 }
 
 func (f forward) run(ctx context.Context, req *model.Request, address string) (*model.Answer, error) {
+	if !req.Idempotent {
+		req.HandOver = rand.Text()
+	}
 	body, err := json.Marshal(wire.FromRequest(req, time.Now()))
 	if err != nil {
 		return nil, eris.Wrap(err, "entry: request cannot be encoded")
--- a/internal/measure/routing.go
+++ b/internal/measure/routing.go
@@ -106,6 +106,8 @@
 			out = append(out, surgeFigures(name, c.fleet(), size, seed, ch)...)
 		}
 	}
+	over := compare(size, seed, overCapacity(), ms)
+	out = append(out, Figure{Name: name("reuse_surge_over_capacity"), Value: over.ofIdeal(0), Unit: "of_ideal", Relation: AtLeast, Target: reuseChurn, Baseline: over.baselines()})
 	best := slices.Max(total[2:])
 	for _, t := range total[2:] {
 		if t >= total[0] {
--- a/internal/measure/routing_churn.go
+++ b/internal/measure/routing_churn.go
@@ -30,6 +30,13 @@
 	movesPerSec = 10               // exported chats a second of one leaving endpoint
 )
 
+// overCapacity is a surge with which the load exceeds all slots: a method that
+// keeps the bound has to refuse, and one that does not overloads engines. It is
+// no part of the comparison over all churns.
+func overCapacity() churn {
+	return churn{name: "surge_over_capacity", surge: &surge{from: 120 * time.Second, to: 240 * time.Second, factor: 2}, apply: func(*routingRun) {}}
+}
+
 func churns() []churn {
 	return []churn{
 		{name: "leave_return", apply: leaveAndReturn},
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -40,8 +40,9 @@
 	Fingerprint    uint64    // hash of workspace, route and body
 	Cost           Cost
 	Body           []byte
-	From           int // index of the first frame that the receiver still lacks
-	Attempt        int // 0 for the first hand-over
+	From           int    // index of the first frame that the receiver still lacks
+	Attempt        int    // 0 for the first hand-over
+	HandOver       string // id of one hand-over of a non-idempotent request; its copies share it
 	Target         EndpointID
 	KVFrom         string  // address of the side that holds the chat's cache, if it is not the target
 	Takeover       bool    // the target may take the key's partition over from an owner that cannot be reached
--- a/internal/side/deduplicate.go
+++ b/internal/side/deduplicate.go
@@ -71,7 +71,7 @@
 func (f deduplicate) attach(ctx context.Context, req *model.Request, key replay.Key, cancel func(error), replace bool) (attached, error) {
 	ev := attachRequest{
 		Question: control.NewQuestion[attached](), key: key, fingerprint: req.Fingerprint,
-		cancel: cancel, replace: replace,
+		handOver: req.HandOver, cancel: cancel, replace: replace,
 	}
 	if !req.Idempotent {
 		ev.cancel = nil // a run that must not be repeated is not cut either
@@ -103,14 +103,15 @@
 	work := *req
 	answer, err := next(ctx, &work)
 	if err != nil {
-		f.finish(ctx, key, buffer, 0, false)
-		buffer.Refuse(endOf(ctx, err))
+		end := endOf(ctx, err)
+		f.finish(ctx, runFinished{key: key, buffer: buffer, refused: refusedHandOver(req, end)})
+		buffer.Refuse(end)
 		return
 	}
 	buffer.Start(*answer, req.From)
 	end := endOf(ctx, fill(ctx, buffer, answer.Frames))
 	_ = answer.Frames.Close()
-	f.finish(ctx, key, buffer, buffer.Bytes(), replay.Whole(end))
+	f.finish(ctx, runFinished{key: key, buffer: buffer, bytes: buffer.Bytes(), keep: replay.Whole(end)})
 	buffer.End(end)
 }
 
@@ -144,8 +145,18 @@
 	}
 }
 
-func (f deduplicate) finish(ctx context.Context, key replay.Key, buffer *replay.Buffer, bytes int64, keep bool) {
-	_ = f.loop.Post(context.WithoutCancel(ctx), runFinished{key, buffer, bytes, keep})
+// finish tells the loop before the caller learns the end, so that the loop knows
+// a refused hand-over before any later copy of it.
+func (f deduplicate) finish(ctx context.Context, ev runFinished) {
+	_ = f.loop.Post(context.WithoutCancel(ctx), ev)
+}
+
+// refusedHandOver returns the hand-over if err says that it was not run.
+func refusedHandOver(req *model.Request, err error) string {
+	if model.AsRefusal(err).Outcome == model.NotRun {
+		return req.HandOver
+	}
+	return ""
 }
 
 // replayKey names the answer of a request: the request id for idempotent ones,
--- a/internal/side/stage_replay.go
+++ b/internal/side/stage_replay.go
@@ -18,6 +18,7 @@
 		control.Question[attached]
 		key         replay.Key
 		fingerprint uint64
+		handOver    string // of a non-idempotent request
 		cancel      func(cause error)
 		replace     bool // the kept answer lacks the wanted frames
 		onlyKept    bool // refuse instead of creating
@@ -38,6 +39,8 @@
 		buffer *replay.Buffer
 		bytes  int64
 		keep   bool
+		// refused is the hand-over that was refused as not run, if it was.
+		refused string
 	}
 )
 
@@ -61,7 +64,9 @@
 		s.Replay.Detach(ev.key, ev.buffer, now)
 	case runFinished:
 		s.Replay.Finish(ev.key, ev.buffer, ev.bytes, ev.keep, now)
+		s.refusals.Note(ev.refused, now)
 	case control.Tick:
+		s.refusals.Sweep(now)
 		if n := s.Replay.Sweep(now, errNobodyReads); n > 0 {
 			metrics.GetOrCreateCounter(`goldcrest_answers_cancelled_total`).Add(n)
 		}
@@ -82,7 +87,10 @@
 		return attached{buffer: buffer}
 	case ev.onlyKept:
 		return attached{refusal: &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonNotKept, Detail: "no answer of this request is kept"}}
+	case s.refusals.Has(ev.handOver):
+		return attached{refusal: model.Refuse(model.ReasonDuplicate, "this hand-over was refused before")}
 	case s.Draining != "":
+		s.refusals.Note(ev.handOver, now)
 		return attached{refusal: model.Refuse(s.Draining, "the endpoint takes no new work")}
 	}
 	return attached{buffer: s.Replay.Create(ev.key, ev.fingerprint, ev.cancel), created: true}
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -27,6 +27,7 @@
 	admissionState
 	Claims   claimState
 	Replay   *replay.Index
+	refusals *replay.Refused
 	Draining model.Reason // why no new work is taken; empty if it is taken
 	drainEnd []waitIdle
 	services map[model.InstanceID]struct{} // live service instances, which share the append budget
@@ -74,6 +75,7 @@
 		Members: member.NewTable(), orderState: newOrderState(settings), exchangeState: newExchangeState(),
 		rolloutState: rolloutState{evidence: rollout.Evidence{}}, times: timing.Sums{},
 		Claims: newClaimState(), services: map[model.InstanceID]struct{}{},
+		refusals: replay.NewRefused(),
 		Replay: replay.NewIndex(replay.Limits{
 			AnswerBytes: defaultKeepAnswer, TotalBytes: defaultKeepTotal, Keep: defaultKeepTime, Grace: defaultGraceTime,
 		}),
