--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	go test ./internal/measure
 
 lint:
-	test -z "$$(gofmt -l cmd internal)"
+	test -z "$$(gofmt -l cmd internal platform)"
 	go vet ./...
 	go tool staticcheck ./...
 
--- /dev/null
+++ b/cmd/goldcrest-router/main.go
@@ -0,0 +1,21 @@
+// Command goldcrest-router serves callers on the users' platform, straight from
+// the endpoints that are listed in the platform's store.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
+	"github.com/goldcrestturn/goldcrestturn/internal/router"
+	"github.com/goldcrestturn/goldcrestturn/platform"
+)
+
+func main() {
+	os.Exit(program.Main("goldcrest-router", "router: ", os.Args[1:], router.LoadSettings, run))
+}
+
+func run(ctx context.Context, log *slog.Logger, s router.Settings) error {
+	return router.Run(ctx, s, router.Deps{Log: log, Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store)})
+}
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -16,8 +16,8 @@
 
 // purePackages decide without a clock, a socket or hidden randomness.
 var purePackages = []string{
-	"admit", "choose", "claim", "config", "finding", "limit", "lists", "member",
-	"model", "order", "pipe", "replay", "retry", "rollout", "summary", "suspect", "timing",
+	"admit", "catalog", "choose", "claim", "config", "finding", "limit", "lists", "member",
+	"model", "order", "pipe", "place", "replay", "retry", "rollout", "summary", "suspect", "timing",
 }
 
 // bannedImports never appear in product code: a process starts no process and
@@ -109,11 +109,11 @@
 func TestOneControlLoopPerProgram(t *testing.T) {
 	loops := map[string]int{}
 	for _, s := range sources(t) {
-		if (s.pkg == "entry" || s.pkg == "side") && calls(s.file, "control", "New") {
+		if (s.pkg == "entry" || s.pkg == "side" || s.pkg == "router") && calls(s.file, "control", "New") {
 			loops[s.pkg]++
 		}
 	}
-	is.New(t).Equal(loops, map[string]int{"entry": 1, "side": 1})
+	is.New(t).Equal(loops, map[string]int{"entry": 1, "side": 1, "router": 1})
 }
 
 // Guards against imports that the platform does not allow.
@@ -126,3 +126,27 @@
 		}
 	}
 }
+
+// platformNames are names of the users' platform.
+var platformNames = []string{"X-Goldcrestturn", "goldcrestturn/", "Kv-Fetch", "PathPrefix", "ColdLeftMs", "keyed."}
+
+// Guards against names of the platform in packages that decide.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	for _, s := range sources(t) {
+		if strings.Contains(filepath.ToSlash(s.path), "/platform/") {
+			continue
+		}
+		ast.Inspect(s.file, func(n ast.Node) bool {
+			lit, ok := n.(*ast.BasicLit)
+			if !ok || lit.Kind != token.STRING || strings.Contains(lit.Value, "github.com/") {
+				return true
+			}
+			for _, name := range platformNames {
+				if strings.Contains(lit.Value, name) {
+					t.Errorf("%s: names %q", s.path, name)
+				}
+			}
+			return true
+		})
+	}
+}
--- a/internal/doctest/doc_test.go
+++ b/internal/doctest/doc_test.go
@@ -19,10 +19,10 @@
 
 const root = "../.."
 
-// programs maps the headings of docs/operations.md to the package that reads
+// programs maps the headings of docs/OPERATIONS.md to the package that reads
 // the settings and flags below them.
 var programs = map[string]string{
-	"goldcrest-entry": "entry", "goldcrest-side": "side", "goldcrest-standin": "standin",
+	"goldcrest-entry": "entry", "goldcrest-side": "side", "goldcrest-router": "router", "goldcrest-standin": "standin",
 	"goldcrest-load": "load", "goldcrestctl": "ctl", "Lists": "lists", "Flags of all daemons": "program",
 }
 
@@ -31,7 +31,7 @@
 var readers = map[string]int{
 	"Required": 0, "String": 0, "OneOf": 0, "Address": 0, "OptionalAddress": 0, "Addresses": 0,
 	"List": 0, "Duration": 0, "Int": 0, "Float": 0, "Bool": 0,
-	"number": 1, "decimal": 1, "span": 1, "oneOf": 1, "yes": 1,
+	"milliseconds": 1, "number": 1, "decimal": 1, "span": 1, "oneOf": 1, "yes": 1,
 }
 
 // writers are the packages that write their prefix without a logger.
@@ -40,7 +40,7 @@
 // flagMethods are the methods of flag.FlagSet by the position of the name.
 var flagMethods = map[string]int{
 	"StringVar": 1, "BoolVar": 1, "IntVar": 1, "DurationVar": 1, "Float64Var": 1,
-	"String": 0, "Bool": 0, "Int": 0, "Duration": 0, "Float64": 0,
+	"String": 0, "Bool": 0, "Int": 0, "Duration": 0, "Float64": 0, "Int64Var": 1,
 }
 
 var (
@@ -175,7 +175,7 @@
 	out := newFacts()
 	paths, err := filepath.Glob(filepath.Join(root, "docs", "operations", "*.md"))
 	is.New(t).NoErr(err)
-	for _, path := range append(paths, filepath.Join(root, "docs", "operations.md")) {
+	for _, path := range append(paths, filepath.Join(root, "docs", "OPERATIONS.md")) {
 		data, err := os.ReadFile(path)
 		is.New(t).NoErr(err)
 		pkg := ""
@@ -222,7 +222,7 @@
 		}
 		for _, item := range slices.Sorted(maps.Keys(kind.code)) {
 			if !kind.docs[item] {
-				t.Errorf("%s %q is not in docs/operations.md or docs/operations/*.md", kind.name, item)
+				t.Errorf("%s %q is not in docs/OPERATIONS.md or docs/operations/*.md", kind.name, item)
 			}
 		}
 		for _, item := range slices.Sorted(maps.Keys(kind.docs)) {
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,39 @@
+package mesh
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+// Guards against a datagram that is decoded into something else than was sent.
+func TestMessagesComeBack(t *testing.T) {
+	is := is.New(t)
+	for _, m := range []Message{
+		{Name: "router-1", Loads: map[uint32]int{7: 3, 9: 65535}, Holders: []place.Held{{Part: 1 << 60, Endpoint: 7}}},
+		{Name: "router-2", Loads: map[uint32]int{}},
+		{Name: "router-3", Leaving: true},
+		{},
+	} {
+		got, err := Parse(Append(nil, m))
+		is.NoErr(err)
+		is.Equal(got, m)
+	}
+}
+
+// Guards against a datagram of a stranger that stops the exchange.
+func FuzzParse(f *testing.F) {
+	f.Add(Append(nil, Message{Name: "router-1", Loads: map[uint32]int{7: 3}, Holders: []place.Held{{Part: 5, Endpoint: 7}}}))
+	f.Add([]byte{magic, form, 0, 200})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Parse(b)
+		if err != nil {
+			return
+		}
+		if again, err := Parse(Append(nil, m)); err != nil || again.Name != m.Name {
+			t.Errorf("parsed message does not come back: %v", err)
+		}
+	})
+}
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -9,23 +9,34 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
-// Handler processes one request. Its error is or wraps a *model.Refusal.
-type Handler func(ctx context.Context, req *model.Request) (*model.Answer, error)
+// HandlerOf processes one request of a pipeline.
+type HandlerOf[Req, Ans any] func(ctx context.Context, req Req) (Ans, error)
 
-// Filter does one job on the way of a request. It calls next at most once per
+// FilterOf does one job on the way of a request. It calls next at most once per
 // hand-over and may return without calling it.
-type Filter interface {
+type FilterOf[Req, Ans any] interface {
 	// Name identifies the filter in logs and metrics.
 	Name() string
 	// Handle processes req and passes it on to next.
-	Handle(ctx context.Context, req *model.Request, next Handler) (*model.Answer, error)
+	Handle(ctx context.Context, req Req, next HandlerOf[Req, Ans]) (Ans, error)
 }
 
-// Chain returns the handler that runs filters in order. A request that the
+// Handler processes one request of the project's own interface. Its error is or
+// wraps a *model.Refusal.
+type Handler = HandlerOf[*model.Request, *model.Answer]
+
+// Filter is a filter of the project's own interface.
+type Filter = FilterOf[*model.Request, *model.Answer]
+
+// Chain returns the handler that runs filters in order.
+func Chain(filters ...Filter) Handler { return ChainOf(filters...) }
+
+// ChainOf returns the handler that runs filters in order. A request that the
 // last filter passes on is refused, since no filter took it.
-func Chain(filters ...Filter) Handler {
-	h := Handler(func(context.Context, *model.Request) (*model.Answer, error) {
-		return nil, model.Refuse(model.ReasonInternal, "no filter took the request")
+func ChainOf[Req, Ans any](filters ...FilterOf[Req, Ans]) HandlerOf[Req, Ans] {
+	h := HandlerOf[Req, Ans](func(context.Context, Req) (Ans, error) {
+		var none Ans
+		return none, model.Refuse(model.ReasonInternal, "no filter took the request")
 	})
 	for i := len(filters) - 1; i >= 0; i-- {
 		h = link(filters[i], h)
@@ -33,8 +44,8 @@
 	return h
 }
 
-func link(f Filter, next Handler) Handler {
-	return func(ctx context.Context, req *model.Request) (*model.Answer, error) {
+func link[Req, Ans any](f FilterOf[Req, Ans], next HandlerOf[Req, Ans]) HandlerOf[Req, Ans] {
+	return func(ctx context.Context, req Req) (Ans, error) {
 		return f.Handle(ctx, req, next)
 	}
 }
--- /dev/null
+++ b/internal/place/peers.go
@@ -0,0 +1,102 @@
+package place
+
+import (
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// peerLifetime is how long the counts of an entry hold that is no longer heard.
+// Entries send at least every half second.
+const peerLifetime = 1500 * time.Millisecond
+
+// peer is what another entry said last.
+type peer struct {
+	heard time.Time
+	loads map[uint32]int // counted in peerSums; nil once that is over
+}
+
+// PeerLoads takes the requests in flight of another entry, which replace what
+// it said before; nil loads say nothing of them. It reports whether the entry is
+// new.
+func (t *Table) PeerLoads(now time.Time, name string, loads map[uint32]int) bool {
+	p := t.peers[name]
+	fresh := p == nil || now.Sub(p.heard) > peerLifetime
+	if p == nil {
+		p = &peer{}
+		t.peers[name] = p
+	}
+	p.heard = now
+	if loads != nil {
+		t.discount(p)
+		p.loads = loads
+		for h, n := range loads {
+			t.peerSums[h] += n
+		}
+	}
+	return fresh
+}
+
+// discount takes what an entry said out of the sums.
+func (t *Table) discount(p *peer) {
+	for h, n := range p.loads {
+		if t.peerSums[h] -= n; t.peerSums[h] <= 0 {
+			delete(t.peerSums, h)
+		}
+	}
+	p.loads = nil
+}
+
+// expirePeers takes out what entries said that are no longer heard.
+func (t *Table) expirePeers(now time.Time) {
+	for name, p := range t.peers {
+		silent := now.Sub(p.heard)
+		if silent > peerLifetime {
+			t.discount(p)
+		}
+		if silent > forgetTime {
+			delete(t.peers, name)
+		}
+	}
+}
+
+// DropPeer forgets an entry that said that it stops.
+func (t *Table) DropPeer(name string) {
+	if p := t.peers[name]; p != nil {
+		t.discount(p)
+		delete(t.peers, name)
+	}
+}
+
+// Entries returns the number of entries heard within forgetTime, this one
+// included. Shares of limits that also bind entries which cannot hear each other
+// follow it.
+func (t *Table) Entries(now time.Time) int {
+	t.expirePeers(now)
+	return 1 + len(t.peers)
+}
+
+// load returns the requests in flight at s over all entries that are heard.
+func (t *Table) load(s *spot) float64 { return float64(s.own + t.peerSums[s.hash]) }
+
+// LearnHolder takes from another entry that an endpoint holds a prompt part.
+func (t *Table) LearnHolder(now time.Time, part uint64, endpoint uint32) {
+	t.holders.add(now, part, endpoint)
+}
+
+// Held is one prompt part and an endpoint that holds it.
+type Held struct {
+	Part     uint64
+	Endpoint uint32
+}
+
+// Holders returns the known holders, the latest used first, up to limit.
+func (t *Table) Holders(limit int) []Held { return t.holders.list(limit) }
+
+// HashOf returns the short form of an endpoint id in the table, or 0.
+func (t *Table) HashOf(id model.EndpointID) uint32 {
+	if s := t.spots[id]; s != nil {
+		return s.hash
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/place/pick.go
@@ -0,0 +1,214 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Query describes the request to place.
+type Query struct {
+	Pool     model.Pool
+	Part     uint64 // the shared prompt part that decides reuse; 0 if none
+	Key      uint64 // hash that spreads requests without a known holder
+	Regions  []model.Region
+	Excluded []model.EndpointID // endpoints that had the request already
+}
+
+// Choice is the endpoint for a request.
+type Choice struct {
+	Endpoint  Endpoint
+	FetchFrom string // address of an endpoint whose cache holds the prompt; empty if none
+	NewHolder bool   // the endpoint did not hold the part before
+	Load      float64
+	Mean      float64
+	Reason    Reason
+}
+
+// Reason says why an endpoint was chosen.
+type Reason string
+
+// The reasons of a choice.
+const (
+	HeldThere Reason = "holds_prompt"
+	Moved     Reason = "holders_loaded"
+	FirstUse  Reason = "first_use"
+	LeastLoad Reason = "least_load"
+)
+
+// Bounds on the load of an endpoint relative to the mean of its pool.
+const (
+	// loadFactor and loadSlack keep an endpoint below the operators' bound of
+	// twice the mean and 3 more while counts of other entries are under way.
+	loadFactor = 1.7
+	loadSlack  = 2.0
+	// firstChoices is how many endpoints of a part's own order compete for its
+	// first use. One alone would leave the parts unevenly spread.
+	firstChoices = 3
+	// remoteCost is the load that a request in the home data centre outweighs.
+	remoteCost = 0.35
+	// minOpenShare is the part of a pool that must be free of pauses; with fewer
+	// the failures are not those of single endpoints, and passing them over
+	// would crowd the others.
+	minOpenShare = 0.5
+)
+
+// candidate is an endpoint that may take the request.
+type candidate struct {
+	*spot
+	load float64
+}
+
+// Pick chooses an endpoint and counts the request as in flight there. Each
+// choice is followed by one call of Ended. It reports false if no endpoint may
+// take the request.
+func (t *Table) Pick(now time.Time, q Query) (Choice, bool) {
+	all, open, mean := t.candidates(now, q)
+	if len(open) == 0 {
+		return Choice{}, false
+	}
+	limit := loadFactor*mean + loadSlack
+	choice := t.choose(q, open, limit)
+	if choice.spot == nil {
+		return Choice{}, false
+	}
+	out := Choice{Endpoint: choice.Endpoint, Load: choice.load, Mean: mean, Reason: choice.reason}
+	t.started(now, choice.spot)
+	if q.Part != 0 {
+		out.FetchFrom = t.source(q.Part, choice.spot, all)
+		out.NewHolder = t.holders.add(now, q.Part, choice.hash)
+	}
+	return out, true
+}
+
+// candidates returns the endpoints that may be used at all, those of them that
+// are open for this request, and the mean load of the former.
+func (t *Table) candidates(now time.Time, q Query) (all, open []candidate, mean float64) {
+	t.expirePeers(now)
+	total := 0.0
+	var paused []candidate
+	for _, s := range t.sorted(q.Pool) {
+		c := candidate{s, t.load(s)}
+		total += c.load
+		all = append(all, c)
+		if t.evacuated[s.DataCentre] || !allowed(q.Regions, s.Region) || slices.Contains(q.Excluded, s.ID) || !t.coldAllows(now, s) {
+			continue
+		}
+		if s.health.pausing(now) {
+			paused = append(paused, c)
+			continue
+		}
+		open = append(open, c)
+	}
+	if len(all) > 0 {
+		mean = total / float64(len(all))
+	}
+	if float64(len(open)) < minOpenShare*float64(len(open)+len(paused)) {
+		for _, c := range paused {
+			if !c.health.down || len(open) == 0 {
+				open = append(open, c)
+			}
+		}
+	}
+	return all, open, mean
+}
+
+func allowed(regions []model.Region, r model.Region) bool {
+	return len(regions) == 0 || slices.Contains(regions, r)
+}
+
+type chosen struct {
+	candidate
+	reason Reason
+}
+
+func (t *Table) choose(q Query, open []candidate, limit float64) chosen {
+	if q.Part == 0 {
+		return chosen{t.least(q, open), LeastLoad}
+	}
+	holders := t.holders.of(q.Part)
+	held := slices.DeleteFunc(slices.Clone(open), func(c candidate) bool {
+		return !slices.Contains(holders, c.hash) || c.load+1 > limit
+	})
+	if len(held) > 0 {
+		return chosen{t.least(q, held), HeldThere}
+	}
+	room := slices.DeleteFunc(slices.Clone(open), func(c candidate) bool { return c.load+1 > limit })
+	if len(room) == 0 {
+		room = open
+	}
+	if len(holders) > 0 {
+		return chosen{t.least(q, room), Moved}
+	}
+	slices.SortStableFunc(room, func(a, b candidate) int {
+		if order(q.Part, a.hash) > order(q.Part, b.hash) {
+			return -1
+		}
+		return 1
+	})
+	return chosen{t.least(q, room[:min(len(room), firstChoices)]), FirstUse}
+}
+
+// least returns the candidate with the least load, where the home data centre
+// counts a little and the order of the key decides ties.
+func (t *Table) least(q Query, list []candidate) candidate {
+	cost := func(c candidate) float64 {
+		if c.DataCentre != t.home {
+			return c.load + remoteCost
+		}
+		return c.load
+	}
+	best := list[0]
+	for _, c := range list[1:] {
+		d := cost(c) - cost(best)
+		if d < 0 || d == 0 && order(q.Key, c.hash) > order(q.Key, best.hash) {
+			best = c
+		}
+	}
+	return best
+}
+
+// source returns the address of an endpoint whose cache holds the part, if the
+// chosen one does not hold it.
+func (t *Table) source(part uint64, to *spot, all []candidate) string {
+	holders := t.holders.of(part)
+	if slices.Contains(holders, to.hash) {
+		return ""
+	}
+	best, from := -1, ""
+	for _, c := range all {
+		if !slices.Contains(holders, c.hash) || c.health.down {
+			continue
+		}
+		rank := 0
+		if c.DataCentre == to.DataCentre {
+			rank = 1
+		}
+		if rank > best {
+			best, from = rank, c.Address
+		}
+	}
+	if from == "" {
+		from = t.leavingSource(holders)
+	}
+	return from
+}
+
+// leavingSource returns a holder that is leaving; it still serves for a while.
+func (t *Table) leavingSource(holders []uint32) string {
+	for _, h := range holders {
+		if s := t.byHash[h]; s != nil && s.listed && s.Draining && !s.health.down {
+			return s.Address
+		}
+	}
+	return ""
+}
+
+// order is the rendezvous order of endpoints for a key, the same at every entry.
+func order(key uint64, endpoint uint32) uint64 {
+	z := key ^ (uint64(endpoint)*0x9e3779b97f4a7c15 + 0x9e3779b97f4a7c15)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,212 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func engines(n int) []Endpoint {
+	var out []Endpoint
+	for i := range n {
+		out = append(out, Endpoint{ID: model.EndpointID(fmt.Sprintf("i-%d", i)), Pool: "p", Address: fmt.Sprintf("10.0.0.%d:80", i),
+			DataCentre: model.DataCentre(fmt.Sprintf("dc-%d", i%3)), Region: "r"})
+	}
+	return out
+}
+
+func table(list []Endpoint) *Table {
+	t := New("dc-0")
+	t.SetPools(map[model.Pool]catalog.Pool{"p": {Name: "p", ColdTime: 3 * time.Second, ColdRate: 10, Engine: true}})
+	t.SetEndpoints(start, list)
+	return t
+}
+
+// Guards against prompts that are read again because requests of one part go to
+// different endpoints, at one router or at two that have told each other.
+func TestRequestsOfOnePartMeet(t *testing.T) {
+	is := is.New(t)
+	a, b := table(engines(9)), table(engines(9))
+	for part := uint64(1); part <= 40; part++ {
+		first, ok := a.Pick(start, Query{Pool: "p", Part: part})
+		is.True(ok && first.NewHolder)
+		is.Equal(first.FetchFrom, "") // nobody holds the part
+		b.LearnHolder(start, part, Hash(first.Endpoint.ID))
+		a.Ended(start, first.Endpoint.ID, Answered, 0)
+		for _, tab := range []*Table{a, b} {
+			c, _ := tab.Pick(start, Query{Pool: "p", Part: part, Key: part})
+			is.Equal(c.Endpoint.ID, first.Endpoint.ID)
+			is.Equal(c.Reason, HeldThere)
+			tab.Ended(start, c.Endpoint.ID, Answered, 0)
+		}
+	}
+}
+
+// Guards against an endpoint above the operators' bound of twice the mean and 3
+// more, whatever the skew of the prompts, and against a move that reads the
+// prompt again though its holder is known.
+func TestLoadStaysBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tab := table(engines(rapid.IntRange(2, 20).Draw(rt, "engines")))
+		running := 0
+		var ids []model.EndpointID
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			if len(ids) > 0 && rapid.IntRange(0, 2).Draw(rt, "end") == 0 {
+				tab.Ended(start, ids[0], Answered, 0)
+				ids = ids[1:]
+				running--
+				continue
+			}
+			c, ok := tab.Pick(start, Query{Pool: "p", Part: uint64(rapid.IntRange(1, 3).Draw(rt, "part"))})
+			if !ok {
+				rt.Fatal("no endpoint")
+			}
+			if c.Reason == Moved && c.NewHolder && c.FetchFrom == "" {
+				rt.Fatal("a known prompt is read again")
+			}
+			ids = append(ids, c.Endpoint.ID)
+			running++
+			mean := float64(running) / float64(len(tab.spots))
+			if got := float64(tab.spots[c.Endpoint.ID].own); got > 2*mean+3 {
+				rt.Fatalf("%v requests at an endpoint, mean %v", got, mean)
+			}
+		}
+	})
+}
+
+// Guards against work for an endpoint that leaves, is not listed, or whose data
+// centre was taken out, and against one that comes back being ignored.
+func TestLeavingEndpointsGetNothing(t *testing.T) {
+	is := is.New(t)
+	list := engines(3)
+	tab := table(list)
+	list[0].Draining = true
+	tab.SetEndpoints(start, list[:2])
+	for range 5 {
+		c, ok := tab.Pick(start, Query{Pool: "p"})
+		is.True(ok)
+		is.Equal(c.Endpoint.ID, list[1].ID)
+	}
+	tab.SetEvacuated(map[model.DataCentre]bool{"dc-1": true})
+	_, ok := tab.Pick(start, Query{Pool: "p"})
+	is.True(!ok)
+	tab.SetEvacuated(nil)
+	_, ok = tab.Pick(start, Query{Pool: "p"})
+	is.True(ok)
+}
+
+// Guards against endpoints that lapse during an outage of the store being given
+// up at its return, and against ones that stay missing being kept.
+func TestEntriesThatLapseInAnOutage(t *testing.T) {
+	is := is.New(t)
+	tab := table(engines(2))
+	tab.Outage(start)
+	_, went := tab.SetEndpoints(start.Add(time.Second), nil)
+	is.Equal(len(went), 0)
+	_, ok := tab.Pick(start.Add(time.Second), Query{Pool: "p"})
+	is.True(ok)
+	_, went = tab.SetEndpoints(start.Add(4*time.Second), nil)
+	is.Equal(len(went), 2)
+	_, ok = tab.Pick(start.Add(4*time.Second), Query{Pool: "p"})
+	is.True(!ok)
+}
+
+// Guards against a cold endpoint that gets more in a second than it tolerates
+// from all routers together, though they cannot ask each other.
+func TestColdEndpointsGetLittle(t *testing.T) {
+	is := is.New(t)
+	const routers = 5
+	var tables []*Table
+	for range routers {
+		tab := table(nil)
+		for peer := range routers - 1 {
+			tab.PeerLoads(start, fmt.Sprint(peer), nil)
+		}
+		tables = append(tables, tab)
+	}
+	sent := 0
+	for ms := 0; ms < 1000; ms += 10 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for _, tab := range tables {
+			tab.SetEndpoints(now, engines(1)) // a new endpoint is cold
+			if c, ok := tab.Pick(now, Query{Pool: "p"}); ok {
+				sent++
+				tab.Ended(now, c.Endpoint.ID, Answered, 0)
+			}
+		}
+	}
+	is.True(sent > 0 && sent <= 20)
+}
+
+// Guards against an endpoint that fails its requests in good health keeping its
+// share, and against a pool that fails as a whole being given up.
+func TestFailingEndpointsArePassedOver(t *testing.T) {
+	is := is.New(t)
+	tab := table(engines(4))
+	for range 3 {
+		tab.started(start, tab.spots["i-0"])
+		tab.Ended(start, "i-0", Failed, 0)
+	}
+	for range 20 {
+		c, ok := tab.Pick(start, Query{Pool: "p"})
+		is.True(ok && c.Endpoint.ID != "i-0")
+		tab.Ended(start, c.Endpoint.ID, Answered, 0)
+	}
+	for i := range 4 {
+		for range 3 {
+			tab.Ended(start, model.EndpointID(fmt.Sprintf("i-%d", i)), Failed, 0)
+		}
+	}
+	_, ok := tab.Pick(start, Query{Pool: "p"})
+	is.True(ok)
+}
+
+// Guards against reuse of a cache that is gone because its process started anew
+// under the same id.
+func TestRestartedEndpointHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	list := engines(1)
+	list[0].Started = 1
+	tab := table(list)
+	tab.LearnHolder(start, 7, Hash("i-0"))
+	list[0].Started = 2
+	tab.SetEndpoints(start, list)
+	is.Equal(tab.Holders(10), nil)
+	is.True(!tab.spots["i-0"].coldUntil.Before(start.Add(3 * time.Second)))
+}
+
+// Guards against a request sent to a region where it may not be answered.
+func TestRegionsBind(t *testing.T) {
+	is := is.New(t)
+	tab := table(engines(3))
+	_, ok := tab.Pick(start, Query{Pool: "p", Regions: []model.Region{"other"}})
+	is.True(!ok)
+	_, ok = tab.Pick(start, Query{Pool: "p", Regions: []model.Region{"r"}})
+	is.True(ok)
+}
+
+// BenchmarkCapacityPick is the cost of placing one request among 170 endpoints
+// with 40 other routers.
+func BenchmarkCapacityPick(b *testing.B) {
+	tab := table(engines(170))
+	for i := range 40 {
+		loads := map[uint32]int{}
+		for _, e := range engines(170)[i : i+100] {
+			loads[Hash(e.ID)] = 1
+		}
+		tab.PeerLoads(start, fmt.Sprint(i), loads)
+	}
+	b.ReportAllocs()
+	for i := uint64(1); b.Loop(); i++ {
+		c, _ := tab.Pick(start, Query{Pool: "p", Part: i % 1000, Key: i})
+		tab.Ended(start, c.Endpoint.ID, Answered, 0)
+	}
+}
--- /dev/null
+++ b/internal/place/table.go
@@ -0,0 +1,192 @@
+package place
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// Endpoint is one endpoint as the instance list describes it.
+type Endpoint struct {
+	ID         model.EndpointID
+	Pool       model.Pool
+	Address    string // ip:port
+	DataCentre model.DataCentre
+	Region     model.Region
+	Version    model.Version
+	Draining   bool
+	ColdLeft   time.Duration // how much longer it stays cold
+	Started    int64         // start of its process, Unix ms; 0 if unknown
+}
+
+// Hash is the short form of an endpoint id that entries tell each other.
+func Hash(id model.EndpointID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+
+// spot is what the table knows about one endpoint.
+type spot struct {
+	Endpoint
+	hash      uint32
+	own       int // requests of this entry in flight
+	listed    bool
+	missing   time.Time // when it was first missing from the list; zero if listed
+	coldUntil time.Time
+	starts    window // sends while cold
+	health    health
+}
+
+// Table is the state behind placement.
+type Table struct {
+	home       model.DataCentre
+	spots      map[model.EndpointID]*spot
+	byHash     map[uint32]*spot
+	pools      map[model.Pool]catalog.Pool
+	evacuated  map[model.DataCentre]bool
+	peers      map[string]*peer
+	peerSums   map[uint32]int // requests in flight of the peers by endpoint hash
+	holders    holderTable
+	firstList  bool      // the first list of this process has arrived
+	tolerateTo time.Time // until then, endpoints that are missing from the list are kept
+}
+
+// New returns a table of an entry in data centre home.
+func New(home model.DataCentre) *Table {
+	return &Table{
+		home: home, spots: map[model.EndpointID]*spot{}, byHash: map[uint32]*spot{},
+		pools: map[model.Pool]catalog.Pool{}, evacuated: map[model.DataCentre]bool{},
+		peers: map[string]*peer{}, peerSums: map[uint32]int{}, holders: newHolderTable(),
+	}
+}
+
+// SetPools takes the pools of the catalogue in force.
+func (t *Table) SetPools(pools map[model.Pool]catalog.Pool) { t.pools = pools }
+
+// SetEvacuated takes the data centres that operators took out of service.
+func (t *Table) SetEvacuated(out map[model.DataCentre]bool) { t.evacuated = maps.Clone(out) }
+
+// returnTime is how long endpoints that are missing from the list after an
+// outage of the store may still come back; the platform promises about two
+// seconds.
+const returnTime = 2500 * time.Millisecond
+
+// Outage notes that the instance list could not be read at now. Entries that
+// lapse during an outage are kept for a while after it.
+func (t *Table) Outage(now time.Time) { t.tolerateTo = now.Add(returnTime) }
+
+// SetEndpoints takes the whole instance list. An endpoint that is no longer
+// listed gets no new work, except for a while after an outage. It reports the
+// ids that came and went.
+func (t *Table) SetEndpoints(now time.Time, list []Endpoint) (came, went []model.EndpointID) {
+	seen := make(map[model.EndpointID]bool, len(list))
+	for _, e := range list {
+		seen[e.ID] = true
+		s := t.spots[e.ID]
+		switch {
+		case s == nil:
+			s = &spot{hash: Hash(e.ID)}
+			t.spots[e.ID], t.byHash[s.hash] = s, s
+			came = append(came, e.ID)
+			if t.firstList {
+				s.coldUntil = now.Add(t.pools[e.Pool].ColdTime)
+			}
+		case e.Started != s.Started && s.Started != 0 && e.Started != 0:
+			t.holders.forget(s.hash) // a new process holds nothing of before
+			s.coldUntil = now.Add(t.pools[e.Pool].ColdTime)
+		}
+		if !s.listed {
+			s.listed = true
+			if t.firstList && !s.missing.IsZero() {
+				came = append(came, e.ID)
+			}
+		}
+		s.missing = time.Time{}
+		s.Endpoint = e
+		if e.ColdLeft > 0 {
+			s.coldUntil = later(s.coldUntil, now.Add(e.ColdLeft))
+		}
+	}
+	t.firstList = true
+	for id, s := range t.spots {
+		if seen[id] {
+			continue
+		}
+		if s.missing.IsZero() {
+			s.missing = now
+		}
+		if s.listed && (s.Draining || !now.Before(t.tolerateTo)) {
+			s.listed = false
+			went = append(went, id)
+		}
+		if !s.listed && s.own == 0 && now.Sub(s.missing) > forgetTime {
+			t.drop(s)
+		}
+	}
+	return came, went
+}
+
+// forgetTime is how long a lost endpoint is remembered, so that an entry that
+// flaps keeps what is known about it.
+const forgetTime = 30 * time.Second
+
+func (t *Table) drop(s *spot) {
+	delete(t.spots, s.ID)
+	if t.byHash[s.hash] == s {
+		delete(t.byHash, s.hash)
+	}
+	t.holders.forget(s.hash)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Endpoints returns the number of listed endpoints by pool.
+func (t *Table) Endpoints() map[model.Pool]int {
+	out := map[model.Pool]int{}
+	for _, s := range t.spots {
+		if s.listed {
+			out[s.Pool]++
+		}
+	}
+	return out
+}
+
+// Lookup returns the endpoint with the given id.
+func (t *Table) Lookup(id model.EndpointID) (Endpoint, bool) {
+	if s := t.spots[id]; s != nil {
+		return s.Endpoint, true
+	}
+	return Endpoint{}, false
+}
+
+// Loads returns the requests of this entry in flight by endpoint hash, for the
+// other entries.
+func (t *Table) Loads() map[uint32]int {
+	out := map[uint32]int{}
+	for _, s := range t.spots {
+		if s.own > 0 {
+			out[s.hash] = s.own
+		}
+	}
+	return out
+}
+
+// sorted returns the spots of a pool that are listed and not leaving, in a
+// fixed order.
+func (t *Table) sorted(pool model.Pool) []*spot {
+	var out []*spot
+	for _, s := range t.spots {
+		if s.Pool == pool && s.listed && !s.Draining {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *spot) int { return int(int64(a.hash) - int64(b.hash)) })
+	return out
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -31,6 +31,7 @@
 	Settings  string // path of the settings file
 	Check     bool   // check the settings and exit
 	LogFormat string // text or json
+	LogLines  int64  // most lines a second
 	version   bool
 }
 
@@ -39,6 +40,7 @@
 	fs.StringVar(&o.Settings, "settings", "", "path of the INI settings `file`")
 	fs.BoolVar(&o.Check, "check", false, "check the settings and exit")
 	fs.StringVar(&o.LogFormat, "log-format", "text", "format of log lines: `text or json`")
+	fs.Int64Var(&o.LogLines, "log-lines", DefaultLogLines, "most log lines a second")
 	fs.BoolVar(&o.version, "version", false, "print the version and exit")
 }
 
@@ -75,7 +77,9 @@
 		fmt.Printf("%s: settings are valid\n", o.Settings)
 		return ExitOK
 	}
-	log := Logger(os.Stderr, o.LogFormat, prefix)
+	lines := NewLineWriter(os.Stdout, o.LogLines)
+	defer lines.Close()
+	log := Logger(lines, o.LogFormat, prefix)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := run(ctx, log, settings); err != nil {
--- /dev/null
+++ b/internal/router/deps.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+// Protocol encodes and decodes the messages of callers and endpoints.
+type Protocol interface {
+	// Decode returns the request in r, without its body.
+	Decode(r *http.Request) (*Request, error)
+	// Refusal returns the status and header that tell a caller of a refusal.
+	Refusal(r *model.Refusal) (status int, header http.Header)
+	// Outbound returns the header of req for its endpoint, where left is the
+	// time that the endpoint has.
+	Outbound(req *Request, left time.Duration) http.Header
+	// Matches reports whether an answer with this header is to req.
+	Matches(req *Request, h http.Header) bool
+	// Inbound says what an endpoint's answer means.
+	Inbound(status int, h http.Header) Verdict
+}
+
+// Verdict is what an endpoint says of a request.
+type Verdict struct {
+	NotRun      bool // the endpoint did not run the request and will not
+	Misdirected bool // another endpoint has the address
+	Signed      bool // the answer carries the endpoint's signature
+}
+
+// ErrTrimmed means that records before the position are gone.
+var ErrTrimmed = eris.New("router: records were trimmed")
+
+// Orders is what operators ordered. A nil field says nothing.
+type Orders struct {
+	Catalog   *catalog.Catalog
+	Evacuated map[model.DataCentre]bool // true while out of service
+	Skipped   int                       // records that could not be read
+}
+
+// Member is one router process as it announces itself.
+type Member struct {
+	Instance model.InstanceID
+	Address  string    // of the exchange, ip:port over UDP
+	Seen     time.Time // when it announced itself, by its own clock
+}
+
+// Listing is the instance list.
+type Listing struct {
+	Endpoints []place.Endpoint
+	Skipped   int // entries that name no endpoint to use
+}
+
+// Store is the platform's store.
+type Store interface {
+	// Endpoints returns the instance list.
+	Endpoints(ctx context.Context) (Listing, error)
+	// Standing returns all orders that stand and the position behind them.
+	Standing(ctx context.Context) (Orders, int64, error)
+	// Changes returns the orders from a position on and the position behind
+	// them. It waits up to wait for the first one and returns ErrTrimmed if
+	// records are missing.
+	Changes(ctx context.Context, from int64, wait time.Duration) (Orders, int64, error)
+	// Announce publishes a member, Members returns those published.
+	Announce(ctx context.Context, m Member) error
+	Members(ctx context.Context) ([]Member, error)
+}
+
+// Deps are the outside parts of a router.
+type Deps struct {
+	Log      *slog.Logger
+	Protocol Protocol
+	Store    Store
+}
--- /dev/null
+++ b/internal/router/encode.go
@@ -0,0 +1,125 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// IsHop reports whether a header, in canonical form, concerns one connection.
+func IsHop(name string) bool {
+	for _, h := range hopHeaders {
+		if h == name {
+			return true
+		}
+	}
+	return false
+}
+
+// encode writes an answer. A stream that breaks off ends its connection, so
+// that it does not look complete.
+func (r *Router) encode(_ context.Context, w http.ResponseWriter, response any) error {
+	s := response.(served)
+	h := w.Header()
+	for name, values := range s.answer.Header {
+		if !IsHop(name) {
+			h[name] = values
+		}
+	}
+	r.closeIfLeaving(h)
+	if s.answer.Events == nil {
+		h.Set("Content-Length", strconv.Itoa(len(s.answer.Body)))
+		w.WriteHeader(s.answer.Status)
+		_, err := w.Write(s.answer.Body)
+		r.logEnd(s.req, s.answer, err)
+		return nil
+	}
+	defer s.answer.Events.Close()
+	err := r.relay(w, s)
+	r.logEnd(s.req, s.answer, err)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// relay writes the events of a stream as they arrive.
+func (r *Router) relay(w http.ResponseWriter, s served) error {
+	rc := http.NewResponseController(w)
+	w.WriteHeader(s.answer.Status)
+	for {
+		event, err := s.answer.Events.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		_ = rc.SetWriteDeadline(time.Now().Add(writeTime))
+		if _, err := w.Write(event); err != nil {
+			return err
+		}
+		if err := rc.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// encodeRefusal writes the final answer of a refused request.
+func (r *Router) encodeRefusal(_ context.Context, err error, w http.ResponseWriter) {
+	refusal := model.AsRefusal(err)
+	if refusal.Reason == model.ReasonCancelled {
+		panic(http.ErrAbortHandler) // nobody waits for the answer
+	}
+	status, header := r.deps.Protocol.Refusal(refusal)
+	if errors.Is(err, errTooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	for name, values := range header {
+		w.Header()[name] = values
+	}
+	r.closeIfLeaving(w.Header())
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+func (r *Router) closeIfLeaving(h http.Header) {
+	if r.loop.Snapshot().Phase != Serving {
+		h.Set("Connection", "close")
+	}
+}
+
+// logEnd writes the one line that tells how a request ended.
+func (r *Router) logEnd(req *Request, answer *Answer, err error) {
+	route, workspace := "", ""
+	if req.Route != nil {
+		route = string(req.Route.Name)
+	}
+	if req.Workspace != nil {
+		workspace = string(req.Workspace.Name)
+	}
+	took := time.Since(req.Arrived).Milliseconds()
+	switch {
+	case answer == nil:
+		refusal := model.AsRefusal(err)
+		r.log.Info("request refused", "request", req.ID, "route", route, "workspace", workspace, "endpoint", req.Endpoint.ID,
+			"outcome", refusal.Outcome, "reason", refusal.Reason, "detail", refusal.Detail, "sends", req.Sends, "took_ms", took)
+	case err != nil:
+		r.log.Info("answer cut", "request", req.ID, "route", route, "workspace", workspace, "endpoint", req.Endpoint.ID,
+			"cause", err.Error(), "sends", req.Sends, "took_ms", took)
+	default:
+		r.log.Info("request answered", "request", req.ID, "route", route, "workspace", workspace, "endpoint", req.Endpoint.ID,
+			"status", answer.Status, "part", partName(req.sharedPart()), "chosen", req.Choice, "fetched_from", req.FetchFrom, "sends", req.Sends, "took_ms", took)
+	}
+}
--- /dev/null
+++ b/internal/router/repeat.go
@@ -0,0 +1,94 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+const (
+	// maxSends bounds the endpoints that are offered a request, those included
+	// that say that they did not run it.
+	maxSends = 3
+	// noEndpointPause lets a cold endpoint's next share or a pause pass.
+	noEndpointPause = 60 * time.Millisecond
+	// noEndpointTries bounds the pauses; a refusal in time is worth more to the
+	// caller than a long wait.
+	noEndpointTries = 3
+)
+
+// repeat sends a request to a further endpoint: after a refusal that says that
+// it did not run, or, if it is idempotent, after a failure. The retry budget
+// bounds both.
+type repeat struct {
+	may func(context.Context, *Request) bool
+	log *slog.Logger
+}
+
+func (repeat) Name() string { return "repeat" }
+
+func (f repeat) Handle(ctx context.Context, req *Request, next handler) (*Answer, error) {
+	var kept *Answer // the failure of an endpoint that a repeat may replace
+	tries := 0
+	for {
+		answer, err := next(ctx, req)
+		if err == nil && !(answer.OwnError && req.Route.Repeatable()) {
+			return answer, nil
+		}
+		if err == nil {
+			kept = answer
+		}
+		if kept != nil && err != nil && !f.again(ctx, req, err, &tries) || err == nil && !f.againAfterFailure(ctx, req) {
+			return kept, nil
+		}
+		if err != nil && kept == nil && !f.again(ctx, req, err, &tries) {
+			return nil, err
+		}
+	}
+}
+
+// againAfterFailure decides whether a repeat may replace an endpoint's failure.
+func (f repeat) againAfterFailure(ctx context.Context, req *Request) bool {
+	ok := req.Runs < req.Route.Attempts && req.Sends < maxSends && f.may(ctx, req)
+	f.note(req, "endpoint failed", ok)
+	return ok
+}
+
+// again decides whether a refused request goes to a further endpoint.
+func (f repeat) again(ctx context.Context, req *Request, err error, tries *int) bool {
+	r := model.AsRefusal(err)
+	if ctx.Err() != nil {
+		return false
+	}
+	switch {
+	case r.Reason == model.ReasonNoEndpoint:
+		*tries++
+		return *tries <= noEndpointTries && control.Pause(ctx, noEndpointPause)
+	case r.Reason == model.ReasonUnreachable && r.Outcome == model.NotRun:
+		*tries++
+		return *tries <= noEndpointTries
+	case r.Outcome == model.NotRun:
+		ok := retryable(r.Reason) && req.Sends < maxSends && f.may(ctx, req)
+		f.note(req, r.Detail, ok)
+		return ok
+	case r.Reason == model.ReasonDeadline:
+		return false
+	default:
+		ok := req.Route.Repeatable() && req.Runs < req.Route.Attempts && f.may(ctx, req)
+		f.note(req, r.Detail, ok)
+		return ok
+	}
+}
+
+// retryable reports whether another endpoint may take what one refused.
+func retryable(reason model.Reason) bool {
+	return reason == model.ReasonOverloaded || reason == model.ReasonUnreachable
+}
+
+func (f repeat) note(req *Request, cause string, again bool) {
+	f.log.Info("attempt failed", "request", req.ID, "endpoint", req.Endpoint.ID, "cause", cause,
+		"sends", req.Sends, "runs", req.Runs, "again", again)
+}
--- /dev/null
+++ b/internal/router/send.go
@@ -0,0 +1,198 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/origin"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+const (
+	// idleOnce is how long a connection may have been idle for a request that
+	// must not be sent twice. An endpoint that closes meanwhile leaves its
+	// outcome unknown; a new connection costs far less.
+	idleOnce = 500 * time.Millisecond
+	// idleRepeatable is the same for other requests.
+	idleRepeatable = 4 * time.Second
+	// maxAnswer bounds an answer that is no stream, in bytes.
+	maxAnswer = 16 << 20
+	// stallFactor is the part of the latency objective after which a request
+	// that may be repeated is taken from a silent endpoint; never before minStall.
+	stallFactor = 3
+	minStall    = 400 * time.Millisecond
+	// minStreamStall allows for a pause in which an engine reads long prompts.
+	minStreamStall = 1500 * time.Millisecond
+)
+
+// send is the last filter: it hands a request to its endpoint and reads the
+// answer, or the start of a stream.
+type send struct {
+	client    *origin.Client
+	protocol  Protocol
+	ended     func(endpoint model.EndpointID, result place.Result, unread uint64)
+	permitted func(*Request) *model.Refusal
+	log       *slog.Logger
+}
+
+func (send) Name() string { return "send" }
+
+func (f send) Handle(ctx context.Context, req *Request, _ handler) (*Answer, error) {
+	left := untilDeadline(req, time.Now())
+	if r := f.permitted(req); r != nil || left <= 0 || ctx.Err() != nil {
+		f.ended(req.Endpoint.ID, place.Cancelled, req.Unread)
+		if r == nil {
+			r = timedOut(req.Runs > 0)
+		}
+		return nil, r
+	}
+	out := &origin.Request{
+		Method: req.Method, Target: req.Target, Host: req.Host, Body: req.Body,
+		Header:   f.protocol.Outbound(req, left),
+		Matches:  func(h http.Header) bool { return f.protocol.Matches(req, h) },
+		MaxIdle:  idleOnce,
+		HeadTime: stallTime(req),
+	}
+	if req.Route.Repeatable() {
+		out.MaxIdle = idleRepeatable
+	}
+	req.Sends++
+	req.Runs++
+	res, err := f.client.Do(ctx, req.Endpoint.Address, out)
+	if err != nil {
+		return nil, f.failed(ctx, req, err)
+	}
+	return f.read(ctx, req, res)
+}
+
+// stallTime returns how long a request waits for the head of its answer, or 0
+// for as long as it has. Only a request that may still run elsewhere gives up on
+// a silent endpoint.
+func stallTime(req *Request) time.Duration {
+	if !req.Route.Repeatable() || req.Runs+1 >= req.Route.Attempts {
+		return 0
+	}
+	if req.Route.Repeat == catalog.Stream {
+		return max(minStreamStall, stallFactor*req.Route.Target)
+	}
+	return max(minStall, stallFactor*req.Route.Target)
+}
+
+// failed tells what a failed exchange means for the request and its endpoint.
+func (f send) failed(ctx context.Context, req *Request, err error) *model.Refusal {
+	switch {
+	case errors.Is(err, origin.ErrUnsent):
+		req.Sends--
+		req.Runs--
+		f.ended(req.Endpoint.ID, place.Unreachable, req.Unread)
+		r := later(model.ReasonUnreachable, "endpoint cannot be reached", elsewhere)
+		if req.Runs > 0 {
+			r.Outcome = model.Unknown
+		}
+		return r
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.ended(req.Endpoint.ID, place.Failed, 0)
+		return timedOut(true)
+	case ctx.Err() != nil:
+		f.ended(req.Endpoint.ID, place.Cancelled, 0)
+		return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonCancelled, Detail: "the caller left"}
+	}
+	f.ended(req.Endpoint.ID, place.Failed, 0)
+	return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: err.Error()}
+}
+
+// read takes the answer whose head arrived.
+func (f send) read(ctx context.Context, req *Request, res *origin.Response) (*Answer, error) {
+	verdict := f.protocol.Inbound(res.Status, res.Header)
+	if verdict.NotRun {
+		req.Runs--
+		return nil, f.refused(ctx, req, res, verdict)
+	}
+	if !verdict.Signed {
+		res.Close()
+		f.ended(req.Endpoint.ID, place.Failed, 0)
+		return nil, &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonEndpointFailed, Detail: "answer has no signature"}
+	}
+	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, OwnError: res.Status >= http.StatusInternalServerError}
+	if req.Route.Repeat == catalog.Stream && res.Status == http.StatusOK {
+		answer.Events = &stream{req: req, res: res, ctx: ctx, split: newEventSplitter(res.Body), ended: f.ended}
+		return answer, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	res.Finish(err == nil && len(body) < maxAnswer)
+	if err != nil {
+		return nil, f.failed(ctx, req, err)
+	}
+	answer.Body = body
+	result := place.Answered
+	if answer.OwnError {
+		result = place.OwnError
+	}
+	f.ended(req.Endpoint.ID, result, 0)
+	return answer, nil
+}
+
+// refused handles the endpoint's word that it did not run the request.
+func (f send) refused(_ context.Context, req *Request, res *origin.Response, v Verdict) *model.Refusal {
+	_, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxAnswer))
+	res.Finish(err == nil)
+	result, detail := place.Refused, "endpoint did not run the request"
+	if v.Misdirected {
+		result, detail = place.Misdirected, "another endpoint has the address"
+	}
+	f.ended(req.Endpoint.ID, result, req.Unread)
+	r := later(model.ReasonOverloaded, detail, elsewhere)
+	if req.Runs > 0 {
+		r.Outcome = model.Unknown
+	}
+	return r
+}
+
+// stream reads the events of one endpoint's answer.
+type stream struct {
+	req   *Request
+	res   *origin.Response
+	ctx   context.Context
+	split *eventSplitter
+	ended func(model.EndpointID, place.Result, uint64)
+	// endpoint is fixed at the first event, since the request goes on to others.
+	over bool
+}
+
+func (s *stream) Next() ([]byte, error) {
+	s.res.Within(s.silence())
+	event, err := s.split.next()
+	if err == nil {
+		return event, nil
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		s.finish(true, place.Answered)
+	case errors.Is(s.ctx.Err(), context.Canceled):
+		s.finish(false, place.Cancelled)
+	default:
+		s.finish(false, place.Failed)
+	}
+	return nil, err
+}
+
+// silence returns how long the stream may be silent before it goes on
+// elsewhere, or 0 if it cannot.
+func (s *stream) silence() time.Duration { return stallTime(s.req) }
+
+func (s *stream) Close() { s.finish(false, place.Cancelled) }
+
+func (s *stream) finish(whole bool, result place.Result) {
+	if s.over {
+		return
+	}
+	s.over = true
+	s.res.Finish(whole)
+	s.ended(s.req.Endpoint.ID, result, 0)
+}
--- /dev/null
+++ b/internal/router/settings.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/settings"
+)
+
+// Settings are the settings of one router process.
+type Settings struct {
+	Instance    model.InstanceID
+	DataCentre  model.DataCentre
+	Regions     map[model.DataCentre]model.Region
+	Listen      string // callers' address
+	Ready       string // address of the readiness check
+	Metrics     string // address of the metrics; empty means none
+	Exchange    string // UDP address for the other routers
+	Store       string // address of the platform's store
+	ReadyPath   string // path of the readiness check
+	MemoryLimit int64  // bytes
+
+	Grace        time.Duration // from SIGTERM until the platform kills the process
+	ConfigApply  time.Duration // in which a configuration is in force
+	Revoke       time.Duration // after which a key that was taken away opens nothing
+	StrictRevoke bool          // Revoke holds also for a process that is cut off
+	RetryRatio   float64       // repeats for each request over all routers
+	RetryBurst   float64       // repeats beyond the ratio in a window over all routers
+	RetryWindow  time.Duration
+	ListInterval time.Duration // between reads of the instance list
+	FollowTime   time.Duration // for which a read of the operators' orders waits
+	path         string
+}
+
+const maxBound = 10 * time.Minute
+
+// LoadSettings reads the settings of a router and reports all faults together.
+func LoadSettings(path string) (Settings, error) {
+	f, err := settings.Open(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	s, err := ReadSettings(f)
+	s.path = path
+	return s, err
+}
+
+// ReadSettings reads the settings from f.
+func ReadSettings(f *settings.File) (Settings, error) {
+	s := Settings{
+		Instance:     model.InstanceID(f.Required("router", "instance")),
+		DataCentre:   model.DataCentre(f.Required("router", "data_centre")),
+		Regions:      map[model.DataCentre]model.Region{},
+		Listen:       f.Address("router", "listen"),
+		Ready:        f.Address("router", "ready"),
+		ReadyPath:    f.Required("router", "ready_path"),
+		Metrics:      f.OptionalAddress("router", "metrics"),
+		Exchange:     f.Address("router", "exchange"),
+		Store:        f.Address("platform", "store"),
+		MemoryLimit:  f.Int("router", "memory_mb", 256, 16, 1<<20) << 20,
+		Grace:        milliseconds(f, "bounds", "grace_ms", 8000),
+		ConfigApply:  milliseconds(f, "bounds", "config_apply_ms", 2000),
+		Revoke:       milliseconds(f, "bounds", "revoke_ms", 5000),
+		StrictRevoke: f.Bool("bounds", "strict_revoke", true),
+		RetryRatio:   f.Float("bounds", "retry_ratio", 0.2, 0, 10),
+		RetryBurst:   f.Float("bounds", "retry_burst", 50, 0, 1e6),
+		RetryWindow:  milliseconds(f, "bounds", "retry_window_ms", 10_000),
+		ListInterval: milliseconds(f, "platform", "list_interval_ms", 700),
+		FollowTime:   milliseconds(f, "platform", "follow_ms", 1000),
+	}
+	for _, dc := range f.List("regions", "data_centres") {
+		s.Regions[model.DataCentre(dc)] = model.Region(f.Required("regions", dc))
+	}
+	return s, f.Err()
+}
+
+// milliseconds reads a whole number of milliseconds. The platform fills bounds
+// in as bare numbers.
+func milliseconds(f *settings.File, section, key string, def int64) time.Duration {
+	return time.Duration(f.Int(section, key, def, 1, maxBound.Milliseconds())) * time.Millisecond
+}
--- /dev/null
+++ b/internal/router/source_peers.go
@@ -0,0 +1,224 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/mesh"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+const (
+	// tellInterval bounds the age of the counts that the others have while they
+	// change, quietInterval while they do not.
+	tellInterval  = 100 * time.Millisecond
+	quietInterval = 400 * time.Millisecond
+	// memberInterval is how often a router reads who else is there; a router
+	// that starts tells all others, so this only repairs.
+	memberInterval = 10 * time.Second
+	// announceInterval keeps an announcement within memberLifetime.
+	announceInterval = 25 * time.Second
+	memberLifetime   = 70 * time.Second
+	// tellHolders bounds the prompt parts told to a router that starts.
+	tellHolders = 800
+)
+
+// peerLink sends to the other routers. Its goroutine owns the addresses.
+type peerLink struct {
+	r       *Router
+	conn    *net.UDPConn
+	heard   chan netip.AddrPort
+	members chan []netip.AddrPort
+	news    chan place.Held
+	peers   map[netip.AddrPort]time.Time // when heard or announced last
+	self    netip.AddrPort
+	told    bool // the others know of requests in flight
+	toldAt  time.Time
+}
+
+func newPeerLink(r *Router, conn *net.UDPConn) *peerLink {
+	self, _ := netip.ParseAddrPort(r.settings.Exchange)
+	return &peerLink{r: r, conn: conn, self: self, heard: make(chan netip.AddrPort, 16),
+		members: make(chan []netip.AddrPort, 1), news: make(chan place.Held, 256), peers: map[netip.AddrPort]time.Time{}}
+}
+
+// tellHolder tells the others of a new holder. It is dropped if the queue is
+// full; they then read the prompt once more.
+func (r *Router) tellHolder(part uint64, endpoint uint32) {
+	select {
+	case r.peers.news <- place.Held{Part: part, Endpoint: endpoint}:
+	default:
+	}
+}
+
+// receive posts what other routers say until ctx ends.
+func (p *peerLink) receive(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
+	defer stop()
+	buf := make([]byte, mesh.MaxLen)
+	for ctx.Err() == nil {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil || !control.Pause(ctx, retryPause) {
+				return
+			}
+			continue
+		}
+		m, err := mesh.Parse(buf[:n])
+		if err != nil || m.Name == string(p.r.settings.Instance) {
+			continue
+		}
+		if m.Loads != nil || m.Leaving || len(m.Holders) > 0 {
+			_ = p.r.loop.Post(ctx, peerHeard{name: m.Name, loads: m.Loads, holders: m.Holders, leaving: m.Leaving})
+		}
+		select {
+		case p.heard <- from:
+		default:
+		}
+	}
+}
+
+// send tells the others until ctx ends, then that this router leaves.
+func (p *peerLink) send(ctx context.Context) {
+	t := time.NewTicker(tellInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.toAll(mesh.Message{Name: p.name(), Leaving: true})
+			return
+		case from := <-p.heard:
+			p.meet(ctx, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		case list := <-p.members:
+			for _, a := range list {
+				p.meet(ctx, a)
+			}
+		case h := <-p.news:
+			p.toAll(mesh.Message{Name: p.name(), Holders: p.gather(h)})
+		case <-t.C:
+			p.tell(ctx)
+		}
+	}
+}
+
+func (p *peerLink) name() string { return string(p.r.settings.Instance) }
+
+// gather adds the news that wait already.
+func (p *peerLink) gather(first place.Held) []place.Held {
+	list := []place.Held{first}
+	for len(list) < mesh.MaxHolders {
+		select {
+		case h := <-p.news:
+			list = append(list, h)
+		default:
+			return list
+		}
+	}
+	return list
+}
+
+// meet notes a router and tells one that is new what this router knows.
+func (p *peerLink) meet(ctx context.Context, a netip.AddrPort) {
+	_, known := p.peers[a]
+	if a == p.self || !a.IsValid() {
+		return
+	}
+	p.peers[a] = time.Now()
+	if known {
+		return
+	}
+	ev := loadsAsked{Question: control.NewQuestion[told](), holders: tellHolders}
+	t, err := control.Ask(ctx, p.r.loop, ev)
+	if err != nil {
+		return
+	}
+	for len(t.holders) > 0 {
+		n := min(len(t.holders), mesh.MaxHolders)
+		p.to(a, mesh.Append(nil, mesh.Message{Name: p.name(), Loads: t.loads, Holders: t.holders[:n]}))
+		t.holders = t.holders[n:]
+	}
+	p.to(a, mesh.Append(nil, mesh.Message{Name: p.name(), Loads: t.loads}))
+}
+
+// tell sends the requests in flight if they changed or were not told lately.
+func (p *peerLink) tell(ctx context.Context) {
+	for a, at := range p.peers {
+		if time.Since(at) > memberLifetime {
+			delete(p.peers, a)
+		}
+	}
+	if len(p.peers) == 0 {
+		return
+	}
+	t, err := control.Ask(ctx, p.r.loop, loadsAsked{Question: control.NewQuestion[told]()})
+	if err != nil {
+		return
+	}
+	quiet := len(t.loads) == 0 && !p.told // nothing in flight, as told before
+	if quiet && time.Since(p.toldAt) < quietInterval {
+		return
+	}
+	p.toAll(mesh.Message{Name: p.name(), Loads: t.loads})
+	p.told, p.toldAt = len(t.loads) > 0, time.Now()
+}
+
+func (p *peerLink) toAll(m mesh.Message) {
+	b := mesh.Append(nil, m)
+	for a := range p.peers {
+		p.to(a, b)
+	}
+}
+
+// to sends one datagram. A failure shows as silence at the receiver, which the
+// next datagram ends.
+func (p *peerLink) to(a netip.AddrPort, b []byte) { _, _ = p.conn.WriteToUDPAddrPort(b, a) }
+
+// followMembers announces this router and reads who else is there.
+func (r *Router) followMembers(ctx context.Context) {
+	l := &link{r: r, name: "router list"}
+	var announced time.Time
+	for ctx.Err() == nil {
+		err := r.exchangeMembers(ctx, &announced)
+		if err != nil {
+			if !l.failed(ctx, err) {
+				return
+			}
+			continue
+		}
+		l.ok()
+		if !control.Pause(ctx, memberInterval) {
+			return
+		}
+	}
+}
+
+func (r *Router) exchangeMembers(ctx context.Context, announced *time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	if now := time.Now(); announced.IsZero() || now.Sub(*announced) > announceInterval {
+		if err := r.deps.Store.Announce(ctx, Member{Instance: r.settings.Instance, Address: r.settings.Exchange, Seen: now}); err != nil {
+			return err
+		}
+		*announced = now
+	}
+	list, err := r.deps.Store.Members(ctx)
+	if err != nil {
+		return err
+	}
+	var addresses []netip.AddrPort
+	for _, m := range list {
+		a, err := netip.ParseAddrPort(m.Address)
+		if err == nil && time.Since(m.Seen).Abs() < memberLifetime {
+			addresses = append(addresses, a)
+		}
+	}
+	_ = r.loop.Post(ctx, membersRead{len(addresses)})
+	select {
+	case r.peers.members <- addresses:
+	case <-ctx.Done():
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/router/source_settings.go
@@ -0,0 +1,47 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// settingsInterval is how often the settings file is read for changes that come
+// without a signal.
+const settingsInterval = 5 * time.Second
+
+// followSettings reads the settings file again after SIGHUP and at its interval.
+// A faulty file leaves the settings in force.
+func (r *Router) followSettings(ctx context.Context) {
+	if r.settings.path == "" {
+		return
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(settingsInterval)
+	defer t.Stop()
+	last, _ := os.ReadFile(r.settings.path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-t.C:
+		}
+		data, err := os.ReadFile(r.settings.path)
+		if err != nil || bytes.Equal(data, last) {
+			continue
+		}
+		last = data
+		s, err := LoadSettings(r.settings.path)
+		if err != nil {
+			r.log.Warn("changed settings are faulty, the former ones stay", "findings", err.Error())
+			continue
+		}
+		_ = r.loop.Post(ctx, settingsRead{s})
+	}
+}
--- /dev/null
+++ b/internal/router/stages.go
@@ -0,0 +1,258 @@
+package router
+
+import (
+	"log/slog"
+	"maps"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/retry"
+)
+
+// Events of the control loop.
+type (
+	// ordersRead brings orders and the boot time at which their read was sent.
+	ordersRead struct {
+		orders   Orders
+		standing bool // the orders are all that stand, not only changes
+		sent     time.Duration
+	}
+	// listRead brings the instance list.
+	listRead struct{ list []place.Endpoint }
+	// listLost tells that the instance list could not be read.
+	listLost struct{}
+	// membersRead brings the number of routers that announced themselves.
+	membersRead struct{ count int }
+	// settingsRead brings the settings of a file that changed.
+	settingsRead struct{ settings Settings }
+	// phaseChanged moves a planned stop on.
+	phaseChanged struct{ phase Phase }
+	// pickEndpoint asks for an endpoint.
+	pickEndpoint struct {
+		control.Question[picked]
+		query place.Query
+	}
+	// requestEnded tells how a placed request ended.
+	requestEnded struct {
+		endpoint model.EndpointID
+		result   place.Result
+		unread   uint64
+	}
+	// requestCame counts a request of a pool.
+	requestCame struct{ pool model.Pool }
+	// mayRepeat asks the retry budget for one more attempt.
+	mayRepeat struct {
+		control.Question[bool]
+		pool model.Pool
+	}
+	// peerHeard brings what another router said.
+	peerHeard struct {
+		name    string
+		loads   map[uint32]int
+		holders []place.Held
+		leaving bool
+	}
+	// loadsAsked asks for what this router tells the others.
+	loadsAsked struct {
+		control.Question[told]
+		holders int // prompt parts to name at most
+	}
+)
+
+func (ordersRead) EventName() string   { return "orders_read" }
+func (listRead) EventName() string     { return "list_read" }
+func (listLost) EventName() string     { return "list_lost" }
+func (membersRead) EventName() string  { return "members_read" }
+func (settingsRead) EventName() string { return "settings_read" }
+func (phaseChanged) EventName() string { return "phase_changed" }
+func (pickEndpoint) EventName() string { return "pick_endpoint" }
+func (requestEnded) EventName() string { return "request_ended" }
+func (requestCame) EventName() string  { return "request_came" }
+func (mayRepeat) EventName() string    { return "may_repeat" }
+func (peerHeard) EventName() string    { return "peer_heard" }
+func (loadsAsked) EventName() string   { return "loads_asked" }
+
+// picked is the answer to pickEndpoint.
+type picked struct {
+	choice place.Choice
+	hash   uint32
+	found  bool
+}
+
+// told is what a router tells the others.
+type told struct {
+	loads   map[uint32]int
+	holders []place.Held
+}
+
+// foldOrders keeps the newest configuration and the evacuations. A
+// configuration that is older than the one in force is ignored.
+type foldOrders struct{ log *slog.Logger }
+
+func (foldOrders) Name() string { return "orders" }
+
+func (f foldOrders) Apply(s *State, _ time.Time, ev control.Event) bool {
+	e, ok := ev.(ordersRead)
+	if !ok {
+		return false
+	}
+	s.confirmed = max(s.confirmed, e.sent)
+	if c := e.orders.Catalog; c != nil && (s.catalog == nil || c.Version > s.catalog.Version) {
+		f.log.Info("configuration in force", "version", c.Version, "routes", c.Routes(), "pools", len(c.Pools))
+		s.catalog = c
+		s.table.SetPools(c.Pools)
+	}
+	f.evacuate(s, e)
+	return true
+}
+
+func (f foldOrders) evacuate(s *State, e ordersRead) {
+	next := maps.Clone(s.evacuated)
+	if e.standing {
+		clear(next)
+	}
+	for dc, out := range e.orders.Evacuated {
+		if out {
+			next[dc] = true
+		} else {
+			delete(next, dc)
+		}
+	}
+	if maps.Equal(next, s.evacuated) {
+		return
+	}
+	f.log.Info("data centres out of service", "before", len(s.evacuated), "now", len(next))
+	s.evacuated = next
+	s.table.SetEvacuated(next)
+}
+
+// foldList takes the instance list.
+type foldList struct{ log *slog.Logger }
+
+func (foldList) Name() string { return "list" }
+
+func (f foldList) Apply(s *State, now time.Time, ev control.Event) bool {
+	switch e := ev.(type) {
+	case listRead:
+		came, went := s.table.SetEndpoints(now, e.list)
+		for _, id := range came {
+			ep, _ := s.table.Lookup(id)
+			f.log.Info("endpoint listed", "endpoint", id, "pool", ep.Pool, "data_centre", ep.DataCentre,
+				"version", ep.Version, "draining", ep.Draining, "cold_left_ms", ep.ColdLeft.Milliseconds())
+		}
+		for _, id := range went {
+			f.log.Info("endpoint no longer listed", "endpoint", id)
+		}
+		first := !s.listed
+		s.listed = true
+		return first || len(came)+len(went) > 0
+	case listLost:
+		s.table.Outage(now)
+	case membersRead:
+		s.members = e.count
+	}
+	return false
+}
+
+// placeRequests answers which endpoint runs a request.
+type placeRequests struct{}
+
+func (placeRequests) Name() string { return "place" }
+
+func (placeRequests) Apply(s *State, now time.Time, ev control.Event) bool {
+	switch e := ev.(type) {
+	case pickEndpoint:
+		c, ok := s.table.Pick(now, e.query)
+		e.Reply(picked{choice: c, hash: s.table.HashOf(c.Endpoint.ID), found: ok})
+	case requestEnded:
+		s.table.Ended(now, e.endpoint, e.result, e.unread)
+	}
+	return false
+}
+
+// budgetRepeats keeps the retry budget of each pool.
+type budgetRepeats struct{}
+
+func (budgetRepeats) Name() string { return "retry" }
+
+func (budgetRepeats) Apply(s *State, now time.Time, ev control.Event) bool {
+	switch e := ev.(type) {
+	case requestCame:
+		window(s, e.pool).Request(now)
+	case mayRepeat:
+		routers := max(s.members, s.table.Entries(now))
+		e.Reply(window(s, e.pool).Take(now, s.settings.RetryRatio, s.settings.RetryBurst, routers))
+	}
+	return false
+}
+
+func window(s *State, pool model.Pool) *retry.Window {
+	w := s.windows[pool]
+	if w == nil {
+		w = retry.NewWindow(s.settings.RetryWindow)
+		s.windows[pool] = w
+	}
+	return w
+}
+
+// foldPeers takes what other routers say and answers what they are told.
+type foldPeers struct{ log *slog.Logger }
+
+func (foldPeers) Name() string { return "peers" }
+
+func (f foldPeers) Apply(s *State, now time.Time, ev control.Event) bool {
+	switch e := ev.(type) {
+	case peerHeard:
+		if e.leaving {
+			s.table.DropPeer(e.name)
+			f.log.Info("router left", "router", e.name)
+			return false
+		}
+		if s.table.PeerLoads(now, e.name, e.loads) {
+			f.log.Info("router heard", "router", e.name)
+		}
+		for _, h := range e.holders {
+			s.table.LearnHolder(now, h.Part, h.Endpoint)
+		}
+	case loadsAsked:
+		t := told{loads: s.table.Loads()}
+		if e.holders > 0 {
+			t.holders = s.table.Holders(e.holders)
+		}
+		e.Reply(t)
+	}
+	return false
+}
+
+// stop moves a planned stop on.
+type stop struct{ log *slog.Logger }
+
+func (stop) Name() string { return "stop" }
+
+func (f stop) Apply(s *State, _ time.Time, ev control.Event) bool {
+	e, ok := ev.(phaseChanged)
+	if !ok || e.phase <= s.phase {
+		return false
+	}
+	s.phase = e.phase
+	f.log.Info("planned stop", "phase", int(e.phase))
+	return true
+}
+
+// reload puts changed settings in force. Addresses stay as they were at the
+// start.
+type reload struct{ log *slog.Logger }
+
+func (reload) Name() string { return "reload" }
+
+func (f reload) Apply(s *State, _ time.Time, ev control.Event) bool {
+	e, ok := ev.(settingsRead)
+	if !ok {
+		return false
+	}
+	s.settings = e.settings
+	f.log.Info("settings reloaded")
+	return true
+}
--- /dev/null
+++ b/internal/router/state.go
@@ -0,0 +1,51 @@
+package router
+
+import (
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/retry"
+)
+
+// Phase is how far a planned stop is.
+type Phase int
+
+// The phases of a planned stop.
+const (
+	Serving  Phase = iota
+	Leaving        // not ready; requests are served and their connections closed
+	Refusing       // new requests are refused as not run
+)
+
+// State is the control state. The control goroutine owns it.
+type State struct {
+	settings  Settings
+	table     *place.Table
+	catalog   *catalog.Catalog
+	evacuated map[model.DataCentre]bool
+	confirmed time.Duration // boot time at which the last successful read of the orders was sent
+	listed    bool          // an instance list has arrived
+	phase     Phase
+	windows   map[model.Pool]*retry.Window
+	members   int // routers that announced themselves lately
+}
+
+// Snapshot is what traffic reads. Nobody changes it.
+type Snapshot struct {
+	Settings  Settings
+	Catalog   *catalog.Catalog // nil before the first one
+	Confirmed time.Duration    // boot time as of which Catalog is known to be in force
+	Listed    bool
+	Endpoints map[model.Pool]int
+	Phase     Phase
+}
+
+func newState(s Settings) *State {
+	return &State{settings: s, table: place.New(s.DataCentre), evacuated: map[model.DataCentre]bool{}, windows: map[model.Pool]*retry.Window{}}
+}
+
+func publish(s *State, _ time.Time) *Snapshot {
+	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Endpoints: s.table.Endpoints(), Phase: s.phase}
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -7,7 +7,7 @@
 
 # start NAME BINARY: starts the binary with $RUN/NAME.ini; its id is in PID.
 start() {
-	"$BIN/$2" -settings "$RUN/$1.ini" 2>"$RUN/$1.log" >"$RUN/$1.out" &
+	"$BIN/$2" -settings "$RUN/$1.ini" >"$RUN/$1.log" 2>"$RUN/$1.err" &
 	PID=$!
 	PIDS+=("$PID")
 }
