Keep the holders of prompts known through restarts and departures

Traces of the choices showed four causes: after a loss of all routers nobody knows the holders; a router that restarts at its address was not told them, since the others knew the address already; an endpoint that left the list was no longer used as a source; requests that arrive while a prompt is being read for another one read it again. Change: a router that starts asks the others, and if none can tell, the routers share out the engines and read their cache lists before they take callers; leaving endpoints, also for 2.5 s after their entry is gone, are sources; a request waits for a long prompt that is being read, a third of its objective at most; the first prompt part is fetched where only that is known; the load bound is 1.85 times the mean and 2.5.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -15,12 +15,16 @@
 	magic = 0x67 // first byte
 	form  = 1    // version of the format, second byte
 
-	flagLoads   = 1 << 0 // the loads are all that the sender has in flight
-	flagLeaving = 1 << 1
+	flagLoads    = 1 << 0 // the loads are all that the sender has in flight
+	flagLeaving  = 1 << 1
+	flagComplete = 1 << 2
+	flagAsk      = 1 << 3
 
 	headLen   = 4
 	loadLen   = 6
 	holderLen = 12
+	readLen   = 4
+	maxRead   = 100
 	maxLoads  = 2000
 	// MaxHolders keeps a datagram below the smallest common packet size.
 	MaxHolders = 80
@@ -37,6 +41,11 @@
 	Loads   map[uint32]int // requests in flight by endpoint hash; nil if not told
 	Holders []place.Held
 	Leaving bool // the sender stops
+	// Complete says that the sender knows the holders of before its start, so
+	// that a receiver need not ask the engines.
+	Complete bool
+	Ask      bool     // the sender started lately and asks for the holders
+	Read     []uint32 // engines whose caches the sender read since its start
 }
 
 // Append appends the encoded message to b. Loads and holders beyond the bounds
@@ -49,6 +58,12 @@
 	if m.Leaving {
 		flags |= flagLeaving
 	}
+	if m.Complete {
+		flags |= flagComplete
+	}
+	if m.Ask {
+		flags |= flagAsk
+	}
 	name := m.Name[:min(len(m.Name), 255)]
 	b = append(b, magic, form, flags, byte(len(name)))
 	b = append(b, name...)
@@ -68,6 +83,9 @@
 		b = binary.BigEndian.AppendUint64(b, h.Part)
 		b = binary.BigEndian.AppendUint32(b, h.Endpoint)
 	}
+	for _, engine := range m.Read[:min(len(m.Read), maxRead)] {
+		b = binary.BigEndian.AppendUint32(b, engine)
+	}
 	return b
 }
 
@@ -83,6 +101,7 @@
 		return m, ErrFormat
 	}
 	m.Name, m.Leaving = string(b[:nameLen]), flags&flagLeaving != 0
+	m.Complete, m.Ask = flags&flagComplete != 0, flags&flagAsk != 0
 	n := int(binary.BigEndian.Uint16(b[nameLen:]))
 	b = b[nameLen+2:]
 	if len(b) < n*loadLen+2 || n > maxLoads {
@@ -99,12 +118,15 @@
 	}
 	n = int(binary.BigEndian.Uint16(b))
 	b = b[2:]
-	if len(b) != n*holderLen {
+	if len(b) < n*holderLen || (len(b)-n*holderLen)%readLen != 0 {
 		return m, ErrFormat
 	}
 	for ; n > 0; n-- {
 		m.Holders = append(m.Holders, place.Held{Part: binary.BigEndian.Uint64(b), Endpoint: binary.BigEndian.Uint32(b[8:])})
 		b = b[holderLen:]
 	}
+	for ; len(b) > 0; b = b[readLen:] {
+		m.Read = append(m.Read, binary.BigEndian.Uint32(b))
+	}
 	return m, nil
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -15,6 +15,7 @@
 		{Name: "router-1", Loads: map[uint32]int{7: 3, 9: 65535}, Holders: []place.Held{{Part: 1 << 60, Endpoint: 7}}},
 		{Name: "router-2", Loads: map[uint32]int{}},
 		{Name: "router-3", Leaving: true},
+		{Name: "router-4", Complete: true, Ask: true, Read: []uint32{1, 2}},
 		{},
 	} {
 		got, err := Parse(Append(nil, m))
--- a/internal/place/holders.go
+++ b/internal/place/holders.go
@@ -20,7 +20,8 @@
 }
 
 type part struct {
-	endpoints []uint32 // the first one first
+	endpoints []uint32    // the first one first
+	since     []time.Time // when each was first known to hold the part
 	used      time.Time
 }
 
@@ -41,9 +42,9 @@
 		return false
 	}
 	if len(p.endpoints) == maxHolders {
-		p.endpoints = slices.Delete(p.endpoints, 0, 1)
+		p.endpoints, p.since = slices.Delete(p.endpoints, 0, 1), slices.Delete(p.since, 0, 1)
 	}
-	p.endpoints = append(p.endpoints, endpoint)
+	p.endpoints, p.since = append(p.endpoints, endpoint), append(p.since, now)
 	return true
 }
 
@@ -54,10 +55,26 @@
 	return nil
 }
 
+// age returns how long endpoint is known to hold the part.
+func (h *holderTable) age(now time.Time, id uint64, endpoint uint32) time.Duration {
+	p := h.parts[id]
+	if p == nil {
+		return 0
+	}
+	if i := slices.Index(p.endpoints, endpoint); i >= 0 {
+		return now.Sub(p.since[i])
+	}
+	return 0
+}
+
 // remove notes that endpoint does not hold the part after all.
 func (h *holderTable) remove(id uint64, endpoint uint32) {
-	if p := h.parts[id]; p != nil {
-		p.endpoints = slices.DeleteFunc(p.endpoints, func(e uint32) bool { return e == endpoint })
+	p := h.parts[id]
+	if p == nil {
+		return
+	}
+	if i := slices.Index(p.endpoints, endpoint); i >= 0 {
+		p.endpoints, p.since = slices.Delete(p.endpoints, i, i+1), slices.Delete(p.since, i, i+1)
 	}
 }
 
--- a/internal/place/peers.go
+++ b/internal/place/peers.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -84,6 +86,42 @@
 	t.holders.add(now, part, endpoint)
 }
 
+// Heard returns the names of the other entries that are heard.
+func (t *Table) Heard(now time.Time) []model.InstanceID {
+	var out []model.InstanceID
+	for name, p := range t.peers {
+		if now.Sub(p.heard) <= peerLifetime {
+			out = append(out, model.InstanceID(name))
+		}
+	}
+	return out
+}
+
+// Engines returns the listed engines. Those that leave still hand over their
+// caches.
+func (t *Table) Engines() []Endpoint {
+	var out []Endpoint
+	for _, s := range t.spots {
+		if s.listed && t.pools[s.Pool].Engine {
+			out = append(out, s.Endpoint)
+		}
+	}
+	return out
+}
+
+// Owner returns the entry that looks after an endpoint, the same at each entry
+// that knows the same entries.
+func Owner(id model.EndpointID, entries []model.InstanceID) model.InstanceID {
+	var best model.InstanceID
+	var top uint64
+	for _, e := range entries {
+		if score := order(xxhash.Sum64String(string(e)), Hash(id)); best == "" || score > top {
+			best, top = e, score
+		}
+	}
+	return best
+}
+
 // Held is one prompt part and an endpoint that holds it.
 type Held struct {
 	Part     uint64
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -11,6 +11,8 @@
 type Query struct {
 	Pool     model.Pool
 	Part     uint64 // the shared prompt part that decides reuse; 0 if none
+	Tokens   int    // of that part and those before it
+	Base     uint64 // the first prompt part, which prompts of several parts share; 0 if none
 	Key      uint64 // hash that spreads requests without a known holder
 	Regions  []model.Region
 	Excluded []model.EndpointID // endpoints that had the request already
@@ -21,9 +23,13 @@
 	Endpoint  Endpoint
 	FetchFrom string // address of an endpoint whose cache holds the prompt; empty if none
 	NewHolder bool   // the endpoint did not hold the part before
-	Load      float64
-	Mean      float64
-	Reason    Reason
+	NewBase   bool   // the same for the first part
+	// Wait is the time until the endpoint has read the part for another request.
+	// A request that arrives earlier reads it once more.
+	Wait   time.Duration
+	Load   float64
+	Mean   float64
+	Reason Reason
 }
 
 // Reason says why an endpoint was chosen.
@@ -41,13 +47,13 @@
 const (
 	// loadFactor and loadSlack keep an endpoint below the operators' bound of
 	// twice the mean and 3 more while counts of other entries are under way.
-	loadFactor = 1.7
-	loadSlack  = 2.0
+	loadFactor = 1.85
+	loadSlack  = 2.5
 	// firstChoices is how many endpoints of a part's own order compete for its
 	// first use. One alone would leave the parts unevenly spread.
 	firstChoices = 3
 	// remoteCost is the load that a request in the home data centre outweighs.
-	remoteCost = 0.35
+	remoteCost = 1.0
 	// minOpenShare is the part of a pool that must be free of pauses; with fewer
 	// the failures are not those of single endpoints, and passing them over
 	// would crowd the others.
@@ -76,12 +82,39 @@
 	out := Choice{Endpoint: choice.Endpoint, Load: choice.load, Mean: mean, Reason: choice.reason}
 	t.started(now, choice.spot)
 	if q.Part != 0 {
-		out.FetchFrom = t.source(q.Part, choice.spot, all)
+		out.FetchFrom = t.source(now, q.Part, choice.spot, all)
+		if out.FetchFrom == "" && q.Base != 0 && choice.reason == FirstUse {
+			out.FetchFrom = t.source(now, q.Base, choice.spot, all)
+		}
+		if q.Base != 0 {
+			out.NewBase = t.holders.add(now, q.Base, choice.hash)
+		}
 		out.NewHolder = t.holders.add(now, q.Part, choice.hash)
+		if !out.NewHolder {
+			out.Wait = max(0, readTime(q.Tokens)-t.holders.age(now, q.Part, choice.hash))
+		}
 	}
 	return out, true
 }
 
+const (
+	// readRate is the prompt tokens that an engine of the first users reads in a
+	// millisecond, less a tenth for the requests beside.
+	readRate = 50
+	// readStart is the time until an engine begins with a request.
+	readStart = 15 * time.Millisecond
+	// waitTokens is the size from which reading twice costs more than the wait.
+	waitTokens = 1500
+)
+
+// readTime returns the time that an engine takes to read a prompt.
+func readTime(tokens int) time.Duration {
+	if tokens < waitTokens {
+		return 0
+	}
+	return readStart + time.Duration(tokens)*time.Millisecond/readRate
+}
+
 // candidates returns the endpoints that may be used at all, those of them that
 // are open for this request, and the mean load of the former.
 func (t *Table) candidates(now time.Time, q Query) (all, open []candidate, mean float64) {
@@ -171,7 +204,7 @@
 
 // source returns the address of an endpoint whose cache holds the part, if the
 // chosen one does not hold it.
-func (t *Table) source(part uint64, to *spot, all []candidate) string {
+func (t *Table) source(now time.Time, part uint64, to *spot, all []candidate) string {
 	holders := t.holders.of(part)
 	if slices.Contains(holders, to.hash) {
 		return ""
@@ -190,19 +223,31 @@
 		}
 	}
 	if from == "" {
-		from = t.leavingSource(holders)
+		from = t.leavingSource(now, holders)
 	}
 	return from
 }
 
-// leavingSource returns a holder that is leaving; it still serves for a while.
-func (t *Table) leavingSource(holders []uint32) string {
+// lingerTime is how long an endpoint that left the list may still hand over its
+// cache. It serves for a while after its entry is gone.
+const lingerTime = 2500 * time.Millisecond
+
+// leavingSource returns the holder that left last, if it may still be there.
+func (t *Table) leavingSource(now time.Time, holders []uint32) string {
+	var best *spot
 	for _, h := range holders {
-		if s := t.byHash[h]; s != nil && s.listed && s.Draining && !s.health.down {
-			return s.Address
+		s := t.byHash[h]
+		if s == nil || s.health.down || !s.listed && now.Sub(s.missing) > lingerTime {
+			continue
 		}
+		if best == nil || s.listed && !best.listed || s.missing.After(best.missing) {
+			best = s
+		}
+	}
+	if best == nil {
+		return ""
 	}
-	return ""
+	return best.Address
 }
 
 // order is the rendezvous order of endpoints for a key, the same at every entry.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -210,3 +210,56 @@
 		tab.Ended(start, c.Endpoint.ID, Answered, 0)
 	}
 }
+
+// Guards against a second reading of a long prompt by a request that arrives
+// while the first one is still being read, and against a wait without need.
+func TestRequestsWaitForAPromptThatIsBeingRead(t *testing.T) {
+	is := is.New(t)
+	tab := table(engines(3))
+	q := Query{Pool: "p", Part: 7, Tokens: 10_000}
+	first, _ := tab.Pick(start, q)
+	is.Equal(first.Wait, time.Duration(0))
+	second, _ := tab.Pick(start.Add(50*time.Millisecond), q)
+	is.Equal(second.Wait, 165*time.Millisecond)
+	later, _ := tab.Pick(start.Add(time.Second), q)
+	is.Equal(later.Wait, time.Duration(0))
+	q.Part, q.Tokens = 8, 500
+	tab.Pick(start, q)
+	short, _ := tab.Pick(start, q)
+	is.Equal(short.Wait, time.Duration(0))
+}
+
+// Guards against the first part of a prompt being read again though another
+// endpoint holds it.
+func TestTheFirstPartIsFetched(t *testing.T) {
+	is := is.New(t)
+	tab := table(engines(9))
+	a, _ := tab.Pick(start, Query{Pool: "p", Part: 1, Base: 100})
+	is.True(a.NewBase)
+	for part := uint64(2); part < 20; part++ {
+		c, _ := tab.Pick(start, Query{Pool: "p", Part: part, Base: 100})
+		is.Equal(c.FetchFrom != "", c.NewBase)
+		tab.Ended(start, c.Endpoint.ID, Answered, 0)
+	}
+}
+
+// Guards against a cache that is lost with an endpoint that leaves: it hands
+// over while it is still there, also for a while after its entry is gone.
+func TestLeavingEndpointsHandOver(t *testing.T) {
+	is := is.New(t)
+	list := engines(3)
+	tab := table(list)
+	first, _ := tab.Pick(start, Query{Pool: "p", Part: 7})
+	var rest []Endpoint
+	for i := range list {
+		if list[i].ID != first.Endpoint.ID {
+			rest = append(rest, list[i])
+		}
+	}
+	tab.SetEndpoints(start, rest)
+	next, _ := tab.Pick(start.Add(time.Second), Query{Pool: "p", Part: 7})
+	is.Equal(next.FetchFrom, first.Endpoint.Address)
+	tab.LearnHolder(start, 8, Hash(first.Endpoint.ID))
+	late, _ := tab.Pick(start.Add(lingerTime+time.Second), Query{Pool: "p", Part: 8})
+	is.Equal(late.FetchFrom, "")
+}
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -73,9 +73,16 @@
 	Members(ctx context.Context) ([]Member, error)
 }
 
+// Caches reads the caches of engines.
+type Caches interface {
+	// Cached returns the prompt parts that the engine at address holds.
+	Cached(ctx context.Context, address string) ([]uint64, error)
+}
+
 // Deps are the outside parts of a router.
 type Deps struct {
 	Log      *slog.Logger
 	Protocol Protocol
 	Store    Store
+	Caches   Caches
 }
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -11,6 +11,10 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
 
+// waitShare is the part of the latency objective, one in so many, that a request
+// waits at most for another one's prompt to be read.
+const waitShare = 3
+
 // placeRequest has the control goroutine choose the endpoint of each attempt.
 type placeRequest struct {
 	ask  func(context.Context, place.Query) (picked, error)
@@ -25,7 +29,8 @@
 		q.Regions = intersect(q.Regions, req.Workspace.Regions)
 	}
 	if req.Route.Generation {
-		q.Part = req.sharedPart()
+		q.Base = req.basePart()
+		q.Part, q.Tokens = req.sharedPart(), req.sharedTokens()
 	}
 	p, err := f.ask(ctx, q)
 	if err != nil {
@@ -43,7 +48,13 @@
 		req.Unread = q.Part
 		f.tell(q.Part, p.hash)
 	}
+	if p.choice.NewBase {
+		f.tell(q.Base, p.hash)
+	}
 	req.Excluded = append(req.Excluded, req.Endpoint.ID)
+	if wait := min(p.choice.Wait, req.Route.Target/waitShare); wait > 0 {
+		control.Pause(ctx, wait) // send notices if the caller left meanwhile
+	}
 	return next(ctx, req)
 }
 
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -58,6 +58,25 @@
 	}
 }
 
+// basePart returns the first prompt part if it is not the shared one.
+func (r *Request) basePart() uint64 {
+	if len(r.Parts) < 3 {
+		return 0
+	}
+	return r.Parts[0].ID
+}
+
+// sharedTokens returns the tokens of the parts up to the shared one.
+func (r *Request) sharedTokens() int {
+	n := 0
+	for i, p := range r.Parts {
+		if i == 0 || i < len(r.Parts)-1 {
+			n += p.Tokens
+		}
+	}
+	return n
+}
+
 // priority returns the rank of the request, 0 first.
 func (r *Request) priority() int {
 	if r.Workspace != nil && r.Workspace.Priority >= 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,11 +28,15 @@
 	loop     *control.Loop[State, Snapshot]
 	peers    *peerLink
 	draw     func() float64 // uniform in [0, 1)
+	// membersKnown is closed once the other routers are known, settled once the
+	// holders of prompt parts are.
+	membersKnown, settled chan struct{}
 }
 
 // New returns a router that talks to the others over exchange. Start starts it.
 func New(s Settings, deps Deps, exchange *net.UDPConn) *Router {
-	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), draw: rand.Float64}
+	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), draw: rand.Float64,
+		membersKnown: make(chan struct{}), settled: make(chan struct{})}
 	r.peers = newPeerLink(r, exchange)
 	r.loop = control.New(control.Config[State, Snapshot]{
 		State: newState(s), Stages: r.controlPipeline(), Publish: publish,
@@ -43,7 +47,7 @@
 // Start starts the control loop and its sources. They end with ctx.
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
 	for _, run := range []func(context.Context){
-		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings,
+		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches,
 	} {
 		g.Go(func() error { run(ctx); return nil })
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -36,13 +36,15 @@
 
 // process is one router.
 type process struct {
-	fleet  *fleet
-	url    string
-	ready  string
-	stop   context.CancelFunc
-	ended  chan error
-	logs   *syncBuffer
-	client *http.Client
+	fleet *fleet
+	url   string
+	ready string
+	stop  context.CancelFunc
+	ended chan error
+	logs  *syncBuffer
+	// exchange is the address on which other routers reach this one.
+	exchange string
+	client   *http.Client
 }
 
 // syncBuffer collects log lines of several goroutines.
@@ -139,14 +141,16 @@
 	is.NoErr(err)
 	check, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	exchange, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	at, err := net.ResolveUDPAddr("udp", s.Exchange)
+	is.NoErr(err)
+	exchange, err := net.ListenUDP("udp", at)
 	is.NoErr(err)
 	s.Exchange = exchange.LocalAddr().String()
 	p := &process{fleet: f, url: "http://" + callers.Addr().String(), ready: "http://" + check.Addr().String() + "/ready",
-		ended: make(chan error, 1), logs: &syncBuffer{make(chan []byte, 10_000)}, client: &http.Client{Transport: &http.Transport{}}}
+		ended: make(chan error, 1), logs: &syncBuffer{make(chan []byte, 10_000)}, client: &http.Client{Transport: &http.Transport{}}, exchange: s.Exchange}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
-	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: platform.NewStore(f.store.Address())}, exchange)
+	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: platform.NewStore(f.store.Address()), Caches: platform.NewEngines()}, exchange)
 	go func() { p.ended <- r.Serve(ctx, callers, check) }()
 	f.t.Cleanup(stop)
 	return p
@@ -522,6 +526,54 @@
 	is.New(t).True(strings.Contains(q.logs.text(), "router heard"))
 }
 
+// Guards against prompts that are read again after all routers stopped at once:
+// nobody is left to tell who holds them, so the engines are asked.
+func TestHoldersAfterAllRoutersStopped(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 8, 0)
+	p := f.start(func(s *router.Settings) { s.FirstStart = true }).await()
+	prefix := func(i int) map[string]string {
+		return map[string]string{"X-Goldcrestturn-Prefix-Hash": fmt.Sprintf("%x:1000,%x:20", 100+i, 5000+i)}
+	}
+	first := map[int]string{}
+	for i := range 20 {
+		r := p.call(context.Background(), http.MethodPost, "/stream/chat/x", "body", prefix(i))
+		first[i] = f.seen(r.id)[0].Endpoint
+	}
+	p.stop()
+	is.NoErr(<-p.ended)
+	q := f.start(func(s *router.Settings) { s.Instance = "router-2" }).await()
+	for i := range 20 {
+		r := q.call(context.Background(), http.MethodPost, "/stream/chat/x", "body", prefix(i))
+		got := f.seen(r.id)[0]
+		is.True(got.Endpoint == first[i] || got.Header.Get("Kv-Fetch") != "")
+	}
+}
+
+// Guards against a router that starts again at the address that it had and is
+// told nothing, since the others know the address already.
+func TestRestartedRouterIsToldTheHolders(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, 0)
+	p := f.start(func(s *router.Settings) { s.FirstStart = true }).await()
+	address := ""
+	for range 2 {
+		q := f.start(func(s *router.Settings) {
+			s.Instance = "router-2"
+			if address != "" {
+				s.Exchange = address
+			}
+		}).await()
+		address = q.exchange
+		eventually(t, "the holders are told", func() bool {
+			return strings.Contains(q.logs.text(), "holders told by another router")
+		})
+		q.stop()
+		is.NoErr(<-q.ended)
+	}
+	is.True(p.isReady())
+}
+
 // Guards against a caller's second request on a connection being confused by a
 // body that was not read whole.
 func TestKeptConnectionsOfCallers(t *testing.T) {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -52,8 +52,11 @@
 	}
 	checks := &http.Server{Handler: r.checkHandler(), ReadHeaderTimeout: headerTime}
 	failed := make(chan error, 2)
-	go func() { failed <- srv.Serve(callers) }()
 	go func() { failed <- checks.Serve(check) }()
+	go func() {
+		r.settle(background)
+		failed <- srv.Serve(callers)
+	}()
 	r.log.Info("started", "instance", r.settings.Instance, "data_centre", r.settings.DataCentre,
 		"listen", callers.Addr().String(), "version", program.Version)
 	var err error
@@ -68,6 +71,23 @@
 	return errors.Join(err, g.Wait())
 }
 
+// settleTime bounds the wait of the first callers for what the router has to
+// learn. Their connections wait in the queue of the listener.
+const settleTime = 400 * time.Millisecond
+
+// settle waits until the holders of prompt parts are known. Without them the
+// first requests after a restart of all routers would have most prompts read
+// again.
+func (r *Router) settle(ctx context.Context) {
+	t := time.NewTimer(settleTime)
+	defer t.Stop()
+	select {
+	case <-r.settled:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // stop takes the router out: first it is not ready and closes connections
 // behind their answers, then it refuses new requests, then it waits for those
 // under way until the grace time ends.
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -19,6 +19,7 @@
 	Store       string // address of the platform's store
 	ReadyPath   string // path of the readiness check
 	MemoryLimit int64  // bytes
+	FirstStart  bool   // the whole system starts for the first time, so caches are empty
 
 	Grace        time.Duration // from SIGTERM until the platform kills the process
 	ConfigApply  time.Duration // in which a configuration is in force
@@ -58,6 +59,7 @@
 		Exchange:     f.Address("router", "exchange"),
 		Store:        f.Address("platform", "store"),
 		MemoryLimit:  f.Int("router", "memory_mb", 256, 16, 1<<20) << 20,
+		FirstStart:   f.Bool("router", "first_start", false),
 		Grace:        milliseconds(f, "bounds", "grace_ms", 8000),
 		ConfigApply:  milliseconds(f, "bounds", "config_apply_ms", 2000),
 		Revoke:       milliseconds(f, "bounds", "revoke_ms", 5000),
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -4,17 +4,19 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/mesh"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
 
 const (
 	// tellInterval bounds the age of the counts that the others have while they
 	// change, quietInterval while they do not.
-	tellInterval  = 100 * time.Millisecond
+	tellInterval  = 150 * time.Millisecond
 	quietInterval = 400 * time.Millisecond
 	// memberInterval is how often a router reads who else is there; a router
 	// that starts tells all others, so this only repairs.
@@ -31,8 +33,10 @@
 	r       *Router
 	conn    *net.UDPConn
 	heard   chan netip.AddrPort
+	asked   chan netip.AddrPort // routers that started and ask for the holders
 	members chan []netip.AddrPort
 	news    chan place.Held
+	caches  chan cachesRead
 	peers   map[netip.AddrPort]time.Time // when heard or announced last
 	self    netip.AddrPort
 	told    bool // the others know of requests in flight
@@ -41,8 +45,8 @@
 
 func newPeerLink(r *Router, conn *net.UDPConn) *peerLink {
 	self, _ := netip.ParseAddrPort(r.settings.Exchange)
-	return &peerLink{r: r, conn: conn, self: self, heard: make(chan netip.AddrPort, 16),
-		members: make(chan []netip.AddrPort, 1), news: make(chan place.Held, 256), peers: map[netip.AddrPort]time.Time{}}
+	return &peerLink{r: r, conn: conn, self: self, heard: make(chan netip.AddrPort, 16), asked: make(chan netip.AddrPort, 16),
+		members: make(chan []netip.AddrPort, 1), news: make(chan place.Held, 256), caches: make(chan cachesRead), peers: map[netip.AddrPort]time.Time{}}
 }
 
 // tellHolder tells the others of a new holder. It is dropped if the queue is
@@ -71,11 +75,14 @@
 		if err != nil || m.Name == string(p.r.settings.Instance) {
 			continue
 		}
-		if m.Loads != nil || m.Leaving || len(m.Holders) > 0 {
-			_ = p.r.loop.Post(ctx, peerHeard{name: m.Name, loads: m.Loads, holders: m.Holders, leaving: m.Leaving})
+		_ = p.r.loop.Post(ctx, peerHeard{name: m.Name, loads: m.Loads, holders: m.Holders, leaving: m.Leaving, complete: m.Complete, read: m.Read})
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		queue := p.heard
+		if m.Ask {
+			queue = p.asked
 		}
 		select {
-		case p.heard <- from:
+		case queue <- from:
 		default:
 		}
 	}
@@ -91,13 +98,19 @@
 			p.toAll(mesh.Message{Name: p.name(), Leaving: true})
 			return
 		case from := <-p.heard:
-			p.meet(ctx, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+			p.meet(from)
+		case from := <-p.asked:
+			p.meet(from)
+			p.tellAll(ctx, from)
 		case list := <-p.members:
 			for _, a := range list {
-				p.meet(ctx, a)
+				p.meet(a)
 			}
+			p.tell(ctx)
 		case h := <-p.news:
 			p.toAll(mesh.Message{Name: p.name(), Holders: p.gather(h)})
+		case c := <-p.caches:
+			p.tellCache(c)
 		case <-t.C:
 			p.tell(ctx)
 		}
@@ -120,27 +133,35 @@
 	return list
 }
 
-// meet notes a router and tells one that is new what this router knows.
-func (p *peerLink) meet(ctx context.Context, a netip.AddrPort) {
-	_, known := p.peers[a]
-	if a == p.self || !a.IsValid() {
-		return
+// meet notes that a router is there.
+func (p *peerLink) meet(a netip.AddrPort) {
+	if a != p.self && a.IsValid() {
+		p.peers[a] = time.Now()
 	}
-	p.peers[a] = time.Now()
-	if known {
-		return
-	}
-	ev := loadsAsked{Question: control.NewQuestion[told](), holders: tellHolders}
-	t, err := control.Ask(ctx, p.r.loop, ev)
+}
+
+// tellAll tells a router that started all that this one knows.
+func (p *peerLink) tellAll(ctx context.Context, a netip.AddrPort) {
+	t, err := control.Ask(ctx, p.r.loop, loadsAsked{Question: control.NewQuestion[told](), holders: tellHolders})
 	if err != nil {
 		return
 	}
 	for len(t.holders) > 0 {
 		n := min(len(t.holders), mesh.MaxHolders)
-		p.to(a, mesh.Append(nil, mesh.Message{Name: p.name(), Loads: t.loads, Holders: t.holders[:n]}))
+		p.to(a, mesh.Append(nil, mesh.Message{Name: p.name(), Holders: t.holders[:n]}))
 		t.holders = t.holders[n:]
 	}
-	p.to(a, mesh.Append(nil, mesh.Message{Name: p.name(), Loads: t.loads}))
+	p.to(a, mesh.Append(nil, mesh.Message{Name: p.name(), Loads: t.loads, Complete: t.complete, Read: t.read}))
+}
+
+// tellCache tells the others what an engine holds, and then that it was read.
+func (p *peerLink) tellCache(c cachesRead) {
+	for rest := c.holders; len(rest) > 0; {
+		n := min(len(rest), mesh.MaxHolders)
+		p.toAll(mesh.Message{Name: p.name(), Holders: rest[:n]})
+		rest = rest[n:]
+	}
+	p.toAll(mesh.Message{Name: p.name(), Read: []uint32{c.engine}})
 }
 
 // tell sends the requests in flight if they changed or were not told lately.
@@ -158,10 +179,10 @@
 		return
 	}
 	quiet := len(t.loads) == 0 && !p.told // nothing in flight, as told before
-	if quiet && time.Since(p.toldAt) < quietInterval {
+	if quiet && t.complete && time.Since(p.toldAt) < quietInterval {
 		return
 	}
-	p.toAll(mesh.Message{Name: p.name(), Loads: t.loads})
+	p.toAll(mesh.Message{Name: p.name(), Loads: t.loads, Ask: !t.complete})
 	p.told, p.toldAt = len(t.loads) > 0, time.Now()
 }
 
@@ -180,6 +201,7 @@
 func (r *Router) followMembers(ctx context.Context) {
 	l := &link{r: r, name: "router list"}
 	var announced time.Time
+	settle := sync.OnceFunc(func() { close(r.membersKnown) })
 	for ctx.Err() == nil {
 		err := r.exchangeMembers(ctx, &announced)
 		if err != nil {
@@ -189,6 +211,7 @@
 			continue
 		}
 		l.ok()
+		settle()
 		if !control.Pause(ctx, memberInterval) {
 			return
 		}
@@ -208,14 +231,16 @@
 	if err != nil {
 		return err
 	}
+	var names []model.InstanceID
 	var addresses []netip.AddrPort
 	for _, m := range list {
 		a, err := netip.ParseAddrPort(m.Address)
 		if err == nil && time.Since(m.Seen).Abs() < memberLifetime {
 			addresses = append(addresses, a)
+			names = append(names, m.Instance)
 		}
 	}
-	_ = r.loop.Post(ctx, membersRead{len(addresses)})
+	_ = r.loop.Post(ctx, membersRead{names})
 	select {
 	case r.peers.members <- addresses:
 	case <-ctx.Done():
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
@@ -23,8 +24,8 @@
 	listRead struct{ list []place.Endpoint }
 	// listLost tells that the instance list could not be read.
 	listLost struct{}
-	// membersRead brings the number of routers that announced themselves.
-	membersRead struct{ count int }
+	// membersRead brings the routers that announced themselves lately.
+	membersRead struct{ routers []model.InstanceID }
 	// settingsRead brings the settings of a file that changed.
 	settingsRead struct{ settings Settings }
 	// phaseChanged moves a planned stop on.
@@ -53,7 +54,19 @@
 		loads   map[uint32]int
 		holders []place.Held
 		leaving bool
+		// complete says that the sender knew the holders of before its start.
+		complete bool
+		read     []uint32 // engines whose caches it read since its start
 	}
+	// cachesRead brings what one engine holds.
+	cachesRead struct {
+		engine  uint32
+		holders []place.Held
+	}
+	// holdersKnown ends the search for the holders of before the start.
+	holdersKnown struct{}
+	// cachesAsked asks which engines' caches are to be read.
+	cachesAsked struct{ control.Question[cachesToRead] }
 	// loadsAsked asks for what this router tells the others.
 	loadsAsked struct {
 		control.Question[told]
@@ -72,6 +85,9 @@
 func (requestCame) EventName() string  { return "request_came" }
 func (mayRepeat) EventName() string    { return "may_repeat" }
 func (peerHeard) EventName() string    { return "peer_heard" }
+func (cachesRead) EventName() string   { return "caches_read" }
+func (holdersKnown) EventName() string { return "holders_known" }
+func (cachesAsked) EventName() string  { return "caches_asked" }
 func (loadsAsked) EventName() string   { return "loads_asked" }
 
 // picked is the answer to pickEndpoint.
@@ -81,10 +97,20 @@
 	found  bool
 }
 
+// cachesToRead is the answer to cachesAsked.
+type cachesToRead struct {
+	engines []place.Endpoint // those that nobody read yet
+	routers []model.InstanceID
+	heard   []model.InstanceID // of these, those that run
+	known   bool               // another router told who holds which part
+}
+
 // told is what a router tells the others.
 type told struct {
-	loads   map[uint32]int
-	holders []place.Held
+	loads    map[uint32]int
+	holders  []place.Held
+	complete bool
+	read     []uint32
 }
 
 // foldOrders keeps the newest configuration and the evacuations. A
@@ -151,7 +177,7 @@
 	case listLost:
 		s.table.Outage(now)
 	case membersRead:
-		s.members = e.count
+		s.members = e.routers
 	}
 	return false
 }
@@ -182,7 +208,7 @@
 	case requestCame:
 		window(s, e.pool).Request(now)
 	case mayRepeat:
-		routers := max(s.members, s.table.Entries(now))
+		routers := max(len(s.members), s.table.Entries(now))
 		e.Reply(window(s, e.pool).Take(now, s.settings.RetryRatio, s.settings.RetryBurst, routers))
 	}
 	return false
@@ -210,14 +236,30 @@
 			f.log.Info("router left", "router", e.name)
 			return false
 		}
+		if e.complete && !s.complete {
+			s.complete = true
+			f.log.Info("holders told by another router", "router", e.name)
+		}
 		if s.table.PeerLoads(now, e.name, e.loads) {
 			f.log.Info("router heard", "router", e.name)
 		}
 		for _, h := range e.holders {
 			s.table.LearnHolder(now, h.Part, h.Endpoint)
 		}
+		for _, engine := range e.read {
+			s.read[engine] = true
+		}
+	case cachesRead:
+		for _, h := range e.holders {
+			s.table.LearnHolder(now, h.Part, h.Endpoint)
+		}
+		s.read[e.engine] = true
+	case holdersKnown:
+		s.complete = true
+	case cachesAsked:
+		e.Reply(cachesToRead{engines: unread(s), routers: s.members, heard: s.table.Heard(now), known: s.complete})
 	case loadsAsked:
-		t := told{loads: s.table.Loads()}
+		t := told{loads: s.table.Loads(), complete: s.complete, read: slices.Collect(maps.Keys(s.read))}
 		if e.holders > 0 {
 			t.holders = s.table.Holders(e.holders)
 		}
@@ -226,6 +268,11 @@
 	return false
 }
 
+// unread returns the engines whose caches nobody read.
+func unread(s *State) []place.Endpoint {
+	return slices.DeleteFunc(s.table.Engines(), func(e place.Endpoint) bool { return s.read[place.Hash(e.ID)] })
+}
+
 // stop moves a planned stop on.
 type stop struct{ log *slog.Logger }
 
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -25,11 +25,13 @@
 	table     *place.Table
 	catalog   *catalog.Catalog
 	evacuated map[model.DataCentre]bool
-	confirmed time.Duration // boot time at which the last successful read of the orders was sent
-	listed    bool          // an instance list has arrived
+	confirmed time.Duration   // boot time at which the last successful read of the orders was sent
+	listed    bool            // an instance list has arrived
+	complete  bool            // the holders of before the start are known
+	read      map[uint32]bool // engines whose caches some router read since the start
 	phase     Phase
 	windows   map[model.Pool]*retry.Window
-	members   int // routers that announced themselves lately
+	members   []model.InstanceID // routers that announced themselves lately
 }
 
 // Snapshot is what traffic reads. Nobody changes it.
@@ -43,7 +45,7 @@
 }
 
 func newState(s Settings) *State {
-	return &State{settings: s, table: place.New(s.DataCentre), evacuated: map[model.DataCentre]bool{}, windows: map[model.Pool]*retry.Window{}}
+	return &State{settings: s, complete: s.FirstStart, read: map[uint32]bool{}, table: place.New(s.DataCentre), evacuated: map[model.DataCentre]bool{}, windows: map[model.Pool]*retry.Window{}}
 }
 
 func publish(s *State, _ time.Time) *Snapshot {
