Share reads of the store, and end the bound on an answer with it

A soak of the planned stop under the race detector, and once an ordinary test run, showed a call that ran refused with 502 after 0 ms: the read deadline of a repeatable request stayed on its connection and ended the next request there. Change: one router in each twelve reads the store, the others ask it over net/rpc four times a second and count its age from when they asked; who gets no recent answer reads itself. The deadline on a connection ends with the answer's head. Conclusion: the test in internal/origin guards the deadline.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -30,7 +30,7 @@
 	// dialTimeout is far above the round trip between data centres of a region.
 	dialTimeout = 700 * time.Millisecond
 	// silenceTime ends a connection whose peer acknowledges nothing.
-	silenceTime = 1500 * time.Millisecond
+	silenceTime = 1000 * time.Millisecond
 	// writeTime bounds the sending of one request to a peer that does not read.
 	writeTime = 3 * time.Second
 	// maxStale is the number of answers to earlier requests that are skipped.
@@ -103,9 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if req.HeadTime > 0 {
-		_ = cn.SetReadDeadline(time.Now().Add(req.HeadTime))
-	}
+	cn.within(req.HeadTime)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	sent := make(chan error, 1)
 	go func() { sent <- cn.send(req) }()
@@ -120,6 +118,7 @@
 		c.idle.drop(address)
 		return nil, err
 	}
+	cn.within(0) // the bound was for the head, and the connection may be used again
 	res.conn, res.pool, res.stop, res.sent = cn, c, stop, sent
 	return res, nil
 }
@@ -205,12 +204,14 @@
 }
 
 // Within bounds the time until the next bytes of the body; 0 means no bound.
-func (r *Response) Within(d time.Duration) {
+func (r *Response) Within(d time.Duration) { r.conn.within(d) }
+
+func (c *conn) within(d time.Duration) {
 	if d == 0 {
-		_ = r.conn.SetReadDeadline(time.Time{})
+		_ = c.SetReadDeadline(time.Time{})
 		return
 	}
-	_ = r.conn.SetReadDeadline(time.Now().Add(d))
+	_ = c.SetReadDeadline(time.Now().Add(d))
 }
 
 // Finish returns the connection to the pool if the whole body was read without
@@ -221,6 +222,7 @@
 	}
 	r.done = true
 	alive := r.stop()
+	r.conn.within(0)
 	if whole && alive && !r.unframed && !r.wantsClose && r.conn.r.Buffered() == 0 && r.wasSent() {
 		r.pool.idle.put(r.conn)
 		return
--- /dev/null
+++ b/internal/origin/client_test.go
@@ -0,0 +1,209 @@
+package origin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const idHeader = "X-Id"
+
+// serve answers each request on loopback with what answer writes for its id. It
+// counts connections.
+func serve(t *testing.T, answer func(c net.Conn, id string) bool) (address string, dials chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	dials = make(chan struct{}, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			dials <- struct{}{}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if !answer(c, req.Header.Get(idHeader)) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), dials
+}
+
+func plain(c net.Conn, id string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n\r\n%s", len(id), idHeader, id, id)
+	return err == nil
+}
+
+func request(id string, change func(*Request)) *Request {
+	r := &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{idHeader: {id}}, MaxIdle: time.Minute,
+		Matches: func(h http.Header) bool { return h.Get(idHeader) == id }}
+	if change != nil {
+		change(r)
+	}
+	return r
+}
+
+func do(c *Client, address string, r *Request) (string, error) {
+	res, err := c.Do(context.Background(), address, r)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(res.Body)
+	res.Finish(err == nil)
+	return string(body), err
+}
+
+// Guards against a bound on an earlier request's answer that ends a later
+// request on the same connection; a call that ran was then lost.
+func TestTheBoundOnAnAnswerEndsWithIt(t *testing.T) {
+	is := is.New(t)
+	address, dials := serve(t, func(c net.Conn, id string) bool {
+		if id == "b" {
+			time.Sleep(100 * time.Millisecond)
+		}
+		return plain(c, id)
+	})
+	c := NewClient()
+	body, err := do(c, address, request("a", func(r *Request) { r.HeadTime = 50 * time.Millisecond }))
+	is.NoErr(err)
+	is.Equal(body, "a")
+	body, err = do(c, address, request("b", nil))
+	is.NoErr(err)
+	is.Equal(body, "b")
+	is.Equal(len(dials), 1)
+	_, err = do(c, address, request("b", func(r *Request) { r.HeadTime = 20 * time.Millisecond }))
+	is.True(errors.Is(err, ErrStalled))
+}
+
+// Guards against an answer that is given to another request, on a connection
+// that holds a second answer to an earlier one, at once or late.
+func TestExtraAnswersAreSkipped(t *testing.T) {
+	is := is.New(t)
+	last := ""
+	address, _ := serve(t, func(c net.Conn, id string) bool {
+		if last != "" && !plain(c, last) { // late, in front of the next answer
+			return false
+		}
+		last = id
+		return plain(c, id)
+	})
+	c := NewClient()
+	for i := range 5 {
+		id := fmt.Sprint("r", i)
+		body, err := do(c, address, request(id, nil))
+		is.NoErr(err)
+		is.Equal(body, id)
+	}
+}
+
+// Guards against a request that is sent twice: a connection that ends without
+// an answer is a failure, and only a refused connection means unsent.
+func TestNothingIsSentTwice(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan string, 10)
+	address, _ := serve(t, func(_ net.Conn, id string) bool { seen <- id; return false })
+	c := NewClient()
+	_, err := do(c, address, request("a", nil))
+	is.True(errors.Is(err, ErrBroken))
+	is.Equal(len(seen), 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	gone := l.Addr().String()
+	_ = l.Close()
+	_, err = do(c, gone, request("a", nil))
+	is.True(errors.Is(err, ErrUnsent))
+}
+
+// Guards against bytes that are no answer, or an answer that ends early, being
+// taken for a whole one.
+func TestBrokenAnswers(t *testing.T) {
+	is := is.New(t)
+	for name, text := range map[string]string{
+		"garbled": "\x01\x02 nothing\r\n\r\n",
+		"short":   "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Id: a\r\n\r\nabc",
+		"torn":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: a\r\n\r\n5\r\nab",
+		"other":   "HTTP/1.1 200 OK\r\nX-Id: z\r\n\r\nabc",
+	} {
+		address, _ := serve(t, func(c net.Conn, _ string) bool { _, _ = io.WriteString(c, text); return false })
+		_, err := do(NewClient(), address, request("a", nil))
+		is.True(err != nil) // name
+		_ = name
+	}
+}
+
+// Guards against a connection on which the endpoint sent unasked bytes, or that
+// it closed, being used again.
+func TestConnectionsThatChangedAreNotReused(t *testing.T) {
+	is := is.New(t)
+	address, dials := serve(t, func(c net.Conn, id string) bool { return plain(c, id) && plain(c, "more") })
+	c := NewClient()
+	for _, id := range []string{"a", "b"} {
+		body, err := do(c, address, request(id, nil))
+		is.NoErr(err)
+		is.Equal(body, id)
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(len(dials), 2)
+}
+
+// Guards against work at an endpoint after its caller left.
+func TestCancellationClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	address, _ := serve(t, func(c net.Conn, _ string) bool {
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := NewClient().Do(ctx, address, request("a", nil))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+}
+
+// Guards against the caller's target being written anew.
+func TestTheTargetIsSentAsItCame(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	line := make(chan string, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		text, _ := bufio.NewReader(c).ReadString('\n')
+		line <- text
+	}()
+	_, _ = do(NewClient(), l.Addr().String(), request("a", func(r *Request) { r.Target = "/a%2fb/?q=%20&x" }))
+	is.Equal(strings.TrimSpace(<-line), "GET /a%2fb/?q=%20&x HTTP/1.1")
+}
--- a/internal/program/log.go
+++ b/internal/program/log.go
@@ -15,6 +15,9 @@
 	logQueue = 512
 	// logBurst lets a change that touches many things be logged whole.
 	logBurst = 400
+	// maxWrite is the size up to which a write to a pipe stays whole beside those
+	// of other processes.
+	maxWrite = 4096
 	// flushTime bounds the wait for the reader at the end of the process.
 	flushTime = 200 * time.Millisecond
 )
@@ -82,9 +85,13 @@
 	if n := w.dropped.Swap(0); n > 0 {
 		line = append(fmt.Appendf(nil, "{\"msg\":\"log lines were left out\",\"count\":%d}\n", n), line...)
 	}
-	for {
+	for len(line) < maxWrite {
 		select {
 		case next := <-w.lines:
+			if len(line)+len(next) > maxWrite && len(line) > 0 {
+				_, _ = w.out.Write(line)
+				line = line[:0]
+			}
 			line = append(line, next...)
 			continue
 		default:
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -66,6 +66,9 @@
 		if err != nil {
 			return err
 		}
+		if s.req.FirstEvent == 0 {
+			s.req.FirstEvent = time.Since(s.req.Arrived)
+		}
 		_ = rc.SetWriteDeadline(time.Now().Add(writeTime))
 		if _, err := w.Write(event); err != nil {
 			return err
@@ -109,13 +112,20 @@
 	if req.Workspace != nil {
 		workspace = string(req.Workspace.Name)
 	}
-	took := time.Since(req.Arrived).Milliseconds()
+	since := time.Since(req.Arrived)
+	took, m := since.Milliseconds(), measured{result: "answered", took: since, first: req.FirstEvent}
+	if req.Workspace != nil {
+		m.workspace = req.Workspace.Name
+	}
+	defer func() { r.meter.note(m) }()
 	switch {
 	case answer == nil:
 		refusal := model.AsRefusal(err)
+		m.result = string(refusal.Reason)
 		r.log.Info("request refused", "request", req.ID, "route", route, "workspace", workspace, "endpoint", req.Endpoint.ID,
 			"outcome", refusal.Outcome, "reason", refusal.Reason, "detail", refusal.Detail, "sends", req.Sends, "took_ms", took)
 	case err != nil:
+		m.result = "cut"
 		r.log.Info("answer cut", "request", req.ID, "route", route, "workspace", workspace, "endpoint", req.Endpoint.ID,
 			"cause", err.Error(), "sends", req.Sends, "took_ms", took)
 	default:
--- /dev/null
+++ b/internal/router/meter.go
@@ -0,0 +1,123 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
+)
+
+// maxNamed bounds the workspaces that have a histogram of their own; the rest
+// share one, so that the number of series does not grow with the customers.
+const maxNamed = 50
+
+// meter counts what happens to requests. Its goroutine owns the names; traffic
+// only hands over what it measured and never waits.
+type meter struct{ seen chan measured }
+
+type measured struct {
+	workspace model.Workspace
+	result    string
+	took      time.Duration
+	first     time.Duration // until the first event of a stream; 0 if there was none
+}
+
+func newMeter() *meter { return &meter{make(chan measured, 256)} }
+
+// note hands over a measurement, or drops it if the meter is behind.
+func (m *meter) note(v measured) {
+	select {
+	case m.seen <- v:
+	default:
+	}
+}
+
+func (m *meter) run(ctx context.Context) {
+	named := map[model.Workspace]bool{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case v := <-m.seen:
+			name := v.workspace
+			if !named[name] && len(named) >= maxNamed {
+				name = "other"
+			}
+			named[name] = true
+			metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_router_requests_total{result=%q}`, v.result)).Inc()
+			metrics.GetOrCreateHistogram(fmt.Sprintf(`goldcrest_router_request_seconds{workspace=%q}`, name)).Update(v.took.Seconds())
+			if v.first > 0 {
+				metrics.GetOrCreateHistogram(fmt.Sprintf(`goldcrest_router_first_event_seconds{workspace=%q}`, name)).Update(v.first.Seconds())
+			}
+		}
+	}
+}
+
+var attemptResults = map[place.Result]*metrics.Counter{
+	place.Answered:    metrics.NewCounter(`goldcrest_router_attempts_total{result="answered"}`),
+	place.OwnError:    metrics.NewCounter(`goldcrest_router_attempts_total{result="endpoint_error"}`),
+	place.Failed:      metrics.NewCounter(`goldcrest_router_attempts_total{result="failed"}`),
+	place.Unreachable: metrics.NewCounter(`goldcrest_router_attempts_total{result="unreachable"}`),
+	place.Refused:     metrics.NewCounter(`goldcrest_router_attempts_total{result="refused"}`),
+	place.Misdirected: metrics.NewCounter(`goldcrest_router_attempts_total{result="misdirected"}`),
+	place.Cancelled:   metrics.NewCounter(`goldcrest_router_attempts_total{result="cancelled"}`),
+}
+
+var choices = map[place.Reason]*metrics.Counter{
+	place.HeldThere: metrics.NewCounter(`goldcrest_router_choices_total{reason="holds_prompt"}`),
+	place.Moved:     metrics.NewCounter(`goldcrest_router_choices_total{reason="holders_loaded"}`),
+	place.FirstUse:  metrics.NewCounter(`goldcrest_router_choices_total{reason="first_use"}`),
+	place.LeastLoad: metrics.NewCounter(`goldcrest_router_choices_total{reason="least_load"}`),
+}
+
+var storeCalls = map[string]*metrics.Counter{
+	"operators' orders": metrics.NewCounter(`goldcrest_router_store_failures_total{read="orders"}`),
+	"instance list":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="list"}`),
+	"router list":       metrics.NewCounter(`goldcrest_router_store_failures_total{read="routers"}`),
+}
+
+// serveMetrics serves /metrics on the metrics address until ctx ends.
+func (r *Router) serveMetrics(ctx context.Context) {
+	if r.settings.Metrics == "" {
+		return
+	}
+	l, err := net.Listen("tcp", r.settings.Metrics)
+	if err != nil {
+		r.log.Error("metrics address cannot be used", "error", err.Error())
+		return
+	}
+	srv := program.NewServer(program.Admin(r.ready, r.status))
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		r.log.Error("metrics server failed", "error", err.Error())
+	}
+}
+
+// Status is the answer of the /status path.
+type Status struct {
+	Instance      string         `json:"instance"`
+	ConfigVersion int64          `json:"config_version"`
+	Endpoints     map[string]int `json:"endpoints"` // listed, by pool
+	Ready         bool           `json:"ready"`
+}
+
+func (r *Router) status() any {
+	s := r.loop.Snapshot()
+	st := Status{Instance: string(r.settings.Instance), Endpoints: map[string]int{}, Ready: r.ready()}
+	if s.Catalog != nil {
+		st.ConfigVersion = s.Catalog.Version
+	}
+	for pool, n := range s.Endpoints {
+		st.Endpoints[string(pool)] = n
+	}
+	return st
+}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -43,6 +43,7 @@
 		}
 		return nil, r
 	}
+	choices[p.choice.Reason].Inc()
 	req.Endpoint, req.FetchFrom, req.Choice, req.Unread = p.choice.Endpoint, p.choice.FetchFrom, p.choice.Reason, 0
 	if p.choice.NewHolder {
 		req.Unread = q.Part
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -40,9 +40,10 @@
 	FetchFrom string // address of an endpoint whose cache holds the prompt
 	Unread    uint64 // part that the endpoint holds only once the request got there
 	Excluded  []model.EndpointID
-	Sends     int  // attempts at endpoints that may have arrived
-	Runs      int  // of these, the ones that may have run
-	Last      bool // no further endpoint may run the request
+	Sends     int // attempts at endpoints that may have arrived
+	Runs      int // of these, the ones that may have run
+	// FirstEvent is the time from the arrival to the first event of a stream.
+	FirstEvent time.Duration
 }
 
 // sharedPart returns the last prompt part that other requests may share. The
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/origin"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
@@ -27,17 +28,26 @@
 	client   *origin.Client
 	loop     *control.Loop[State, Snapshot]
 	peers    *peerLink
+	node     *exchange.Node
+	gate     *gate
+	meter    *meter
 	draw     func() float64 // uniform in [0, 1)
 	// membersKnown is closed once the other routers are known, settled once the
 	// holders of prompt parts are.
 	membersKnown, settled chan struct{}
 }
 
+// exchangeKey keeps processes of other programs from being taken for routers.
+// The platform gives its processes no secret to share.
+const exchangeKey = "goldcrest-router"
+
 // New returns a router that talks to the others over exchange. Start starts it.
-func New(s Settings, deps Deps, exchange *net.UDPConn) *Router {
+func New(s Settings, deps Deps, datagrams *net.UDPConn) *Router {
 	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), draw: rand.Float64,
 		membersKnown: make(chan struct{}), settled: make(chan struct{})}
-	r.peers = newPeerLink(r, exchange)
+	r.peers = newPeerLink(r, datagrams)
+	r.gate, r.meter = newGate(), newMeter()
+	r.node = exchange.New(exchange.Config{Key: exchangeKey})
 	r.loop = control.New(control.Config[State, Snapshot]{
 		State: newState(s), Stages: r.controlPipeline(), Publish: publish,
 	})
@@ -48,6 +58,7 @@
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
 	for _, run := range []func(context.Context){
 		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches,
+		r.shareStore, r.node.Run, r.meter.run, r.serveMetrics,
 	} {
 		g.Go(func() error { run(ctx); return nil })
 	}
@@ -83,6 +94,7 @@
 
 // ended tells the control goroutine how a placed request ended.
 func (r *Router) ended(id model.EndpointID, result place.Result, unread uint64) {
+	attemptResults[result].Inc()
 	_ = r.loop.Post(context.Background(), requestEnded{endpoint: id, result: result, unread: unread})
 }
 
@@ -107,9 +119,13 @@
 	if err != nil {
 		return eris.Wrap(err, "router: exchange address")
 	}
-	exchange, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	datagrams, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return eris.Wrap(err, "router: exchange address cannot be used")
 	}
-	return New(s, deps, exchange).Serve(ctx, callers, check)
+	calls, err := net.Listen("tcp", s.Exchange)
+	if err != nil {
+		return eris.Wrap(err, "router: exchange address cannot be used for calls")
+	}
+	return New(s, deps, datagrams).Serve(ctx, callers, check, calls)
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -141,21 +141,39 @@
 	is.NoErr(err)
 	check, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	at, err := net.ResolveUDPAddr("udp", s.Exchange)
-	is.NoErr(err)
-	exchange, err := net.ListenUDP("udp", at)
-	is.NoErr(err)
+	exchange, calls := listenExchange(f.t, s.Exchange)
 	s.Exchange = exchange.LocalAddr().String()
 	p := &process{fleet: f, url: "http://" + callers.Addr().String(), ready: "http://" + check.Addr().String() + "/ready",
 		ended: make(chan error, 1), logs: &syncBuffer{make(chan []byte, 10_000)}, client: &http.Client{Transport: &http.Transport{}}, exchange: s.Exchange}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: platform.NewStore(f.store.Address()), Caches: platform.NewEngines()}, exchange)
-	go func() { p.ended <- r.Serve(ctx, callers, check) }()
+	go func() { p.ended <- r.Serve(ctx, callers, check, calls) }()
 	f.t.Cleanup(stop)
 	return p
 }
 
+// listenExchange listens for datagrams and calls on one port. The port of an
+// address with port 0 is drawn until it is free for both.
+func listenExchange(t *testing.T, address string) (*net.UDPConn, net.Listener) {
+	t.Helper()
+	for range 50 {
+		calls, err := net.Listen("tcp", address)
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		at, err := net.ResolveUDPAddr("udp", calls.Addr().String())
+		is.New(t).NoErr(err)
+		if datagrams, err := net.ListenUDP("udp", at); err == nil {
+			return datagrams, calls
+		}
+		_ = calls.Close()
+	}
+	t.Fatalf("no port for the exchange at %s", address)
+	return nil, nil
+}
+
 func (p *process) isReady() bool {
 	res, err := http.Get(p.ready)
 	if err != nil {
@@ -478,14 +496,16 @@
 	p.stop()
 	eventually(t, "the router is not ready", func() bool { return !p.isReady() })
 	is.Equal(p.get("/read/x").status, http.StatusOK) // on the kept connection
-	sent, refused := 0, 0
+	sent, refused, begin := 0, 0, time.Now()
 	for end := time.Now().Add(someTime); time.Now().Before(end); sent++ {
 		r := p.post("/assign/x")
 		if r.err != nil {
 			is.Equal(len(f.seen(r.id)), 0) // refused connections carry nothing
 			break
 		}
-		is.True(r.status == http.StatusOK || r.status == http.StatusServiceUnavailable)
+		if r.status != http.StatusOK && r.status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d after %v\n%s", r.status, time.Since(begin), p.logs.text())
+		}
 		if r.status == http.StatusServiceUnavailable {
 			refused++
 			is.Equal(len(f.seen(r.id)), 0)
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -36,16 +36,20 @@
 	// apart without success, and one on its way.
 	leaveTime = 2500 * time.Millisecond
 	// endMargin is the part of the grace time that is left for the end itself.
-	endMargin = 300 * time.Millisecond
+	endMargin = 600 * time.Millisecond
 )
 
 // Serve serves callers until ctx ends, then stops without cutting a request
 // that ends within the grace time.
-func (r *Router) Serve(ctx context.Context, callers, check net.Listener) error {
+func (r *Router) Serve(ctx context.Context, callers, check, calls net.Listener) error {
+	if err := r.node.Register(storeService, &storeServer{r.loop.Snapshot}); err != nil {
+		return err
+	}
 	background, stopAll := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopAll()
 	var g errgroup.Group
 	r.Start(background, &g)
+	g.Go(func() error { return r.node.Serve(background, calls) })
 	active := &atomic.Int64{}
 	srv := &http.Server{
 		Handler: r.countActive(active, r.Handler()), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -67,7 +67,7 @@
 		RetryRatio:   f.Float("bounds", "retry_ratio", 0.2, 0, 10),
 		RetryBurst:   f.Float("bounds", "retry_burst", 50, 0, 1e6),
 		RetryWindow:  milliseconds(f, "bounds", "retry_window_ms", 10_000),
-		ListInterval: milliseconds(f, "platform", "list_interval_ms", 700),
+		ListInterval: milliseconds(f, "platform", "list_interval_ms", 500),
 		FollowTime:   milliseconds(f, "platform", "follow_ms", 1000),
 	}
 	for _, dc := range f.List("regions", "data_centres") {
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -75,8 +75,8 @@
 		if err != nil || m.Name == string(p.r.settings.Instance) {
 			continue
 		}
-		_ = p.r.loop.Post(ctx, peerHeard{name: m.Name, loads: m.Loads, holders: m.Holders, leaving: m.Leaving, complete: m.Complete, read: m.Read})
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		_ = p.r.loop.Post(ctx, peerHeard{name: m.Name, address: from.String(), loads: m.Loads, holders: m.Holders, leaving: m.Leaving, complete: m.Complete, read: m.Read})
 		queue := p.heard
 		if m.Ask {
 			queue = p.asked
--- /dev/null
+++ b/internal/router/source_shared.go
@@ -0,0 +1,239 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+const (
+	// shareInterval is how often a router asks a reader of the store. With the
+	// reader's own interval it stays well below the time in which a leaving
+	// endpoint must get no more work.
+	shareInterval = 250 * time.Millisecond
+	// shareTime bounds one question. Data centres of a region are milliseconds
+	// apart.
+	shareTime = 200 * time.Millisecond
+	// avoidTime is how long a reader is passed over that did not answer or knew
+	// nothing recent.
+	avoidTime = 3 * time.Second
+	// staleMargin is the age beyond a reader's own interval at which what it
+	// knows is too old. The ages of both, the questions and an own read add up to
+	// less than the two seconds after which a leaving endpoint gets no work.
+	staleMargin = 150 * time.Millisecond
+	// groupSize is the number of routers that share one reader of the store.
+	groupSize = 12
+	// maxAsked bounds the readers that are asked in a row before this router
+	// reads the store itself.
+	maxAsked = 2
+)
+
+// storeService and its method are short, since each call carries their names.
+const (
+	storeService = "S"
+	storeMethod  = "S.State"
+)
+
+// StateArgs says what the asking router knows.
+type StateArgs struct{ List uint64 }
+
+// StateReply says what the reader knows of the store. Ages count up to the
+// reply, so what the reader knows was true that long before the reply, or later.
+type StateReply struct {
+	OrdersAge time.Duration
+	Position  int64 // of the orders
+	ListAge   time.Duration
+	List      uint64 // hash of the instance list
+	Entries   []place.Endpoint
+}
+
+// storeServer answers other routers from the snapshot.
+type storeServer struct{ snapshot func() *Snapshot }
+
+// State is a method of net/rpc.
+func (s *storeServer) State(args StateArgs, reply *StateReply) error {
+	snap, now := s.snapshot(), boottime.Now()
+	if snap.Catalog == nil || !snap.Listed {
+		return eris.New("router: nothing is known yet")
+	}
+	*reply = StateReply{
+		OrdersAge: now - snap.Confirmed, Position: snap.Position,
+		ListAge: now - snap.ListSent, List: snap.ListHash,
+	}
+	if args.List != snap.ListHash {
+		reply.Entries = snap.List
+	}
+	return nil
+}
+
+// hashList returns a hash of an instance list that changes when the list does,
+// but not as the time passes that an endpoint stays cold.
+func hashList(list []place.Endpoint) uint64 {
+	h := xxhash.New()
+	sorted := slices.SortedFunc(slices.Values(list), func(a, b place.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	for _, e := range sorted {
+		for _, part := range []string{string(e.ID), string(e.Pool), e.Address, string(e.DataCentre), string(e.Version)} {
+			_, _ = h.WriteString(part + "\x00")
+		}
+		state := [...]byte{0, 0, byte(e.Started), byte(e.Started >> 8), byte(e.Started >> 16), byte(e.Started >> 24)}
+		if e.Draining {
+			state[0] = 1
+		}
+		if e.ColdLeft > 0 {
+			state[1] = 1
+		}
+		_, _ = h.Write(state[:])
+	}
+	return h.Sum64()
+}
+
+// gate tells the loops that read the store whether this router reads it itself.
+type gate struct {
+	closed atomic.Bool // another router reads the store for this one
+	opened [2]chan struct{}
+	newer  chan struct{} // there are orders that this router lacks
+}
+
+// The loops behind a gate.
+const (
+	ordersLoop = iota
+	listLoop
+)
+
+func newGate() *gate {
+	return &gate{opened: [2]chan struct{}{make(chan struct{}, 1), make(chan struct{}, 1)}, newer: make(chan struct{}, 1)}
+}
+
+func signal1(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// set opens or closes the gate.
+func (g *gate) set(closed bool) {
+	if g.closed.Swap(closed) && !closed {
+		signal1(g.opened[ordersLoop])
+		signal1(g.opened[listLoop])
+	}
+}
+
+// pass waits while the gate is closed for a loop. It reports false if the loop
+// is let through only to read what this router lacks.
+func (g *gate) pass(ctx context.Context, loop int) (open bool) {
+	var newer chan struct{}
+	if loop == ordersLoop {
+		newer = g.newer
+	}
+	for g.closed.Load() {
+		select {
+		case <-g.opened[loop]:
+		case <-newer:
+			return false
+		case <-ctx.Done():
+			return true
+		}
+	}
+	return true
+}
+
+// reader is a router that may read the store for others.
+type reader struct {
+	name    model.InstanceID
+	address string // of the exchange
+}
+
+// shareStore asks another router what the store holds, if there is one to ask,
+// and has this router read the store itself otherwise.
+func (r *Router) shareStore(ctx context.Context) {
+	avoid := map[model.InstanceID]time.Time{}
+	for control.Pause(ctx, shareInterval) {
+		readers, err := control.Ask(ctx, r.loop, readersAsked{Question: control.NewQuestion[[]reader]()})
+		if err != nil {
+			return
+		}
+		r.gate.set(r.askReaders(ctx, readers, avoid))
+	}
+}
+
+// askReaders asks the readers that fall to this router in turn and reports
+// whether one answered.
+func (r *Router) askReaders(ctx context.Context, readers []reader, avoid map[model.InstanceID]time.Time) bool {
+	now := time.Now()
+	readers = slices.DeleteFunc(readers, func(rd reader) bool { return now.Before(avoid[rd.name]) })
+	for range maxAsked {
+		next, ok := readerFor(r.settings.Instance, readers)
+		if !ok || next.name == r.settings.Instance {
+			return false
+		}
+		if r.askReader(ctx, next) {
+			return true
+		}
+		avoid[next.name] = now.Add(avoidTime)
+		readers = slices.DeleteFunc(readers, func(rd reader) bool { return rd.name == next.name })
+	}
+	return false
+}
+
+// readerFor returns the reader of a router: itself, if it is among the first of
+// the order that all routers share, else one of these.
+func readerFor(self model.InstanceID, all []reader) (reader, bool) {
+	if len(all) == 0 {
+		return reader{}, false
+	}
+	rank := func(rd reader) uint64 { return xxhash.Sum64String("store\x00" + string(rd.name)) }
+	first := slices.SortedFunc(slices.Values(all), func(a, b reader) int { return cmp.Compare(rank(a), rank(b)) })
+	first = first[:(len(all)+groupSize-1)/groupSize]
+	var names []model.InstanceID
+	for _, rd := range first {
+		if rd.name == self {
+			return rd, true
+		}
+		names = append(names, rd.name)
+	}
+	name := place.Owner(model.EndpointID(self), names)
+	i := slices.IndexFunc(first, func(rd reader) bool { return rd.name == name })
+	return first[i], true
+}
+
+// askReader asks one reader and reports whether it knows the store well enough.
+// What it knows counts from when the question was sent.
+func (r *Router) askReader(ctx context.Context, from reader) bool {
+	ctx, cancel := context.WithTimeout(ctx, shareTime)
+	defer cancel()
+	sent, snap := boottime.Now(), r.loop.Snapshot()
+	var reply StateReply
+	if err := r.node.Call(ctx, from.address, storeMethod, StateArgs{snap.ListHash}, &reply); err != nil {
+		r.log.Info("router does not tell the state of the store", "router", from.name, "error", err.Error())
+		return false
+	}
+	// A read of the orders counts from when it was sent, so its age grows to two
+	// waits before the next one returns.
+	if reply.OrdersAge > 2*snap.Settings.FollowTime+staleMargin || reply.ListAge > snap.Settings.ListInterval+staleMargin {
+		r.log.Info("router knows nothing recent of the store", "router", from.name,
+			"orders_age_ms", reply.OrdersAge.Milliseconds(), "list_age_ms", reply.ListAge.Milliseconds())
+		return false
+	}
+	list := listRead{sent: sent - reply.ListAge, hash: reply.List, list: reply.Entries, same: reply.List == snap.ListHash}
+	for i := range list.list {
+		list.list[i].ColdLeft = max(0, list.list[i].ColdLeft-reply.ListAge)
+	}
+	_ = r.loop.Post(ctx, list)
+	if reply.Position > snap.Position {
+		signal1(r.gate.newer)
+		return true
+	}
+	_ = r.loop.Post(ctx, ordersRead{sent: sent - reply.OrdersAge, position: snap.Position})
+	return true
+}
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -42,22 +42,29 @@
 		l.r.log.Warn("dependency lost", "dependency", l.name, "error", err.Error())
 	}
 	l.lost = true
+	storeCalls[l.name].Inc()
 	pause := min(maxRetryPause, retryPause<<min(l.pauses, 4))
 	l.pauses++
 	return control.Pause(ctx, pause)
 }
 
 // followOrders reads the operators' orders: all that stand, then the changes.
+// While another router reads the store for this one, it only reads changes that
+// the other one knows of.
 func (r *Router) followOrders(ctx context.Context) {
 	l := &link{r: r, name: "operators' orders"}
 	position, known := int64(0), false
 	for ctx.Err() == nil {
+		wait := r.loop.Snapshot().Settings.FollowTime
+		if known && !r.gate.pass(ctx, ordersLoop) {
+			wait = 0
+		}
 		sent := boottime.Now()
 		var orders Orders
 		var err error
 		next := position
 		if known {
-			orders, next, err = r.changes(ctx, position)
+			orders, next, err = r.changes(ctx, position, wait)
 		} else {
 			orders, next, err = r.standing(ctx)
 		}
@@ -76,7 +83,7 @@
 		if orders.Skipped > 0 {
 			r.log.Warn("records of the orders cannot be read", "count", orders.Skipped, "position", position)
 		}
-		_ = r.loop.Post(ctx, ordersRead{orders: orders, standing: !known, sent: sent})
+		_ = r.loop.Post(ctx, ordersRead{orders: orders, standing: !known, sent: sent, position: next})
 		position, known = next, true
 	}
 }
@@ -87,18 +94,22 @@
 	return r.deps.Store.Standing(ctx)
 }
 
-func (r *Router) changes(ctx context.Context, from int64) (Orders, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime+r.settings.FollowTime)
+func (r *Router) changes(ctx context.Context, from int64, wait time.Duration) (Orders, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime+wait)
 	defer cancel()
-	return r.deps.Store.Changes(ctx, from, r.settings.FollowTime)
+	return r.deps.Store.Changes(ctx, from, wait)
 }
 
-// followList reads the instance list at its interval.
+// followList reads the instance list at its interval, unless another router
+// does for this one.
 func (r *Router) followList(ctx context.Context) {
 	l := &link{r: r, name: "instance list"}
-	skipped := 0
+	skipped, known := 0, false
 	for ctx.Err() == nil {
-		start := time.Now()
+		if known {
+			r.gate.pass(ctx, listLoop)
+		}
+		start, sent := time.Now(), boottime.Now()
 		call, cancel := context.WithTimeout(ctx, callTime)
 		list, err := r.deps.Store.Endpoints(call)
 		cancel()
@@ -110,6 +121,7 @@
 			continue
 		}
 		l.ok()
+		known = true
 		if list.Skipped != skipped {
 			r.log.Warn("entries of the instance list name no endpoint to use", "count", list.Skipped)
 			skipped = list.Skipped
@@ -118,8 +130,8 @@
 			e := &list.Endpoints[i]
 			e.Region = r.settings.Regions[e.DataCentre]
 		}
-		_ = r.loop.Post(ctx, listRead{list.Endpoints})
-		if !control.Pause(ctx, max(0, r.settings.ListInterval-time.Since(start))) {
+		_ = r.loop.Post(ctx, listRead{list: list.Endpoints, hash: hashList(list.Endpoints), sent: sent})
+		if !control.Pause(ctx, max(0, r.loop.Snapshot().Settings.ListInterval-time.Since(start))) {
 			return
 		}
 	}
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -19,9 +19,16 @@
 		orders   Orders
 		standing bool // the orders are all that stand, not only changes
 		sent     time.Duration
+		position int64 // behind the orders
+	}
+	// listRead brings the instance list, or that it is the same as before, and
+	// the boot time at which its read was sent.
+	listRead struct {
+		list []place.Endpoint
+		hash uint64
+		same bool
+		sent time.Duration
 	}
-	// listRead brings the instance list.
-	listRead struct{ list []place.Endpoint }
 	// listLost tells that the instance list could not be read.
 	listLost struct{}
 	// membersRead brings the routers that announced themselves lately.
@@ -51,6 +58,7 @@
 	// peerHeard brings what another router said.
 	peerHeard struct {
 		name    string
+		address string // of its exchange
 		loads   map[uint32]int
 		holders []place.Held
 		leaving bool
@@ -67,6 +75,8 @@
 	holdersKnown struct{}
 	// cachesAsked asks which engines' caches are to be read.
 	cachesAsked struct{ control.Question[cachesToRead] }
+	// readersAsked asks for the routers that may read the store for others.
+	readersAsked struct{ control.Question[[]reader] }
 	// loadsAsked asks for what this router tells the others.
 	loadsAsked struct {
 		control.Question[told]
@@ -88,6 +98,7 @@
 func (cachesRead) EventName() string   { return "caches_read" }
 func (holdersKnown) EventName() string { return "holders_known" }
 func (cachesAsked) EventName() string  { return "caches_asked" }
+func (readersAsked) EventName() string { return "readers_asked" }
 func (loadsAsked) EventName() string   { return "loads_asked" }
 
 // picked is the answer to pickEndpoint.
@@ -124,7 +135,7 @@
 	if !ok {
 		return false
 	}
-	s.confirmed = max(s.confirmed, e.sent)
+	s.confirmed, s.position = max(s.confirmed, e.sent), max(s.position, e.position)
 	if c := e.orders.Catalog; c != nil && (s.catalog == nil || c.Version > s.catalog.Version) {
 		f.log.Info("configuration in force", "version", c.Version, "routes", c.Routes(), "pools", len(c.Pools))
 		s.catalog = c
@@ -162,6 +173,18 @@
 func (f foldList) Apply(s *State, now time.Time, ev control.Event) bool {
 	switch e := ev.(type) {
 	case listRead:
+		if e.sent < s.listSent {
+			return false // older than what is known
+		}
+		s.listSent = e.sent
+		if e.same && s.listHash == e.hash {
+			s.table.SetEndpoints(now, s.list)
+			return true
+		}
+		if e.same {
+			return false // the list changed while the question was under way
+		}
+		s.list, s.listHash = e.list, e.hash
 		came, went := s.table.SetEndpoints(now, e.list)
 		for _, id := range came {
 			ep, _ := s.table.Lookup(id)
@@ -171,9 +194,8 @@
 		for _, id := range went {
 			f.log.Info("endpoint no longer listed", "endpoint", id)
 		}
-		first := !s.listed
 		s.listed = true
-		return first || len(came)+len(went) > 0
+		return true
 	case listLost:
 		s.table.Outage(now)
 	case membersRead:
@@ -231,6 +253,7 @@
 func (f foldPeers) Apply(s *State, now time.Time, ev control.Event) bool {
 	switch e := ev.(type) {
 	case peerHeard:
+		s.addresses[model.InstanceID(e.name)] = e.address
 		if e.leaving {
 			s.table.DropPeer(e.name)
 			f.log.Info("router left", "router", e.name)
@@ -258,6 +281,8 @@
 		s.complete = true
 	case cachesAsked:
 		e.Reply(cachesToRead{engines: unread(s), routers: s.members, heard: s.table.Heard(now), known: s.complete})
+	case readersAsked:
+		e.Reply(f.readers(s, now))
 	case loadsAsked:
 		t := told{loads: s.table.Loads(), complete: s.complete, read: slices.Collect(maps.Keys(s.read))}
 		if e.holders > 0 {
@@ -268,6 +293,17 @@
 	return false
 }
 
+// readers returns this router and those that are heard with a known address.
+func (f foldPeers) readers(s *State, now time.Time) []reader {
+	out := []reader{{name: s.settings.Instance, address: s.settings.Exchange}}
+	for _, name := range s.table.Heard(now) {
+		if a, ok := s.addresses[name]; ok {
+			out = append(out, reader{name: name, address: a})
+		}
+	}
+	return out
+}
+
 // unread returns the engines whose caches nobody read.
 func unread(s *State) []place.Endpoint {
 	return slices.DeleteFunc(s.table.Engines(), func(e place.Endpoint) bool { return s.read[place.Hash(e.ID)] })
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -31,7 +31,12 @@
 	read      map[uint32]bool // engines whose caches some router read since the start
 	phase     Phase
 	windows   map[model.Pool]*retry.Window
-	members   []model.InstanceID // routers that announced themselves lately
+	position  int64            // behind the orders that were read
+	list      []place.Endpoint // the instance list as it was read last
+	listHash  uint64
+	listSent  time.Duration               // boot time at which its read was sent
+	addresses map[model.InstanceID]string // of the exchange of other routers
+	members   []model.InstanceID          // routers that announced themselves lately
 }
 
 // Snapshot is what traffic reads. Nobody changes it.
@@ -42,12 +47,19 @@
 	Listed    bool
 	Endpoints map[model.Pool]int
 	Phase     Phase
+	// What other routers are told of the store.
+	Position int64
+	List     []place.Endpoint
+	ListHash uint64
+	ListSent time.Duration
 }
 
 func newState(s Settings) *State {
-	return &State{settings: s, complete: s.FirstStart, read: map[uint32]bool{}, table: place.New(s.DataCentre), evacuated: map[model.DataCentre]bool{}, windows: map[model.Pool]*retry.Window{}}
+	return &State{settings: s, complete: s.FirstStart, read: map[uint32]bool{}, table: place.New(s.DataCentre), evacuated: map[model.DataCentre]bool{},
+		addresses: map[model.InstanceID]string{}, windows: map[model.Pool]*retry.Window{}}
 }
 
 func publish(s *State, _ time.Time) *Snapshot {
-	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Endpoints: s.table.Endpoints(), Phase: s.phase}
+	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Endpoints: s.table.Endpoints(), Phase: s.phase,
+		Position: s.position, List: s.list, ListHash: s.listHash, ListSent: s.listSent}
 }
