Keep what cut-off endpoints hold, and explain failures from the logs

Routers that start and hear nobody took themselves for the only one when they share a cold endpoint's rate. A cut stream was logged with the error of the connection that the router itself had closed. Change: only an address that another endpoint answers at, or a new start of a process, ends what an endpoint holds; the number of routers is at least that of the announcements; refusals carry the version and age of the configuration; docs/OPERATIONS.md leads from a request's id to its cause for three kinds of failure, and a test follows it.

--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -105,7 +105,7 @@
 	s.own = max(0, s.own-1)
 	wasDown := s.health.down
 	s.health.note(now, r, !t.pools[s.Pool].Engine)
-	if r == Unreachable || r == Misdirected {
+	if r == Misdirected { // one that is only cut off keeps its cache
 		t.holders.forget(s.hash)
 	}
 	if wasDown && !s.health.down || s.health.down {
--- a/internal/place/peers.go
+++ b/internal/place/peers.go
@@ -70,12 +70,16 @@
 	}
 }
 
-// Entries returns the number of entries heard within forgetTime, this one
-// included. Shares of limits that also bind entries which cannot hear each other
-// follow it.
+// SetAnnounced takes the number of entries that announced themselves lately,
+// this one included.
+func (t *Table) SetAnnounced(n int) { t.announced = n }
+
+// Entries returns the number of entries that announced themselves or were heard
+// within forgetTime, this one included. Shares of limits that also bind entries
+// which cannot hear each other follow it.
 func (t *Table) Entries(now time.Time) int {
 	t.expirePeers(now)
-	return 1 + len(t.peers)
+	return max(t.announced, 1+len(t.peers))
 }
 
 // load returns the requests in flight at s over all entries that are heard.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -263,3 +264,37 @@
 	late, _ := tab.Pick(start.Add(lingerTime+time.Second), Query{Pool: "p", Part: 8})
 	is.Equal(late.FetchFrom, "")
 }
+
+// Guards against prompts that are read again after a cut: an endpoint that could
+// not be reached for a while still holds what it held.
+func TestEndpointsThatWereCutOffKeepTheirCache(t *testing.T) {
+	is := is.New(t)
+	tab := table(engines(3))
+	first, _ := tab.Pick(start, Query{Pool: "p", Part: 7})
+	tab.Ended(start, first.Endpoint.ID, Answered, 0)
+	tab.started(start, tab.spots[first.Endpoint.ID])
+	tab.Ended(start, first.Endpoint.ID, Unreachable, 0)
+	other, _ := tab.Pick(start, Query{Pool: "p", Part: 7})
+	is.True(other.Endpoint.ID != first.Endpoint.ID)
+	is.Equal(other.FetchFrom, "") // it cannot be fetched now
+	is.True(slices.Contains(tab.holders.of(7), Hash(first.Endpoint.ID)))
+}
+
+// Guards against too much for a cold endpoint from routers that start and hear
+// nobody: they know from the store how many there are.
+func TestColdEndpointsAtRoutersThatHearNobody(t *testing.T) {
+	is := is.New(t)
+	const routers = 6
+	sent := 0
+	for range routers {
+		tab := table(nil)
+		tab.SetAnnounced(routers)
+		tab.SetEndpoints(start, engines(1))
+		for ms := 0; ms < 1000; ms += 10 {
+			if _, ok := tab.Pick(start.Add(time.Duration(ms)*time.Millisecond), Query{Pool: "p"}); ok {
+				sent++
+			}
+		}
+	}
+	is.True(sent <= 20)
+}
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -48,6 +48,7 @@
 	evacuated  map[model.DataCentre]bool
 	peers      map[string]*peer
 	peerSums   map[uint32]int // requests in flight of the peers by endpoint hash
+	announced  int            // entries that announced themselves lately
 	holders    holderTable
 	firstList  bool      // the first list of this process has arrived
 	tolerateTo time.Time // until then, endpoints that are missing from the list are kept
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -118,12 +119,14 @@
 		m.workspace = req.Workspace.Name
 	}
 	defer func() { r.meter.note(m) }()
+	version, age := r.configAge()
 	switch {
 	case answer == nil:
 		refusal := model.AsRefusal(err)
 		m.result = string(refusal.Reason)
 		r.log.Info("request refused", "request", req.ID, "route", route, "workspace", workspace, "endpoint", req.Endpoint.ID,
-			"outcome", refusal.Outcome, "reason", refusal.Reason, "detail", refusal.Detail, "sends", req.Sends, "took_ms", took)
+			"outcome", refusal.Outcome, "reason", refusal.Reason, "detail", refusal.Detail, "sends", req.Sends, "took_ms", took,
+			"config_version", version, "config_age_ms", age)
 	case err != nil:
 		m.result = "cut"
 		r.log.Info("answer cut", "request", req.ID, "route", route, "workspace", workspace, "endpoint", req.Endpoint.ID,
@@ -133,3 +136,13 @@
 			"status", answer.Status, "part", partName(req.sharedPart()), "chosen", req.Choice, "fetched_from", req.FetchFrom, "sends", req.Sends, "took_ms", took)
 	}
 }
+
+// configAge returns the version of the configuration in force and the time in
+// milliseconds since it was confirmed, or zeros before the first one.
+func (r *Router) configAge() (version, ageMs int64) {
+	s := r.loop.Snapshot()
+	if s.Catalog == nil {
+		return 0, 0
+	}
+	return s.Catalog.Version, (boottime.Now() - s.Confirmed).Milliseconds()
+}
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -31,22 +31,26 @@
 func (repeat) Name() string { return "repeat" }
 
 func (f repeat) Handle(ctx context.Context, req *Request, next handler) (*Answer, error) {
-	var kept *Answer // the failure of an endpoint that a repeat may replace
-	tries := 0
-	for {
+	var kept *Answer // the endpoint's own failure, which a repeat may replace
+	for tries := 0; ; {
 		answer, err := next(ctx, req)
-		if err == nil && !(answer.OwnError && req.Route.Repeatable()) {
+		again := false
+		switch {
+		case err == nil && !(answer.OwnError && req.Route.Repeatable()):
 			return answer, nil
-		}
-		if err == nil {
+		case err == nil:
 			kept = answer
+			again = f.againAfterFailure(ctx, req)
+		default:
+			again = f.again(ctx, req, err, &tries)
 		}
-		if kept != nil && err != nil && !f.again(ctx, req, err, &tries) || err == nil && !f.againAfterFailure(ctx, req) {
-			return kept, nil
+		if again {
+			continue
 		}
-		if err != nil && kept == nil && !f.again(ctx, req, err, &tries) {
-			return nil, err
+		if kept != nil {
+			return kept, nil
 		}
+		return nil, err
 	}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -48,7 +49,10 @@
 }
 
 // syncBuffer collects log lines of several goroutines.
-type syncBuffer struct{ lines chan []byte }
+type syncBuffer struct {
+	lines chan []byte
+	kept  strings.Builder // what text returned before
+}
 
 func (b *syncBuffer) Write(p []byte) (int, error) {
 	select {
@@ -59,13 +63,12 @@
 }
 
 func (b *syncBuffer) text() string {
-	var out strings.Builder
 	for {
 		select {
 		case l := <-b.lines:
-			out.Write(l)
+			b.kept.Write(l)
 		default:
-			return out.String()
+			return b.kept.String()
 		}
 	}
 }
@@ -144,7 +147,7 @@
 	exchange, calls := listenExchange(f.t, s.Exchange)
 	s.Exchange = exchange.LocalAddr().String()
 	p := &process{fleet: f, url: "http://" + callers.Addr().String(), ready: "http://" + check.Addr().String() + "/ready",
-		ended: make(chan error, 1), logs: &syncBuffer{make(chan []byte, 10_000)}, client: &http.Client{Transport: &http.Transport{}}, exchange: s.Exchange}
+		ended: make(chan error, 1), logs: &syncBuffer{lines: make(chan []byte, 10_000)}, client: &http.Client{Transport: &http.Transport{}}, exchange: s.Exchange}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: platform.NewStore(f.store.Address()), Caches: platform.NewEngines()}, exchange)
@@ -174,6 +177,8 @@
 	return nil, nil
 }
 
+func (p *process) text() string { return p.logs.text() }
+
 func (p *process) isReady() bool {
 	res, err := http.Get(p.ready)
 	if err != nil {
@@ -594,6 +599,45 @@
 	is.True(p.isReady())
 }
 
+// Guards against failures that the logs do not explain: for three kinds of
+// failed request the steps of docs/OPERATIONS.md lead from its id to its cause.
+func TestLogsExplainFailures(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, 1)
+	p := f.start(func(s *router.Settings) { s.Revoke = 1500 * time.Millisecond }).await()
+	line := func(id, message string) map[string]any {
+		for l := range strings.Lines(p.text()) {
+			var fields map[string]any
+			if json.Unmarshal([]byte(l), &fields) == nil && fields["request"] == id && fields["msg"] == message {
+				return fields
+			}
+		}
+		t.Fatalf("no line %q of %s in\n%s", message, id, p.text())
+		return nil
+	}
+	f.faults("service", standin.EndpointFaults{Drop: true})
+	lost := p.post("/assign/x")
+	is.Equal(lost.status, http.StatusBadGateway)
+	refused := line(lost.id, "request refused")
+	is.Equal(refused["outcome"], "unknown")
+	is.Equal(refused["reason"], "endpoint_failed")
+	is.Equal(refused["endpoint"], "service-0")
+	is.Equal(line(lost.id, "attempt failed")["again"], false)
+	f.faults("engine", standin.EndpointFaults{CutAfter: 2})
+	cut := p.post("/stream/brief/x")
+	is.True(cut.err != nil)
+	broke := line(cut.id, "answer cut")
+	is.Equal(broke["endpoint"], f.seen(cut.id)[0].Endpoint)
+	is.True(strings.Contains(broke["cause"].(string), "EOF"))
+	f.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	var stale reply
+	eventually(t, "keys are refused", func() bool { stale = p.get("/read/x"); return stale.status == http.StatusServiceUnavailable })
+	why := line(stale.id, "request refused")
+	is.Equal(why["reason"], "not_configured")
+	is.True(why["config_age_ms"].(float64) > 500)
+	is.True(strings.Contains(p.text(), `"dependency lost"`))
+}
+
 // Guards against a caller's second request on a connection being confused by a
 // body that was not read whole.
 func TestKeptConnectionsOfCallers(t *testing.T) {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -161,8 +161,7 @@
 	ctx   context.Context
 	split *eventSplitter
 	ended func(model.EndpointID, place.Result, uint64)
-	// endpoint is fixed at the first event, since the request goes on to others.
-	over bool
+	over  bool
 }
 
 func (s *stream) Next() ([]byte, error) {
@@ -179,6 +178,9 @@
 	default:
 		s.finish(false, place.Failed)
 	}
+	if s.ctx.Err() != nil {
+		err = s.ctx.Err() // not the connection's, which was closed for it
+	}
 	return nil, err
 }
 
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -114,7 +114,8 @@
 	return &gate{opened: [2]chan struct{}{make(chan struct{}, 1), make(chan struct{}, 1)}, newer: make(chan struct{}, 1)}
 }
 
-func signal1(c chan struct{}) {
+// notify wakes the one goroutine that waits on c, now or when it comes to wait.
+func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
@@ -124,8 +125,8 @@
 // set opens or closes the gate.
 func (g *gate) set(closed bool) {
 	if g.closed.Swap(closed) && !closed {
-		signal1(g.opened[ordersLoop])
-		signal1(g.opened[listLoop])
+		notify(g.opened[ordersLoop])
+		notify(g.opened[listLoop])
 	}
 }
 
@@ -231,7 +232,7 @@
 	}
 	_ = r.loop.Post(ctx, list)
 	if reply.Position > snap.Position {
-		signal1(r.gate.newer)
+		notify(r.gate.newer)
 		return true
 	}
 	_ = r.loop.Post(ctx, ordersRead{sent: sent - reply.OrdersAge, position: snap.Position})
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -200,6 +200,7 @@
 		s.table.Outage(now)
 	case membersRead:
 		s.members = e.routers
+		s.table.SetAnnounced(len(e.routers))
 	}
 	return false
 }
@@ -230,8 +231,7 @@
 	case requestCame:
 		window(s, e.pool).Request(now)
 	case mayRepeat:
-		routers := max(len(s.members), s.table.Entries(now))
-		e.Reply(window(s, e.pool).Take(now, s.settings.RetryRatio, s.settings.RetryBurst, routers))
+		e.Reply(window(s, e.pool).Take(now, s.settings.RetryRatio, s.settings.RetryBurst, s.table.Entries(now)))
 	}
 	return false
 }
