Tell counts less often the more routers there are, and log what endpoints do

Endpoints that leave or are passed over left no line in the log. Some settings and fields were read by nothing. Change: the interval of the counts grows by 12 ms for each other router, and the time for which they hold with it. One line for an endpoint that leaves or is passed over. Unused settings (config_apply_ms), limits and counters are removed; one control function for silent connections serves endpoints and the store.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -59,35 +59,25 @@
 
 // Pool describes the endpoints of one service.
 type Pool struct {
-	Name       model.Pool
-	HealthPath string
-	MaxConns   int
-	ColdTime   time.Duration // how long an endpoint stays cold after its start
-	ColdRate   float64       // requests a second that a cold endpoint tolerates
-	Engine     bool
-}
-
-// Limits bound what a caller may send; zero means no limit.
-type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	HeaderTime  time.Duration
-	IdleTime    time.Duration
+	Name     model.Pool
+	ColdTime time.Duration // how long an endpoint stays cold after its start
+	ColdRate float64       // requests a second that a cold endpoint tolerates
+	Engine   bool
 }
 
 // Catalog is one version of the configuration. Nobody changes it once built.
 type Catalog struct {
 	Version int64
 	Pools   map[model.Pool]Pool
-	Limits  Limits
-	Guarded bool // requests need a key, unless their route is public
+	MaxBody int64 // bytes of a request's body; 0 means no limit
+	Guarded bool  // requests need a key, unless their route is public
 	routes  map[string][]*Route
 	keys    map[string]*Workspace
 }
 
 // New builds a catalogue from its parts.
-func New(version int64, routes []Route, pools []Pool, limits Limits) *Catalog {
-	c := &Catalog{Version: version, Pools: map[model.Pool]Pool{}, Limits: limits,
+func New(version int64, routes []Route, pools []Pool, maxBody int64) *Catalog {
+	c := &Catalog{Version: version, Pools: map[model.Pool]Pool{}, MaxBody: maxBody,
 		routes: map[string][]*Route{}, keys: map[string]*Workspace{}}
 	for i := range routes {
 		r := &routes[i]
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -68,8 +68,7 @@
 	wantsClose bool
 }
 
-// Client keeps idle connections to endpoints. Its counters belong to the
-// callers' goroutines only through the idle channel of each address.
+// Client keeps idle connections to endpoints.
 type Client struct {
 	idle   *idlePool
 	dialer net.Dialer
@@ -79,7 +78,7 @@
 func NewClient() *Client {
 	return &Client{idle: newIdlePool(), dialer: net.Dialer{
 		Timeout:   dialTimeout,
-		Control:   limitSilence,
+		Control:   LimitSilence(silenceTime),
 		KeepAlive: -1,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
--- a/internal/origin/idle.go
+++ b/internal/origin/idle.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,7 +25,6 @@
 // typed commands, so traffic takes no lock.
 type idlePool struct {
 	commands chan func(map[string][]*conn)
-	size     atomic.Int64
 }
 
 func newIdlePool() *idlePool {
@@ -51,7 +49,6 @@
 		for len(list) > 0 && use == nil {
 			c := list[len(list)-1]
 			list = list[:len(list)-1]
-			p.size.Add(-1)
 			if idle := now.Sub(c.since); idle > maxIdle || idle > c.keep-keepMargin || !c.quiet() {
 				_ = c.Close()
 				continue
@@ -75,10 +72,8 @@
 		for len(list) > 0 && (len(list) >= maxIdlePerEndpoint || c.since.Sub(list[0].since) > list[0].keep) {
 			_ = list[0].Close()
 			list = list[1:]
-			p.size.Add(-1)
 		}
 		conns[c.address] = append(list, c)
-		p.size.Add(1)
 	}
 }
 
@@ -87,7 +82,6 @@
 	p.commands <- func(conns map[string][]*conn) {
 		for _, c := range conns[address] {
 			_ = c.Close()
-			p.size.Add(-1)
 		}
 		delete(conns, address)
 	}
@@ -114,17 +108,20 @@
 	return err == nil && open
 }
 
-// limitSilence makes the kernel end a connection whose peer acknowledges
-// nothing, as one that went silent does.
-func limitSilence(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTime/time.Millisecond))
-	})
-	if err != nil {
-		return err
+// LimitSilence returns a control function for net.Dialer. It makes the kernel
+// end a connection whose peer acknowledges nothing for that long, as one does
+// that went silent.
+func LimitSilence(after time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after/time.Millisecond))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
 	}
-	return failed
 }
 
 // keepTime returns the idle time that an answer grants.
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -93,12 +93,14 @@
 
 // Ended notes that a request that Pick placed is no longer in flight. unread
 // names the prompt part that Pick took the endpoint to hold from then on if the
-// request never got so far, and is 0 otherwise.
-func (t *Table) Ended(now time.Time, id model.EndpointID, r Result, unread uint64) {
+// request never got so far, and is 0 otherwise. It returns how long the endpoint
+// is passed over if that begins now, and 0 otherwise.
+func (t *Table) Ended(now time.Time, id model.EndpointID, r Result, unread uint64) (passedOver time.Duration) {
 	s := t.spots[id]
 	if s == nil {
-		return
+		return 0
 	}
+	pausing := s.health.pausing(now)
 	if unread != 0 {
 		t.holders.remove(unread, s.hash)
 	}
@@ -112,4 +114,8 @@
 		// What comes back after a crash is cold and tolerates little.
 		s.coldUntil = later(s.coldUntil, now.Add(t.pools[s.Pool].ColdTime))
 	}
+	if pausing || !s.health.pausing(now) {
+		return 0
+	}
+	return s.health.until.Sub(now)
 }
--- a/internal/place/peers.go
+++ b/internal/place/peers.go
@@ -8,9 +8,28 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
-// peerLifetime is how long the counts of an entry hold that is no longer heard.
-// Entries send at least every half second.
-const peerLifetime = 1500 * time.Millisecond
+const (
+	// tellInterval is how often entries tell each other their counts at the least
+	// distance, and tellPerPeer what each further entry adds to that, which keeps
+	// the bytes that an entry sends from growing with their number.
+	tellInterval = 150 * time.Millisecond
+	tellPerPeer  = 12 * time.Millisecond
+	// toldMissing is how many messages in a row may be lost before the counts of
+	// an entry no longer hold, and minLifetime the least time for that.
+	toldMissing = 4
+	minLifetime = 1500 * time.Millisecond
+)
+
+// TellInterval returns how often an entry tells peers others its counts.
+func TellInterval(peers int) time.Duration {
+	return max(tellInterval, time.Duration(peers)*tellPerPeer)
+}
+
+// peerLifetime returns how long the counts of an entry hold that is no longer
+// heard.
+func (t *Table) peerLifetime() time.Duration {
+	return max(minLifetime, toldMissing*TellInterval(len(t.peers)))
+}
 
 // peer is what another entry said last.
 type peer struct {
@@ -23,7 +42,7 @@
 // new.
 func (t *Table) PeerLoads(now time.Time, name string, loads map[uint32]int) bool {
 	p := t.peers[name]
-	fresh := p == nil || now.Sub(p.heard) > peerLifetime
+	fresh := p == nil || now.Sub(p.heard) > t.peerLifetime()
 	if p == nil {
 		p = &peer{}
 		t.peers[name] = p
@@ -51,9 +70,10 @@
 
 // expirePeers takes out what entries said that are no longer heard.
 func (t *Table) expirePeers(now time.Time) {
+	lifetime := t.peerLifetime()
 	for name, p := range t.peers {
 		silent := now.Sub(p.heard)
-		if silent > peerLifetime {
+		if silent > lifetime {
 			t.discount(p)
 		}
 		if silent > forgetTime {
@@ -94,7 +114,7 @@
 func (t *Table) Heard(now time.Time) []model.InstanceID {
 	var out []model.InstanceID
 	for name, p := range t.peers {
-		if now.Sub(p.heard) <= peerLifetime {
+		if now.Sub(p.heard) <= t.peerLifetime() {
 			out = append(out, model.InstanceID(name))
 		}
 	}
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -78,10 +78,16 @@
 // lapse during an outage are kept for a while after it.
 func (t *Table) Outage(now time.Time) { t.tolerateTo = now.Add(returnTime) }
 
+// Changes are the endpoints that a list changed.
+type Changes struct {
+	Came, Went []model.EndpointID
+	Leaving    []model.EndpointID // listed, and take no new work from now on
+}
+
 // SetEndpoints takes the whole instance list. An endpoint that is no longer
-// listed gets no new work, except for a while after an outage. It reports the
-// ids that came and went.
-func (t *Table) SetEndpoints(now time.Time, list []Endpoint) (came, went []model.EndpointID) {
+// listed gets no new work, except for a while after an outage.
+func (t *Table) SetEndpoints(now time.Time, list []Endpoint) Changes {
+	var c Changes
 	seen := make(map[model.EndpointID]bool, len(list))
 	for _, e := range list {
 		seen[e.ID] = true
@@ -90,7 +96,7 @@
 		case s == nil:
 			s = &spot{hash: Hash(e.ID)}
 			t.spots[e.ID], t.byHash[s.hash] = s, s
-			came = append(came, e.ID)
+			c.Came = append(c.Came, e.ID)
 			if t.firstList {
 				s.coldUntil = now.Add(t.pools[e.Pool].ColdTime)
 			}
@@ -101,9 +107,12 @@
 		if !s.listed {
 			s.listed = true
 			if t.firstList && !s.missing.IsZero() {
-				came = append(came, e.ID)
+				c.Came = append(c.Came, e.ID)
 			}
 		}
+		if e.Draining && !s.Draining {
+			c.Leaving = append(c.Leaving, e.ID)
+		}
 		s.missing = time.Time{}
 		s.Endpoint = e
 		if e.ColdLeft > 0 {
@@ -120,13 +129,13 @@
 		}
 		if s.listed && (s.Draining || !now.Before(t.tolerateTo)) {
 			s.listed = false
-			went = append(went, id)
+			c.Went = append(c.Went, id)
 		}
 		if !s.listed && s.own == 0 && now.Sub(s.missing) > forgetTime {
 			t.drop(s)
 		}
 	}
-	return came, went
+	return c
 }
 
 // forgetTime is how long a lost endpoint is remembered, so that an entry that
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -61,21 +61,25 @@
 	}
 }
 
-var attemptResults = map[place.Result]*metrics.Counter{
-	place.Answered:    metrics.NewCounter(`goldcrest_router_attempts_total{result="answered"}`),
-	place.OwnError:    metrics.NewCounter(`goldcrest_router_attempts_total{result="endpoint_error"}`),
-	place.Failed:      metrics.NewCounter(`goldcrest_router_attempts_total{result="failed"}`),
-	place.Unreachable: metrics.NewCounter(`goldcrest_router_attempts_total{result="unreachable"}`),
-	place.Refused:     metrics.NewCounter(`goldcrest_router_attempts_total{result="refused"}`),
-	place.Misdirected: metrics.NewCounter(`goldcrest_router_attempts_total{result="misdirected"}`),
-	place.Cancelled:   metrics.NewCounter(`goldcrest_router_attempts_total{result="cancelled"}`),
+// resultNames are the results of attempts in logs and metrics.
+var resultNames = map[place.Result]string{
+	place.Answered: "answered", place.OwnError: "endpoint_error", place.Failed: "failed", place.Unreachable: "unreachable",
+	place.Refused: "refused", place.Misdirected: "misdirected", place.Cancelled: "cancelled",
 }
 
-var choices = map[place.Reason]*metrics.Counter{
-	place.HeldThere: metrics.NewCounter(`goldcrest_router_choices_total{reason="holds_prompt"}`),
-	place.Moved:     metrics.NewCounter(`goldcrest_router_choices_total{reason="holders_loaded"}`),
-	place.FirstUse:  metrics.NewCounter(`goldcrest_router_choices_total{reason="first_use"}`),
-	place.LeastLoad: metrics.NewCounter(`goldcrest_router_choices_total{reason="least_load"}`),
+var attemptResults = countersOf("goldcrest_router_attempts_total", "result", resultNames)
+
+var choices = countersOf("goldcrest_router_choices_total", "reason", map[place.Reason]string{
+	place.HeldThere: "holds_prompt", place.Moved: "holders_loaded", place.FirstUse: "first_use", place.LeastLoad: "least_load",
+})
+
+// countersOf returns a counter for each key, labelled with its name.
+func countersOf[K comparable](metric, label string, names map[K]string) map[K]*metrics.Counter {
+	out := make(map[K]*metrics.Counter, len(names))
+	for k, name := range names {
+		out[k] = metrics.NewCounter(fmt.Sprintf("%s{%s=%q}", metric, label, name))
+	}
+	return out
 }
 
 var storeCalls = map[string]*metrics.Counter{
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -30,7 +30,7 @@
 		foldOrders{r.log},
 		foldList{r.log},
 		foldPeers{r.log},
-		placeRequests{},
+		placeRequests{r.log},
 		budgetRepeats{},
 		reload{r.log},
 		stop{r.log},
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -158,8 +158,8 @@
 	}
 	req.Arrived = arrived
 	limit := int64(defaultMaxBody)
-	if c := r.loop.Snapshot().Catalog; c != nil && c.Limits.BodyBytes > 0 {
-		limit = c.Limits.BodyBytes
+	if c := r.loop.Snapshot().Catalog; c != nil && c.MaxBody > 0 {
+		limit = c.MaxBody
 	}
 	req.Body, err = io.ReadAll(http.MaxBytesReader(nil, hr.Body, limit))
 	var tooLarge *http.MaxBytesError
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -22,7 +22,6 @@
 	FirstStart  bool   // the whole system starts for the first time, so caches are empty
 
 	Grace        time.Duration // from SIGTERM until the platform kills the process
-	ConfigApply  time.Duration // in which a configuration is in force
 	Revoke       time.Duration // after which a key that was taken away opens nothing
 	StrictRevoke bool          // Revoke holds also for a process that is cut off
 	RetryRatio   float64       // repeats for each request over all routers
@@ -61,7 +60,6 @@
 		MemoryLimit:  f.Int("router", "memory_mb", 256, 16, 1<<20) << 20,
 		FirstStart:   f.Bool("router", "first_start", false),
 		Grace:        milliseconds(f, "bounds", "grace_ms", 8000),
-		ConfigApply:  milliseconds(f, "bounds", "config_apply_ms", 2000),
 		Revoke:       milliseconds(f, "bounds", "revoke_ms", 5000),
 		StrictRevoke: f.Bool("bounds", "strict_revoke", true),
 		RetryRatio:   f.Float("bounds", "retry_ratio", 0.2, 0, 10),
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -14,9 +14,7 @@
 )
 
 const (
-	// tellInterval bounds the age of the counts that the others have while they
-	// change, quietInterval while they do not.
-	tellInterval  = 150 * time.Millisecond
+	// quietInterval is how often a router without requests is heard.
 	quietInterval = 400 * time.Millisecond
 	// memberInterval is how often a router reads who else is there; a router
 	// that starts tells all others, so this only repairs.
@@ -90,7 +88,7 @@
 
 // send tells the others until ctx ends, then that this router leaves.
 func (p *peerLink) send(ctx context.Context) {
-	t := time.NewTicker(tellInterval)
+	t := time.NewTimer(place.TellInterval(0))
 	defer t.Stop()
 	for {
 		select {
@@ -113,6 +111,7 @@
 			p.tellCache(c)
 		case <-t.C:
 			p.tell(ctx)
+			t.Reset(place.TellInterval(len(p.peers)))
 		}
 	}
 }
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -185,13 +185,16 @@
 			return false // the list changed while the question was under way
 		}
 		s.list, s.listHash = e.list, e.hash
-		came, went := s.table.SetEndpoints(now, e.list)
-		for _, id := range came {
+		changes := s.table.SetEndpoints(now, e.list)
+		for _, id := range changes.Came {
 			ep, _ := s.table.Lookup(id)
 			f.log.Info("endpoint listed", "endpoint", id, "pool", ep.Pool, "data_centre", ep.DataCentre,
 				"version", ep.Version, "draining", ep.Draining, "cold_left_ms", ep.ColdLeft.Milliseconds())
 		}
-		for _, id := range went {
+		for _, id := range changes.Leaving {
+			f.log.Info("endpoint leaves", "endpoint", id)
+		}
+		for _, id := range changes.Went {
 			f.log.Info("endpoint no longer listed", "endpoint", id)
 		}
 		s.listed = true
@@ -206,17 +209,19 @@
 }
 
 // placeRequests answers which endpoint runs a request.
-type placeRequests struct{}
+type placeRequests struct{ log *slog.Logger }
 
 func (placeRequests) Name() string { return "place" }
 
-func (placeRequests) Apply(s *State, now time.Time, ev control.Event) bool {
+func (f placeRequests) Apply(s *State, now time.Time, ev control.Event) bool {
 	switch e := ev.(type) {
 	case pickEndpoint:
 		c, ok := s.table.Pick(now, e.query)
 		e.Reply(picked{choice: c, hash: s.table.HashOf(c.Endpoint.ID), found: ok})
 	case requestEnded:
-		s.table.Ended(now, e.endpoint, e.result, e.unread)
+		if pause := s.table.Ended(now, e.endpoint, e.result, e.unread); pause > 0 {
+			f.log.Info("endpoint passed over", "endpoint", e.endpoint, "cause", resultNames[e.result], "for_ms", pause.Milliseconds())
+		}
 	}
 	return false
 }
