--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -88,6 +88,8 @@
 	"router list":       metrics.NewCounter(`goldcrest_router_store_failures_total{read="routers"}`),
 }
 
+var malformedDatagrams = metrics.NewCounter("goldcrest_router_datagrams_malformed_total")
+
 // serveMetrics serves /metrics on the metrics address until ctx ends.
 func (r *Router) serveMetrics(ctx context.Context) {
 	if r.settings.Metrics == "" {
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -70,7 +70,11 @@
 			continue
 		}
 		m, err := mesh.Parse(buf[:n])
-		if err != nil || m.Name == string(p.r.settings.Instance) {
+		if err != nil {
+			malformedDatagrams.Inc()
+			continue
+		}
+		if m.Name == string(p.r.settings.Instance) {
 			continue
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
