Promise that a request did not run only if no attempt may have run it

Cause: a repeat that found the keys too old was refused as not run, though an earlier attempt of the same request may have run it. Found by reading; only idempotent requests can come there, so no rule was seen broken. Change: one function gives each refusal the outcome that the attempts so far allow, in place of four copies; a request whose endpoint cannot be reached leaves a line in the log. Conclusion: none open.

--- a/internal/router/limittime.go
+++ b/internal/router/limittime.go
@@ -52,9 +52,14 @@
 }
 
 // timedOut refuses a request whose time ended.
-func timedOut(sent bool) *model.Refusal {
-	r := model.Refuse(model.ReasonDeadline, "the time of the request ended")
-	if sent {
+func timedOut(req *Request) *model.Refusal {
+	return truly(req, model.Refuse(model.ReasonDeadline, "the time of the request ended"))
+}
+
+// truly returns r with what is known about the execution of req: a refusal as
+// not run is a promise, which an earlier attempt that may have run breaks.
+func truly(req *Request, r *model.Refusal) *model.Refusal {
+	if req.Runs > 0 {
 		r.Outcome = model.Unknown
 	}
 	return r
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -34,14 +34,10 @@
 	}
 	p, err := f.ask(ctx, q)
 	if err != nil {
-		return nil, timedOut(req.Runs > 0)
+		return nil, timedOut(req)
 	}
 	if !p.found {
-		r := later(model.ReasonNoEndpoint, "no endpoint of the pool may take the request", elsewhere)
-		if req.Runs > 0 {
-			r.Outcome = model.Unknown
-		}
-		return nil, r
+		return nil, truly(req, later(model.ReasonNoEndpoint, "no endpoint of the pool may take the request", elsewhere))
 	}
 	choices[p.choice.Reason].Inc()
 	req.Endpoint, req.FetchFrom, req.Choice, req.Unread = p.choice.Endpoint, p.choice.FetchFrom, p.choice.Reason, 0
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -73,6 +73,7 @@
 		return *tries <= noEndpointTries && control.Pause(ctx, noEndpointPause)
 	case r.Reason == model.ReasonUnreachable && r.Outcome == model.NotRun:
 		*tries++
+		f.note(req, r.Detail, *tries <= noEndpointTries)
 		return *tries <= noEndpointTries
 	case r.Outcome == model.NotRun:
 		ok := retryable(r.Reason) && req.Sends < maxSends && f.may(ctx, req)
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -48,9 +48,9 @@
 	if r := f.permitted(req); r != nil || left <= 0 || ctx.Err() != nil {
 		f.ended(req.Endpoint.ID, place.Cancelled, req.Unread)
 		if r == nil {
-			r = timedOut(req.Runs > 0)
+			return nil, timedOut(req)
 		}
-		return nil, r
+		return nil, truly(req, r)
 	}
 	out := &origin.Request{
 		Method: req.Method, Target: req.Target, Host: req.Host, Body: req.Body,
@@ -91,14 +91,10 @@
 		req.Sends--
 		req.Runs--
 		f.ended(req.Endpoint.ID, place.Unreachable, req.Unread)
-		r := later(model.ReasonUnreachable, "endpoint cannot be reached", elsewhere)
-		if req.Runs > 0 {
-			r.Outcome = model.Unknown
-		}
-		return r
+		return truly(req, later(model.ReasonUnreachable, "endpoint cannot be reached", elsewhere))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		f.ended(req.Endpoint.ID, place.Failed, 0)
-		return timedOut(true)
+		return timedOut(req)
 	case ctx.Err() != nil:
 		f.ended(req.Endpoint.ID, place.Cancelled, 0)
 		return &model.Refusal{Outcome: model.Unknown, Reason: model.ReasonCancelled, Detail: "the caller left"}
@@ -112,7 +108,7 @@
 	verdict := f.protocol.Inbound(res.Status, res.Header)
 	if verdict.NotRun {
 		req.Runs--
-		return nil, f.refused(ctx, req, res, verdict)
+		return nil, f.refused(req, res, verdict)
 	}
 	if !verdict.Signed {
 		res.Close()
@@ -139,7 +135,7 @@
 }
 
 // refused handles the endpoint's word that it did not run the request.
-func (f send) refused(_ context.Context, req *Request, res *origin.Response, v Verdict) *model.Refusal {
+func (f send) refused(req *Request, res *origin.Response, v Verdict) *model.Refusal {
 	_, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxAnswer))
 	res.Finish(err == nil)
 	result, detail := place.Refused, "endpoint did not run the request"
@@ -147,11 +143,7 @@
 		result, detail = place.Misdirected, "another endpoint has the address"
 	}
 	f.ended(req.Endpoint.ID, result, req.Unread)
-	r := later(model.ReasonOverloaded, detail, elsewhere)
-	if req.Runs > 0 {
-		r.Outcome = model.Unknown
-	}
-	return r
+	return truly(req, later(model.ReasonOverloaded, detail, elsewhere))
 }
 
 // stream reads the events of one endpoint's answer.
