Count requests for the routers' retry budget

Cause: the control stage that keeps the retry budget had a handler for requestCame, but nothing sent that event. A router granted its share of the burst, about 9 repeats in 10 s on the users' sites, and nothing for the ratio.

Change: the filter count, between time and resume, reports each attempt of a caller once. TestRequestsRaiseTheBudget has a ratio and no burst and fails before (no repeat at all).

Ruled out: counting in repeat, which a resumed stream enters again; counting at the choice of an endpoint, which each repeat asks for.

--- /dev/null
+++ b/internal/router/count.go
@@ -0,0 +1,18 @@
+package router
+
+import (
+	"context"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// countRequest counts each attempt of a caller once for the retry budget of its
+// pool, whether or not it reaches an endpoint.
+type countRequest struct{ came func(model.Pool) }
+
+func (countRequest) Name() string { return "count" }
+
+func (f countRequest) Handle(ctx context.Context, req *Request, next handler) (*Answer, error) {
+	f.came(req.Pool)
+	return next(ctx, req)
+}
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
 )
 
@@ -17,6 +18,7 @@
 		matchRoute{snapshot: r.loop.Snapshot, draw: r.draw, fresh: r.fresh},
 		identify{snapshot: r.loop.Snapshot, fresh: r.fresh},
 		limitTime{},
+		countRequest{r.requestCame},
 		resume{repeat: r.mayRepeat, log: r.log},
 		repeat{may: r.mayRepeat, log: r.log},
 		placeRequest{ask: r.pick, tell: r.tellHolder},
@@ -37,6 +39,11 @@
 	}
 }
 
+// requestCame counts a request for the retry budget of its pool.
+func (r *Router) requestCame(pool model.Pool) {
+	_ = r.loop.Post(context.Background(), requestCame{pool})
+}
+
 // mayRepeat asks the retry budget.
 func (r *Router) mayRepeat(ctx context.Context, req *Request) bool {
 	ok, err := control.Ask(ctx, r.loop, mayRepeat{Question: control.NewQuestion[bool](), pool: req.Pool})
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -360,6 +360,23 @@
 	is.True(repeats <= 4) // half of the burst: this router and one more
 }
 
+// Guards against a budget that knows the burst only: without requests that count,
+// nothing was repeated by the ratio.
+func TestRequestsRaiseTheBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 2)
+	p := f.start(func(s *router.Settings) { s.RetryRatio, s.RetryBurst = 1, 0 }).await()
+	f.faults("", standin.EndpointFaults{Fail: true})
+	const requests = 20
+	arrivals := 0
+	for range requests {
+		arrivals += len(f.seen(p.get("/read/x").id))
+	}
+	repeats := arrivals - requests
+	is.True(repeats >= requests/2)
+	is.True(repeats <= requests)
+}
+
 // Guards against a stream with a piece missing, doubled or joined wrongly when
 // its endpoint stops inside an event, and against one that looks complete.
 func TestStreamsGoOnElsewhere(t *testing.T) {
