Read and tell the instance list by its changes

Cause: the reader of each group of routers read the whole list each half second and sent it whole to eleven others at each change.

Change: place.List is one version of the list with a hash, place.Trail the last changes. A reader of the store reads the whole list first, after each failure and every 30 s, else what was written since; it tells others what changed since the version that they name. An unchanged list no longer runs through the table at each answer. Each answer of the store has its own bound.

Tests: TestLongListsFromASlowStore and TestOnlyChangesOfTheListAreRead fail before; changes lead to the same list (rapid), readers tell what changed, cold endpoints on the way, records that are gone, entries dropped or overwritten.

Ruled out: a long poll of the changes, which returns at each check-in; two tiers of readers, needless at these figures.

--- /dev/null
+++ b/internal/place/list_test.go
@@ -0,0 +1,66 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+func drawEndpoints(t *rapid.T) []place.Endpoint {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) place.Endpoint {
+		return place.Endpoint{
+			ID:       model.EndpointID(fmt.Sprintf("e%d", rapid.IntRange(0, 9).Draw(t, "id"))),
+			Pool:     "p",
+			Draining: rapid.Bool().Draw(t, "draining"),
+			ColdLeft: time.Duration(rapid.IntRange(0, 1).Draw(t, "cold")) * time.Second,
+			Started:  int64(rapid.IntRange(1, 3).Draw(t, "started")),
+		}
+	}), 0, 12).Draw(t, "endpoints")
+}
+
+// Guards against a router whose list differs from the one of the reader that
+// told it the changes.
+func TestChangesLeadToTheSameList(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		now := place.NewList(drawEndpoints(rt))
+		behind := now
+		var trail place.Trail
+		steps := rapid.IntRange(0, 12).Draw(rt, "steps")
+		at := rapid.IntRange(0, steps).Draw(rt, "told at")
+		for i := range steps {
+			if i == at {
+				behind = now
+			}
+			next := place.NewList(drawEndpoints(rt))
+			is.Equal(now.Apply(now.To(next)), next)
+			if next.Hash != now.Hash {
+				trail = trail.Add(now, next)
+			}
+			now = next
+		}
+		if d, ok := trail.Since(behind.Hash); ok {
+			is.Equal(behind.Apply(d).Hash, now.Hash)
+		}
+	})
+}
+
+// Guards against a list that is sent to all each time because a cold endpoint
+// has less time left.
+func TestTimeDoesNotChangeTheList(t *testing.T) {
+	is := is.New(t)
+	e := place.Endpoint{ID: "a", ColdLeft: 2 * time.Second}
+	before := place.NewList([]place.Endpoint{e})
+	e.ColdLeft = time.Second
+	after := place.NewList([]place.Endpoint{e})
+	is.Equal(before.Hash, after.Hash)
+	is.True(before.To(after).Empty())
+	e.ColdLeft = 0
+	is.True(before.Hash != place.NewList([]place.Endpoint{e}).Hash)
+}
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -33,6 +33,7 @@
 	hash      uint32
 	own       int // requests of this entry in flight
 	listed    bool
+	inList    int       // number of the last list that had it
 	missing   time.Time // when it was first missing from the list; zero if listed
 	coldUntil time.Time
 	starts    window // sends while cold
@@ -51,6 +52,7 @@
 	announced  int            // entries that announced themselves lately
 	holders    holderTable
 	firstList  bool      // the first list of this process has arrived
+	lists      int       // number of the lists that arrived
 	tolerateTo time.Time // until then, endpoints that are missing from the list are kept
 }
 
@@ -88,9 +90,8 @@
 // listed gets no new work, except for a while after an outage.
 func (t *Table) SetEndpoints(now time.Time, list []Endpoint) Changes {
 	var c Changes
-	seen := make(map[model.EndpointID]bool, len(list))
+	t.lists++
 	for _, e := range list {
-		seen[e.ID] = true
 		s := t.spots[e.ID]
 		switch {
 		case s == nil:
@@ -113,15 +114,22 @@
 		if e.Draining && !s.Draining {
 			c.Leaving = append(c.Leaving, e.ID)
 		}
-		s.missing = time.Time{}
+		s.missing, s.inList = time.Time{}, t.lists
 		s.Endpoint = e
 		if e.ColdLeft > 0 {
 			s.coldUntil = later(s.coldUntil, now.Add(e.ColdLeft))
 		}
 	}
 	t.firstList = true
+	c.Went = t.Unchanged(now)
+	return c
+}
+
+// Unchanged notes that the instance list is as it was. It returns the endpoints
+// that are given up only now, since they were missing after an outage.
+func (t *Table) Unchanged(now time.Time) (went []model.EndpointID) {
 	for id, s := range t.spots {
-		if seen[id] {
+		if s.inList == t.lists {
 			continue
 		}
 		if s.missing.IsZero() {
@@ -129,13 +137,13 @@
 		}
 		if s.listed && (s.Draining || !now.Before(t.tolerateTo)) {
 			s.listed = false
-			c.Went = append(c.Went, id)
+			went = append(went, id)
 		}
 		if !s.listed && s.own == 0 && now.Sub(s.missing) > forgetTime {
 			t.drop(s)
 		}
 	}
-	return c
+	return went
 }
 
 // forgetTime is how long a lost endpoint is remembered, so that an entry that
@@ -157,17 +165,6 @@
 	return b
 }
 
-// Endpoints returns the number of listed endpoints by pool.
-func (t *Table) Endpoints() map[model.Pool]int {
-	out := map[model.Pool]int{}
-	for _, s := range t.spots {
-		if s.listed {
-			out[s.Pool]++
-		}
-	}
-	return out
-}
-
 // Lookup returns the endpoint with the given id.
 func (t *Table) Lookup(id model.EndpointID) (Endpoint, bool) {
 	if s := t.spots[id]; s != nil {
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -52,16 +52,21 @@
 	Seen     time.Time // when it announced itself, by its own clock
 }
 
-// Listing is the instance list.
+// Listing is what a read of the instance list returned.
 type Listing struct {
-	Endpoints []place.Endpoint
-	Skipped   int // entries that name no endpoint to use
+	place.Delta       // from an empty list, or from the position that was asked for
+	Skipped     int   // entries that name no endpoint to use
+	Position    int64 // behind the records that were read
 }
 
-// Store is the platform's store.
+// Store is the platform's store. A call that gets no answer ends with an error
+// after a time of its own, in about a second beyond the time for which it waits.
 type Store interface {
-	// Endpoints returns the instance list.
+	// Endpoints returns the whole instance list.
 	Endpoints(ctx context.Context) (Listing, error)
+	// EndpointChanges returns what was written to the list since a position. It
+	// returns ErrTrimmed if records are missing.
+	EndpointChanges(ctx context.Context, from int64) (Listing, error)
 	// Standing returns all orders that stand and the position behind them.
 	Standing(ctx context.Context) (Orders, int64, error)
 	// Changes returns the orders from a position on and the position behind
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -122,7 +122,7 @@
 	if s.Catalog != nil {
 		st.ConfigVersion = s.Catalog.Version
 	}
-	for pool, n := range s.Endpoints {
+	for pool, n := range s.List.Pools() {
 		st.Endpoints[string(pool)] = n
 	}
 	return st
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -676,3 +676,50 @@
 		is.Equal(f.seen(id)[0].Body, "abc")
 	}
 }
+
+// Guards against a list of many pages that is never read since the bound on one
+// answer of the store held for all pages: no router of 301 came back after a
+// loss of all.
+func TestLongListsFromASlowStore(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	for i := range 1600 { // four pages
+		f.store.Put("keyed.servers", fmt.Sprintf("other-%d", i), map[string]any{
+			"Service": "other", "Address": "127.0.0.1:1", "Zone": "dc-a", "Version": "v1", "State": "ready", "Slots": 1, "Sequence": 1,
+		})
+	}
+	f.store.SetFaults(standin.StoreFaults{Delay: 350 * time.Millisecond})
+	f.start(nil).await()
+}
+
+// Guards against changes of the list that are missed because their records are
+// gone from the store.
+func TestListWhoseRecordsAreGone(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 2)
+	p := f.start(func(s *router.Settings) { s.ListInterval = 700 * time.Millisecond }).await()
+	f.store.Register(f.endpoints[0], "service", "dc-a", "draining")
+	f.add("service-new", "service")
+	f.store.Trim("keyed.servers")
+	eventually(t, "the new endpoint is listed", func() bool { return strings.Contains(p.text(), `"endpoint":"service-new"`) })
+	for range 10 {
+		r := p.get("/read/x")
+		is.Equal(r.status, http.StatusOK)
+		is.True(f.seen(r.id)[0].Endpoint != f.endpoints[0].ID) // it leaves
+	}
+}
+
+// Guards against the whole list being read each time, of which 95 bytes in 100
+// told nothing new on a day of the users' site.
+func TestOnlyChangesOfTheListAreRead(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 2)
+	p := f.start(nil).await()
+	before := f.store.Whole("keyed.servers")
+	f.store.Unregister(f.endpoints[0])
+	eventually(t, "the endpoint is gone", func() bool { return strings.Contains(p.text(), "endpoint no longer listed") })
+	for range 5 {
+		r := p.get("/read/x")
+		is.Equal(f.seen(r.id)[0].Endpoint, f.endpoints[1].ID)
+	}
+	is.Equal(f.store.Whole("keyed.servers"), before)
+}
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -222,8 +222,6 @@
 }
 
 func (r *Router) exchangeMembers(ctx context.Context, announced *time.Time) error {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
 	if now := time.Now(); announced.IsZero() || now.Sub(*announced) > announceInterval {
 		if err := r.deps.Store.Announce(ctx, Member{Instance: r.settings.Instance, Address: r.settings.Exchange, Seen: now}); err != nil {
 			return err
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -54,7 +54,8 @@
 	Position  int64 // of the orders
 	ListAge   time.Duration
 	List      uint64 // hash of the instance list
-	Entries   []place.Endpoint
+	Whole     bool   // Delta leads from an empty list, not from the asker's
+	Delta     place.Delta
 }
 
 // storeServer answers other routers from the snapshot.
@@ -68,33 +69,16 @@
 	}
 	*reply = StateReply{
 		OrdersAge: now - snap.Confirmed, Position: snap.Position,
-		ListAge: now - snap.ListSent, List: snap.ListHash,
+		ListAge: now - snap.ListSent, List: snap.List.Hash,
 	}
-	if args.List != snap.ListHash {
-		reply.Entries = snap.List
+	if args.List == snap.List.Hash {
+		return nil
 	}
-	return nil
-}
-
-// hashList returns a hash of an instance list that changes when the list does,
-// but not as the time passes that an endpoint stays cold.
-func hashList(list []place.Endpoint) uint64 {
-	h := xxhash.New()
-	sorted := slices.SortedFunc(slices.Values(list), func(a, b place.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	for _, e := range sorted {
-		for _, part := range []string{string(e.ID), string(e.Pool), e.Address, string(e.DataCentre), string(e.Version)} {
-			_, _ = h.WriteString(part + "\x00")
-		}
-		state := [...]byte{0, 0, byte(e.Started), byte(e.Started >> 8), byte(e.Started >> 16), byte(e.Started >> 24)}
-		if e.Draining {
-			state[0] = 1
-		}
-		if e.ColdLeft > 0 {
-			state[1] = 1
-		}
-		_, _ = h.Write(state[:])
+	var known bool
+	if reply.Delta, known = snap.Trail.Since(args.List); !known {
+		reply.Whole, reply.Delta = true, place.Delta{Changed: snap.List.Endpoints}
 	}
-	return h.Sum64()
+	return nil
 }
 
 // gate tells the loops that read the store whether this router reads it itself.
@@ -215,7 +199,7 @@
 	defer cancel()
 	sent, snap := boottime.Now(), r.loop.Snapshot()
 	var reply StateReply
-	if err := r.node.Call(ctx, from.address, storeMethod, StateArgs{snap.ListHash}, &reply); err != nil {
+	if err := r.node.Call(ctx, from.address, storeMethod, StateArgs{snap.List.Hash}, &reply); err != nil {
 		r.log.Info("router does not tell the state of the store", "router", from.name, "error", err.Error())
 		return false
 	}
@@ -226,11 +210,12 @@
 			"orders_age_ms", reply.OrdersAge.Milliseconds(), "list_age_ms", reply.ListAge.Milliseconds())
 		return false
 	}
-	list := listRead{sent: sent - reply.ListAge, hash: reply.List, list: reply.Entries, same: reply.List == snap.ListHash}
-	for i := range list.list {
-		list.list[i].ColdLeft = max(0, list.list[i].ColdLeft-reply.ListAge)
+	list := listAfter(snap.List, reply)
+	if list.Hash != reply.List {
+		r.log.Warn("list of endpoints does not match the one of another router", "router", from.name)
+		return false
 	}
-	_ = r.loop.Post(ctx, list)
+	_ = r.loop.Post(ctx, listRead{list: list, sent: sent - reply.ListAge})
 	if reply.Position > snap.Position {
 		notify(r.gate.newer)
 		return true
@@ -238,3 +223,20 @@
 	_ = r.loop.Post(ctx, ordersRead{sent: sent - reply.OrdersAge, position: snap.Position})
 	return true
 }
+
+// listAfter returns the list that a reader told to a router with list l.
+func listAfter(l place.List, reply StateReply) place.List {
+	if reply.Whole {
+		l = place.List{}
+	}
+	if reply.Delta.Empty() {
+		return l
+	}
+	for i, e := range reply.Delta.Changed {
+		if e.ColdLeft > 0 {
+			// At least a millisecond, since the hash counts the list as it was.
+			reply.Delta.Changed[i].ColdLeft = max(time.Millisecond, e.ColdLeft-reply.ListAge)
+		}
+	}
+	return l.Apply(reply.Delta)
+}
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -7,11 +7,13 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
 
 const (
-	// callTime bounds a call to the store beyond the time for which it waits.
-	callTime = 900 * time.Millisecond
+	// wholeInterval is how often the whole list is read although the changes were.
+	// It repairs a list of which a change was never told.
+	wholeInterval = 30 * time.Second
 	// retryPause and maxRetryPause bound the pause after a failed call.
 	retryPause    = 150 * time.Millisecond
 	maxRetryPause = 600 * time.Millisecond
@@ -64,9 +66,9 @@
 		var err error
 		next := position
 		if known {
-			orders, next, err = r.changes(ctx, position, wait)
+			orders, next, err = r.deps.Store.Changes(ctx, position, wait)
 		} else {
-			orders, next, err = r.standing(ctx)
+			orders, next, err = r.deps.Store.Standing(ctx)
 		}
 		if errors.Is(err, ErrTrimmed) {
 			r.log.Info("records of the orders are gone, reading all that stand", "position", position)
@@ -88,31 +90,23 @@
 	}
 }
 
-func (r *Router) standing(ctx context.Context) (Orders, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	return r.deps.Store.Standing(ctx)
-}
-
-func (r *Router) changes(ctx context.Context, from int64, wait time.Duration) (Orders, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime+wait)
-	defer cancel()
-	return r.deps.Store.Changes(ctx, from, wait)
-}
-
 // followList reads the instance list at its interval, unless another router
-// does for this one.
+// does for this one: the whole list first and after each failure, otherwise what
+// changed.
 func (r *Router) followList(ctx context.Context) {
 	l := &link{r: r, name: "instance list"}
-	skipped, known := 0, false
+	known := false // a list was read
+	f := listFollower{r: r}
 	for ctx.Err() == nil {
 		if known {
 			r.gate.pass(ctx, listLoop)
 		}
 		start, sent := time.Now(), boottime.Now()
-		call, cancel := context.WithTimeout(ctx, callTime)
-		list, err := r.deps.Store.Endpoints(call)
-		cancel()
+		list, err := f.read(ctx)
+		if errors.Is(err, ErrTrimmed) {
+			r.log.Info("records of the instance list are gone, reading the whole list", "position", f.position)
+			continue
+		}
 		if err != nil {
 			_ = r.loop.Post(ctx, listLost{})
 			if !l.failed(ctx, err) {
@@ -122,17 +116,52 @@
 		}
 		l.ok()
 		known = true
-		if list.Skipped != skipped {
-			r.log.Warn("entries of the instance list name no endpoint to use", "count", list.Skipped)
-			skipped = list.Skipped
-		}
-		for i := range list.Endpoints {
-			e := &list.Endpoints[i]
-			e.Region = r.settings.Regions[e.DataCentre]
-		}
-		_ = r.loop.Post(ctx, listRead{list: list.Endpoints, hash: hashList(list.Endpoints), sent: sent})
+		_ = r.loop.Post(ctx, listRead{list: list, sent: sent})
 		if !control.Pause(ctx, max(0, r.loop.Snapshot().Settings.ListInterval-time.Since(start))) {
 			return
 		}
 	}
 }
+
+// listFollower holds the instance list up to a position.
+type listFollower struct {
+	r        *Router
+	list     place.List
+	position int64
+	whole    time.Time // when the whole list was read last; zero if it has to be
+	skipped  int       // entries that were logged last
+}
+
+// read returns the instance list of now. After an error the next read is one of
+// the whole list.
+func (f *listFollower) read(ctx context.Context) (place.List, error) {
+	now := time.Now()
+	var read Listing
+	var err error
+	whole := now.Sub(f.whole) > wholeInterval
+	if whole {
+		read, err = f.r.deps.Store.Endpoints(ctx)
+	} else {
+		read, err = f.r.deps.Store.EndpointChanges(ctx, f.position)
+	}
+	if err != nil {
+		f.whole = time.Time{}
+		return f.list, err
+	}
+	if read.Skipped > 0 && read.Skipped != f.skipped {
+		f.r.log.Warn("entries of the instance list name no endpoint to use", "count", read.Skipped)
+		f.skipped = read.Skipped
+	}
+	for i := range read.Changed {
+		e := &read.Changed[i]
+		e.Region = f.r.settings.Regions[e.DataCentre]
+	}
+	f.position = read.Position
+	switch {
+	case whole:
+		f.list, f.whole = place.NewList(read.Changed), now
+	case !read.Empty():
+		f.list = f.list.Apply(read.Delta)
+	}
+	return f.list, nil
+}
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -21,12 +21,10 @@
 		sent     time.Duration
 		position int64 // behind the orders
 	}
-	// listRead brings the instance list, or that it is the same as before, and
-	// the boot time at which its read was sent.
+	// listRead brings the instance list and the boot time at which its read was
+	// sent.
 	listRead struct {
-		list []place.Endpoint
-		hash uint64
-		same bool
+		list place.List
 		sent time.Duration
 	}
 	// listLost tells that the instance list could not be read.
@@ -177,15 +175,13 @@
 			return false // older than what is known
 		}
 		s.listSent = e.sent
-		if e.same && s.listHash == e.hash {
-			s.table.SetEndpoints(now, s.list)
+		if s.listed && e.list.Hash == s.list.Hash {
+			f.went(s.table.Unchanged(now))
 			return true
 		}
-		if e.same {
-			return false // the list changed while the question was under way
-		}
-		s.list, s.listHash = e.list, e.hash
-		changes := s.table.SetEndpoints(now, e.list)
+		s.trail = s.trail.Add(s.list, e.list)
+		s.list, s.listed = e.list, true
+		changes := s.table.SetEndpoints(now, e.list.Endpoints)
 		for _, id := range changes.Came {
 			ep, _ := s.table.Lookup(id)
 			f.log.Info("endpoint listed", "endpoint", id, "pool", ep.Pool, "data_centre", ep.DataCentre,
@@ -194,10 +190,7 @@
 		for _, id := range changes.Leaving {
 			f.log.Info("endpoint leaves", "endpoint", id)
 		}
-		for _, id := range changes.Went {
-			f.log.Info("endpoint no longer listed", "endpoint", id)
-		}
-		s.listed = true
+		f.went(changes.Went)
 		return true
 	case listLost:
 		s.table.Outage(now)
@@ -208,6 +201,12 @@
 	return false
 }
 
+func (f foldList) went(endpoints []model.EndpointID) {
+	for _, id := range endpoints {
+		f.log.Info("endpoint no longer listed", "endpoint", id)
+	}
+}
+
 // placeRequests answers which endpoint runs a request.
 type placeRequests struct{ log *slog.Logger }
 
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -31,9 +31,9 @@
 	read      map[uint32]bool // engines whose caches some router read since the start
 	phase     Phase
 	windows   map[model.Pool]*retry.Window
-	position  int64            // behind the orders that were read
-	list      []place.Endpoint // the instance list as it was read last
-	listHash  uint64
+	position  int64                       // behind the orders that were read
+	list      place.List                  // the instance list as it was read last
+	trail     place.Trail                 // its last changes
 	listSent  time.Duration               // boot time at which its read was sent
 	addresses map[model.InstanceID]string // of the exchange of other routers
 	members   []model.InstanceID          // routers that announced themselves lately
@@ -45,12 +45,11 @@
 	Catalog   *catalog.Catalog // nil before the first one
 	Confirmed time.Duration    // boot time as of which Catalog is known to be in force
 	Listed    bool
-	Endpoints map[model.Pool]int
 	Phase     Phase
 	// What other routers are told of the store.
 	Position int64
-	List     []place.Endpoint
-	ListHash uint64
+	List     place.List
+	Trail    place.Trail
 	ListSent time.Duration
 }
 
@@ -60,6 +59,6 @@
 }
 
 func publish(s *State, _ time.Time) *Snapshot {
-	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Endpoints: s.table.Endpoints(), Phase: s.phase,
-		Position: s.position, List: s.list, ListHash: s.listHash, ListSent: s.listSent}
+	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Phase: s.phase,
+		Position: s.position, List: s.list, Trail: s.trail, ListSent: s.listSent}
 }
--- a/internal/router/truth_test.go
+++ b/internal/router/truth_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -36,3 +39,38 @@
 		is.Equal(model.AsRefusal(err).Outcome, want)
 	}
 }
+
+// Guards against a whole list that is sent to each router at each change, which
+// took 3.6 MB/s at a router of 301.
+func TestReadersTellWhatChanged(t *testing.T) {
+	is := is.New(t)
+	var endpoints []place.Endpoint
+	for i := range 3000 {
+		endpoints = append(endpoints, place.Endpoint{ID: model.EndpointID(strconv.Itoa(i)), Pool: "p"})
+	}
+	before := place.NewList(endpoints)
+	after := before.Apply(place.Delta{Gone: []model.EndpointID{"7"}, Changed: []place.Endpoint{{ID: "8", Pool: "p", Draining: true}}})
+	reader := storeServer{func() *Snapshot {
+		return &Snapshot{Catalog: &catalog.Catalog{}, Listed: true, List: after, Trail: place.Trail{}.Add(before, after)}
+	}}
+	ask := func(knows place.List) (r StateReply) {
+		is.NoErr(reader.State(StateArgs{knows.Hash}, &r))
+		is.Equal(listAfter(knows, r), after)
+		return r
+	}
+	r := ask(before)
+	is.True(!r.Whole)
+	is.Equal(len(r.Delta.Changed)+len(r.Delta.Gone), 2)
+	is.True(ask(after).Delta.Empty())
+	is.True(ask(place.List{}).Whole)
+}
+
+// Guards against an endpoint that is no longer cold in the eyes of one router
+// and cold in those of another, whose lists then never agree.
+func TestColdEndpointsStayColdOnTheWay(t *testing.T) {
+	is := is.New(t)
+	list := place.NewList([]place.Endpoint{{ID: "a", ColdLeft: time.Second}})
+	got := listAfter(place.List{}, StateReply{Whole: true, ListAge: 2 * time.Second, Delta: place.Delta{Changed: slices.Clone(list.Endpoints)}})
+	is.Equal(got.Hash, list.Hash)
+	is.True(got.Endpoints[0].ColdLeft < 10*time.Millisecond)
+}
