Take changes as complete only if they reach the end of the topic

An answer with changes ends at 1 MB; configurations there have 200 KB each, so the first answer after an outage held versions up to 39 of 48, and the router counted version 39 as confirmed at the time of that read. The outage itself was ours in part: 1 MB takes 0.84 s over that link, and calls were cut at 0.9 s, so the router lacked the orders from 17.5 s to 26.6 s.

Change: an answer with changes that does not reach the end of the topic is ErrIncomplete, as one whose records are gone; the newest records are read in place of all versions between.

Test: TestPartOfTheChangesConfirmsNothing fails before (200 for a revoked key).

Ruled out: the age that other routers tell; this router read by itself.

--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -35,8 +35,9 @@
 	Signed      bool // the answer carries the endpoint's signature
 }
 
-// ErrTrimmed means that records before the position are gone.
-var ErrTrimmed = eris.New("router: records were trimmed")
+// ErrIncomplete means that the changes since a position cannot be had: records
+// are gone, or there are too many. What stands has to be read anew.
+var ErrIncomplete = eris.New("router: changes are incomplete")
 
 // Orders is what operators ordered. A nil field says nothing.
 type Orders struct {
@@ -65,13 +66,13 @@
 	// Endpoints returns the whole instance list.
 	Endpoints(ctx context.Context) (Listing, error)
 	// EndpointChanges returns what was written to the list since a position. It
-	// returns ErrTrimmed if records are missing.
+	// returns ErrIncomplete if it cannot return all of it.
 	EndpointChanges(ctx context.Context, from int64) (Listing, error)
 	// Standing returns all orders that stand and the position behind them.
 	Standing(ctx context.Context) (Orders, int64, error)
 	// Changes returns the orders from a position on and the position behind
-	// them. It waits up to wait for the first one and returns ErrTrimmed if
-	// records are missing.
+	// them. It waits up to wait for the first one and returns ErrIncomplete if it
+	// cannot return all of them.
 	Changes(ctx context.Context, from int64, wait time.Duration) (Orders, int64, error)
 	// Announce publishes a member, Members returns those published.
 	Announce(ctx context.Context, m Member) error
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -483,6 +483,32 @@
 	eventually(t, "keys open again", func() bool { return p.get("/read/x").status == http.StatusOK })
 }
 
+// Guards against a configuration that counts as the newest one since the answer
+// of the store ended before the end of the topic: a key that had been taken away
+// for 7 s opened again for a moment after an outage of the store.
+func TestPartOfTheChangesConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 1)
+	p := f.start(func(s *router.Settings) { s.Revoke = 1500 * time.Millisecond }).await()
+	f.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	const last = 10
+	for v := 2; v <= last; v++ {
+		config := routes(v)
+		config["Comment"] = strings.Repeat("x", 300<<10)
+		if v == last {
+			config["Tenants"] = []any{map[string]any{"Name": "studio", "ApiKeys": []string{"key-2"}}}
+		}
+		f.store.SetConfig(config)
+	}
+	eventually(t, "keys are refused", func() bool { return p.get("/read/x").status == http.StatusServiceUnavailable })
+	f.store.SetFaults(standin.StoreFaults{Delay: 100 * time.Millisecond})
+	eventually(t, "the key is known to be taken away", func() bool {
+		status := p.get("/read/x").status
+		is.True(status != http.StatusOK)
+		return status == http.StatusUnauthorized
+	})
+}
+
 // Guards against work for an endpoint or a data centre that was taken out.
 func TestEndpointsLeave(t *testing.T) {
 	f := newFleet(t, 0, 2)
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -70,8 +70,8 @@
 		} else {
 			orders, next, err = r.deps.Store.Standing(ctx)
 		}
-		if errors.Is(err, ErrTrimmed) {
-			r.log.Info("records of the orders are gone, reading all that stand", "position", position)
+		if errors.Is(err, ErrIncomplete) {
+			r.log.Info("changes of the orders are incomplete, reading all that stand", "position", position, "cause", err.Error())
 			known = false
 			continue
 		}
@@ -103,8 +103,8 @@
 		}
 		start, sent := time.Now(), boottime.Now()
 		list, err := f.read(ctx)
-		if errors.Is(err, ErrTrimmed) {
-			r.log.Info("records of the instance list are gone, reading the whole list", "position", f.position)
+		if errors.Is(err, ErrIncomplete) {
+			r.log.Info("changes of the instance list are incomplete, reading the whole list", "position", f.position, "cause", err.Error())
 			continue
 		}
 		if err != nil {
