Say in the logs why no other attempt followed, and check the page's log lines

Cause: docs/OPERATIONS.md named a line that the code had lost ("records of the orders are gone"), since only settings, flags, metrics and prefixes were compared with the code. "again=false" did not tell the retry budget from the number of attempts.

Change: attempt failed has denied: may run once, attempts used up, retry budget used up, no endpoint would take it.

--- a/internal/doctest/doc_test.go
+++ b/internal/doctest/doc_test.go
@@ -49,16 +49,21 @@
 	settingRow = regexp.MustCompile("^\\| `\\[([^\\]]+)\\]` \\| `([a-z_]+)` \\|")
 	flagRow    = regexp.MustCompile("^\\| `-([a-z-]+)` \\|")
 	prefixRow  = regexp.MustCompile("^\\| `([a-z]+: )` \\|")
+	lineRow    = regexp.MustCompile("^\\| `([a-z][^`]*)` \\|")
 )
 
 // facts are what the code or the documents name, as "package [section] key",
-// "package -flag", metric names and log prefixes.
-type facts struct{ settings, flags, metrics, prefixes map[string]bool }
+// "package -flag", metric names, log prefixes and log lines of the router.
+type facts struct{ settings, flags, metrics, prefixes, lines map[string]bool }
 
 func newFacts() facts {
-	return facts{map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}}
+	return facts{map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}}
 }
 
+// linesHeading is the section of docs/OPERATIONS.md with the lines that the
+// package of the router logs.
+const linesHeading = "Log lines of the router"
+
 func literal(e ast.Expr) (string, bool) {
 	lit, ok := e.(*ast.BasicLit)
 	if !ok || lit.Kind != token.STRING {
@@ -108,6 +113,7 @@
 	case *ast.SelectorExpr:
 		name = fun.Sel.Name
 		receiver, _ := fun.X.(*ast.Ident)
+		f.line(pkg, fun, c)
 		if at, ok := flagMethods[name]; ok && receiver != nil && receiver.Name == "fs" && len(c.Args) > at {
 			if flag, ok := literal(c.Args[at]); ok {
 				f.flags[pkg+" -"+flag] = true
@@ -133,6 +139,17 @@
 	f.settings[pkg+" ["+section+"] "+key] = true
 }
 
+// line notes a line that the router logs.
+func (f facts) line(pkg string, fun *ast.SelectorExpr, c *ast.CallExpr) {
+	logger, ok := fun.X.(*ast.SelectorExpr)
+	if pkg != "router" || !ok || logger.Sel.Name != "log" || len(c.Args) == 0 {
+		return
+	}
+	if s, ok := literal(c.Args[0]); ok {
+		f.lines[s] = true
+	}
+}
+
 // prefix notes the log prefix that a call sets up or writes.
 func (f facts) prefix(pkg, name string, c *ast.CallExpr) {
 	for _, a := range c.Args {
@@ -178,10 +195,13 @@
 	for _, path := range append(paths, filepath.Join(root, "docs", "OPERATIONS.md")) {
 		data, err := os.ReadFile(path)
 		is.New(t).NoErr(err)
-		pkg := ""
+		pkg, heading := "", ""
 		for line := range strings.SplitSeq(string(data), "\n") {
-			if heading, ok := strings.CutPrefix(line, "## "); ok {
-				pkg = programs[heading]
+			if h, ok := strings.CutPrefix(line, "## "); ok {
+				pkg, heading = programs[h], h
+			}
+			if m := lineRow.FindStringSubmatch(line); m != nil && heading == linesHeading {
+				out.lines[m[1]] = true
 			}
 			for _, m := range metricName.FindAllString(line, -1) {
 				out.metrics[m] = true
@@ -216,6 +236,7 @@
 		{"flag", code.flags, docs.flags},
 		{"metric", code.metrics, docs.metrics},
 		{"log prefix", code.prefixes, docs.prefixes},
+		{"log line", code.lines, docs.lines},
 	} {
 		if len(kind.code) == 0 {
 			t.Errorf("no %s was found in the code", kind.name)
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -56,9 +56,7 @@
 
 // againAfterFailure decides whether a repeat may replace an endpoint's failure.
 func (f repeat) againAfterFailure(ctx context.Context, req *Request) bool {
-	ok := req.Runs < req.Route.Attempts && req.Sends < maxSends && f.may(ctx, req)
-	f.note(req, "endpoint failed", ok)
-	return ok
+	return f.allow(ctx, req, "endpoint failed", req.Runs < req.Route.Attempts && req.Sends < maxSends)
 }
 
 // again decides whether a refused request goes to a further endpoint.
@@ -73,19 +71,48 @@
 		return *tries <= noEndpointTries && control.Pause(ctx, noEndpointPause)
 	case r.Reason == model.ReasonUnreachable && r.Outcome == model.NotRun:
 		*tries++
-		f.note(req, r.Detail, *tries <= noEndpointTries)
-		return *tries <= noEndpointTries
+		again := *tries <= noEndpointTries
+		f.note(req, r.Detail, again, deniedIf(!again, deniedAttempts))
+		return again
+	case r.Outcome == model.NotRun && !retryable(r.Reason):
+		f.note(req, r.Detail, false, deniedReason)
+		return false
 	case r.Outcome == model.NotRun:
-		ok := retryable(r.Reason) && req.Sends < maxSends && f.may(ctx, req)
-		f.note(req, r.Detail, ok)
-		return ok
+		return f.allow(ctx, req, r.Detail, req.Sends < maxSends)
 	case r.Reason == model.ReasonDeadline:
 		return false
+	case !req.Route.Repeatable():
+		f.note(req, r.Detail, false, deniedOnce)
+		return false
 	default:
-		ok := req.Route.Repeatable() && req.Runs < req.Route.Attempts && f.may(ctx, req)
-		f.note(req, r.Detail, ok)
-		return ok
+		return f.allow(ctx, req, r.Detail, req.Runs < req.Route.Attempts)
+	}
+}
+
+// Why a request is not sent to a further endpoint, as logs say it.
+const (
+	deniedReason   = "no endpoint would take it"
+	deniedOnce     = "may run once"
+	deniedAttempts = "attempts used up"
+	deniedBudget   = "retry budget used up"
+)
+
+// allow asks the retry budget for a repeat, unless the attempts are used up.
+func (f repeat) allow(ctx context.Context, req *Request, cause string, left bool) bool {
+	if !left {
+		f.note(req, cause, false, deniedAttempts)
+		return false
+	}
+	again := f.may(ctx, req)
+	f.note(req, cause, again, deniedIf(!again, deniedBudget))
+	return again
+}
+
+func deniedIf(denied bool, why string) string {
+	if denied {
+		return why
 	}
+	return ""
 }
 
 // retryable reports whether another endpoint may take what one refused.
@@ -93,7 +120,7 @@
 	return reason == model.ReasonOverloaded || reason == model.ReasonUnreachable
 }
 
-func (f repeat) note(req *Request, cause string, again bool) {
+func (f repeat) note(req *Request, cause string, again bool, denied string) {
 	f.log.Info("attempt failed", "request", req.ID, "endpoint", req.Endpoint.ID, "cause", cause,
-		"sends", req.Sends, "runs", req.Runs, "again", again)
+		"sends", req.Sends, "runs", req.Runs, "again", again, "denied", denied)
 }
