Write the router's bounds as durations and tell the platform its metrics address

Cause: the template appended digits to the platform's bounds (GraceS with 000), so a deployment that states none, or one of 8.5 s, gave settings that the router refuses at its start. The metrics port was one that only the router knew.

Change: grace, revoke, retry_window, list_interval and follow are durations with units, as in the other programs; a bound that the platform does not state is left out.

Tests: the template is filled as the platform does, with the usual bounds, with fractions and with none, and loaded; the port agrees with system.toml.

--- /dev/null
+++ b/internal/router/deploy_test.go
@@ -0,0 +1,81 @@
+package router_test
+
+import (
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/router"
+)
+
+// Guards against a template of the users' platform that does not give the
+// settings that routers read, and against metrics on another port than the one
+// that the platform is told.
+func TestTemplateOfTheUsersPlatform(t *testing.T) {
+	is := is.New(t)
+	s := fillTemplate(t, map[string]string{
+		"Bounds.GraceS": "8", "Bounds.RevokeMs": "5000", "Bounds.StrictRevoke": "true", "Bounds.RetryRatio": "0.2",
+		"Bounds.RetryBurst": "58", "Bounds.RetryWindowS": "10",
+	})
+	is.Equal(s.Grace, 8*time.Second)
+	is.Equal(s.Revoke, 5*time.Second)
+	is.Equal(s.RetryBurst, 58.0)
+	is.Equal(s.RetryWindow, 10*time.Second)
+	is.Equal(len(s.Regions), 2)
+	_, port, err := net.SplitHostPort(s.Metrics)
+	is.NoErr(err)
+	system, err := os.ReadFile(filepath.Join("..", "..", "deploy", "system.toml"))
+	is.NoErr(err)
+	is.True(strings.Contains(string(system), `metrics = "`+port+`/metrics"`))
+}
+
+// Guards against routers that do not start on a deployment whose bounds are no
+// whole seconds, or that states none.
+func TestTemplateOnOtherDeployments(t *testing.T) {
+	is := is.New(t)
+	is.Equal(fillTemplate(t, map[string]string{"Bounds.GraceS": "8.5", "Bounds.RetryWindowS": "2.5"}).Grace, 8500*time.Millisecond)
+	is.Equal(fillTemplate(t, nil).Grace, 8*time.Second)
+}
+
+// fillTemplate loads the settings that the platform makes of the template.
+func fillTemplate(t *testing.T, bounds map[string]string) router.Settings {
+	t.Helper()
+	is := is.New(t)
+	template, err := os.ReadFile(filepath.Join("..", "..", "deploy", "router.ini.tmpl"))
+	is.NoErr(err)
+	text := regexp.MustCompile(`(?s)\{\{#Zones\}\}\{\{@\}\}\{\{,\}\}\{\{/Zones\}\}`).ReplaceAllString(string(template), "a,b")
+	text = regexp.MustCompile(`(?s)\{\{#Zones\}\}.*\{\{/Zones\}\}`).ReplaceAllString(text, "a = north\nb = south\n")
+	values := map[string]string{
+		"NodeName": "edge-a-1", "Zone": "a", "Listen.Frontend": "10.1.0.1:8227", "Listen.Ready": "10.1.0.1:8220", "Ip": "10.1.0.1",
+		"InternalPorts.0": "7340", "Bootstrap": "true", "Limits.MemoryMb": "184", "Platform.Address": "10.200.1.7:8065",
+		"Bounds.GraceS": "", "Bounds.RevokeMs": "", "Bounds.StrictRevoke": "", "Bounds.RetryRatio": "",
+		"Bounds.RetryBurst": "", "Bounds.RetryWindowS": "",
+	}
+	maps.Copy(values, bounds)
+	fill := func(name, value string) {
+		section := regexp.MustCompile(`\{\{#` + regexp.QuoteMeta(name) + `\}\}(.*?)\{\{/` + regexp.QuoteMeta(name) + `\}\}`)
+		text = section.ReplaceAllStringFunc(text, func(all string) string {
+			if value == "" {
+				return ""
+			}
+			return strings.ReplaceAll(section.FindStringSubmatch(all)[1], "{{.}}", value)
+		})
+		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
+	}
+	for name, value := range values {
+		fill(name, value)
+	}
+	is.True(!strings.Contains(text, "{{")) // a placeholder without a value
+	path := filepath.Join(t.TempDir(), "router.ini")
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	s, err := router.LoadSettings(path)
+	is.NoErr(err)
+	return s
+}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -32,7 +32,11 @@
 	path         string
 }
 
-const maxBound = 10 * time.Minute
+// Limits of the settings that are durations.
+const (
+	minBound = time.Millisecond
+	maxBound = 10 * time.Minute
+)
 
 // LoadSettings reads the settings of a router and reports all faults together.
 func LoadSettings(path string) (Settings, error) {
@@ -59,23 +63,17 @@
 		Store:        f.Address("platform", "store"),
 		MemoryLimit:  f.Int("router", "memory_mb", 256, 16, 1<<20) << 20,
 		FirstStart:   f.Bool("router", "first_start", false),
-		Grace:        milliseconds(f, "bounds", "grace_ms", 8000),
-		Revoke:       milliseconds(f, "bounds", "revoke_ms", 5000),
+		Grace:        f.Duration("bounds", "grace", 8*time.Second, minBound, maxBound),
+		Revoke:       f.Duration("bounds", "revoke", 5*time.Second, minBound, maxBound),
 		StrictRevoke: f.Bool("bounds", "strict_revoke", true),
 		RetryRatio:   f.Float("bounds", "retry_ratio", 0.2, 0, 10),
 		RetryBurst:   f.Float("bounds", "retry_burst", 50, 0, 1e6),
-		RetryWindow:  milliseconds(f, "bounds", "retry_window_ms", 10_000),
-		ListInterval: milliseconds(f, "platform", "list_interval_ms", 500),
-		FollowTime:   milliseconds(f, "platform", "follow_ms", 1000),
+		RetryWindow:  f.Duration("bounds", "retry_window", 10*time.Second, minBound, maxBound),
+		ListInterval: f.Duration("platform", "list_interval", 500*time.Millisecond, minBound, maxBound),
+		FollowTime:   f.Duration("platform", "follow", time.Second, minBound, maxBound),
 	}
 	for _, dc := range f.List("regions", "data_centres") {
 		s.Regions[model.DataCentre(dc)] = model.Region(f.Required("regions", dc))
 	}
 	return s, f.Err()
 }
-
-// milliseconds reads a whole number of milliseconds. The platform fills bounds
-// in as bare numbers.
-func milliseconds(f *settings.File, section, key string, def int64) time.Duration {
-	return time.Duration(f.Int(section, key, def, 1, maxBound.Milliseconds())) * time.Millisecond
-}
