--- a/internal/doctest/doc_test.go
+++ b/internal/doctest/doc_test.go
@@ -224,6 +224,40 @@
 	return out
 }
 
+// Guards against a page that names a test which no longer exists.
+func TestDocumentsNameTestsThatExist(t *testing.T) {
+	is := is.New(t)
+	name := regexp.MustCompile(`\bTest[A-Z]\w+`)
+	function := regexp.MustCompile(`(?m)^func (Test[A-Z]\w+)\(`)
+	exist := map[string]bool{}
+	named := map[string]string{}
+	is.NoErr(filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		inDocs := strings.HasPrefix(path, filepath.Join(root, "docs")) && strings.HasSuffix(path, ".md")
+		if !inDocs && !strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		for _, m := range function.FindAllStringSubmatch(string(data), -1) {
+			exist[m[1]] = exist[m[1]] || !inDocs
+		}
+		if inDocs {
+			for _, n := range name.FindAllString(string(data), -1) {
+				named[n] = path
+			}
+		}
+		return err
+	}))
+	for n, path := range named {
+		if !exist[n] {
+			t.Errorf("%s names %s, which does not exist", path, n)
+		}
+	}
+	is.True(len(named) > 0)
+}
+
 // Guards against documents that lack a setting, flag, list key, metric or log
 // prefix of the code, or name one that the code does not have.
 func TestDocumentsMatchTheCode(t *testing.T) {
--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -56,6 +57,19 @@
 	return err == nil
 }
 
+// readID reads the head of a request and returns its id.
+func readID(r *bufio.Reader) (id string) {
+	for {
+		line, err := r.ReadString('\n')
+		if line = strings.TrimSpace(line); err != nil || line == "" {
+			return id
+		}
+		if value, ok := strings.CutPrefix(line, idHeader+": "); ok {
+			id = value
+		}
+	}
+}
+
 func request(id string, change func(*Request)) *Request {
 	r := &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{idHeader: {id}}, MaxIdle: time.Minute,
 		Matches: func(h http.Header) bool { return h.Get(idHeader) == id }}
@@ -168,6 +182,41 @@
 	is.Equal(len(dials), 2)
 }
 
+// Guards against a request that is written where the rest of a long body is due:
+// the endpoint answers before it has read the body, and reads on later.
+func TestEarlyAnswersEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	conns := make(chan net.Conn, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+			id := readID(bufio.NewReaderSize(c, 16)) // of the body, the kernel holds what fits
+			_ = plain(c, id)
+		}
+	}()
+	c := NewClient()
+	long := request("a", nil)
+	long.Method, long.Body = http.MethodPost, make([]byte, 64<<20)
+	body, err := do(c, l.Addr().String(), long)
+	is.NoErr(err)
+	is.Equal(body, "a")
+	body, err = do(c, l.Addr().String(), request("b", nil))
+	is.NoErr(err)
+	is.Equal(body, "b")
+	first, second := <-conns, <-conns
+	defer second.Close()
+	rest, err := io.ReadAll(first)
+	_ = err // the client may reset the connection
+	is.True(bytes.Equal(rest, make([]byte, len(rest))))
+}
+
 // Guards against work at an endpoint after its caller left.
 func TestCancellationClosesTheConnection(t *testing.T) {
 	is := is.New(t)
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -101,7 +101,7 @@
 		f.add(fmt.Sprintf("service-%d", i), "service", fmt.Sprintf("dc-%d", i%2))
 	}
 	for i := range routers {
-		f.addRouter(i)
+		f.addRouter(i, nil)
 	}
 	return f
 }
@@ -134,7 +134,8 @@
 	})
 }
 
-func (f *fleet) addRouter(i int) {
+// addRouter starts a router that writes to out, or to a file if out is nil.
+func (f *fleet) addRouter(i int, out *os.File) {
 	p := &process{fleet: f, name: fmt.Sprintf("router-%d", i), callers: freePort(f.t), ready: freePort(f.t)}
 	p.settings = filepath.Join(f.dir, p.name+".ini")
 	text := fmt.Sprintf("[router]\ninstance = %s\ndata_centre = dc-%d\nlisten = %s\nready = %s\nready_path = /ready\nexchange = %s\nfirst_start = true\n[platform]\nstore = %s\n[regions]\ndata_centres = dc-0, dc-1\ndc-0 = r\ndc-1 = r\n",
@@ -142,9 +143,11 @@
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	var err error
-	if p.log, err = os.Create(filepath.Join(f.dir, p.name+".log")); err != nil {
-		f.t.Fatal(err)
+	if p.log = out; out == nil {
+		var err error
+		if p.log, err = os.Create(filepath.Join(f.dir, p.name+".log")); err != nil {
+			f.t.Fatal(err)
+		}
 	}
 	f.t.Cleanup(func() { p.signal(syscall.SIGKILL, true); p.log.Close() })
 	f.routers = append(f.routers, p)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -39,10 +40,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	binary := filepath.Join(t.TempDir(), "goldcrest-router")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/goldcrest-router").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := build(t)
 	list := ciSeeds
 	for _, r := range regressions {
 		list = append(list, r.seed)
@@ -62,6 +60,64 @@
 	}
 }
 
+// build builds the router and returns its path.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "goldcrest-router")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/goldcrest-router").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// pipeSize is what a pipe holds on Linux, less one line that did not fit.
+const pipeSize = 60 << 10
+
+// Guards against a router that waits for whoever reads its standard output: with
+// a pipe that nobody reads, callers are served as before and a planned stop ends.
+func TestOutputThatNobodyReads(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	f := newFleet(t, build(t), 2, 2, 0)
+	unread, out, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unread.Close()
+	f.addRouter(0, out)
+	if !f.awaitReady(recoverTime) {
+		t.Fatal("the router is not ready at the start")
+	}
+	c := &callers{fleet: f}
+	ctx, stop := context.WithCancel(context.Background())
+	c.run(ctx, 3*callerCount, 1)
+	// A pipe holds 64 KiB, about 200 lines, which the callers cause in a second.
+	time.Sleep(4 * time.Second)
+	stop()
+	c.group.Wait()
+	calls := c.all()
+	f.check(calls)
+	late := 0
+	for _, r := range calls[len(calls)/2:] {
+		if r.status == http.StatusOK && r.ended.Sub(r.sent) > time.Second { // usual are 0.02 to 0.1 s
+			late++
+		}
+		if r.err == nil && r.status != http.StatusOK {
+			f.fail("%s was answered %d", r.id, r.status)
+		}
+	}
+	if len(calls) < 500 || late > 0 {
+		f.fail("%d calls, %d of them late", len(calls), late)
+	}
+	f.routers[0].restart(syscall.SIGTERM)
+	_ = unread.SetReadDeadline(time.Now().Add(time.Second))
+	if n, _ := io.Copy(io.Discard, io.LimitReader(unread, pipeSize)); n < pipeSize {
+		f.fail("the pipe was not full: %d bytes", n)
+	}
+	f.report(1)
+}
+
 const (
 	callerCount = 8
 	recoverTime = 12 * time.Second
