Keep the usable endpoints of a pool between lists, and share the rendezvous score

Cause: each choice sorted all endpoints of the pool anew, though they change only with the list. place.order repeated choose.mix line by line; the answer to a choice carried a hash that follows from the endpoint's id; the router's HTTP transport had a hook that did nothing.

--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -16,7 +16,7 @@
 
 // purePackages decide without a clock, a socket or hidden randomness.
 var purePackages = []string{
-	"admit", "catalog", "choose", "claim", "config", "finding", "limit", "lists", "member",
+	"admit", "catalog", "choose", "claim", "config", "finding", "hrw", "limit", "lists", "member",
 	"model", "order", "pipe", "place", "replay", "retry", "rollout", "summary", "suspect", "timing",
 }
 
--- a/internal/choose/baseline.go
+++ b/internal/choose/baseline.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/goldcrestturn/goldcrestturn/internal/hrw"
 )
 
 // Baseline is a plain method that the order of this package is compared with.
@@ -65,7 +66,7 @@
 	var points []ringPoint
 	for i, c := range list {
 		for k := range uint64(ringPoints) {
-			points = append(points, ringPoint{mix(c.hash, k), i})
+			points = append(points, ringPoint{hrw.Score(c.hash, k), i})
 		}
 	}
 	slices.SortFunc(points, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
@@ -91,7 +92,7 @@
 		h := xxhash.Sum64String(key)
 		best := make([]ranked, 0, n+1)
 		for i := range list {
-			r := ranked{index: i, class: open, score: unit(mix(h, list[i].hash))}
+			r := ranked{index: i, class: open, score: unit(hrw.Score(h, list[i].hash))}
 			if bounded && list[i].OverBound {
 				r.class = overBound
 			}
--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/hrw"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -238,7 +239,7 @@
 // makes the share of keys won proportional to the weight. With equal weights u
 // itself gives the same order without the logarithm.
 func (p *Pool) score(keyHash uint64, c *Candidate) float64 {
-	u := unit(mix(keyHash, c.hash))
+	u := unit(hrw.Score(keyHash, c.hash))
 	if p.equalWeights {
 		return u
 	}
@@ -248,15 +249,6 @@
 // unit maps a hash to (0, 1).
 func unit(h uint64) float64 { return (float64(h>>11) + 0.5) / (1 << 53) }
 
-// mix combines two hashes with the finaliser of SplitMix64, which costs far
-// less than hashing both strings for every candidate.
-func mix(a, b uint64) uint64 {
-	z := a ^ (b*0x9e3779b97f4a7c15 + 0x9e3779b97f4a7c15)
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
-
 func tokenHash(id model.EndpointID) uint64 {
 	return xxhash.Sum64String("return-token\x00" + string(id))
 }
--- a/internal/choose/eligible.go
+++ b/internal/choose/eligible.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"github.com/goldcrestturn/goldcrestturn/internal/hrw"
 	"slices"
 	"time"
 )
@@ -57,5 +58,5 @@
 // hash slice has not been given back yet. The slices only grow, so a chat
 // changes its endpoint at most once.
 func inReturnedSlice(c *Candidate, keyHash uint64) bool {
-	return c.Withheld <= 0 || unit(mix(keyHash, returnSalt)) >= c.Withheld
+	return c.Withheld <= 0 || unit(hrw.Score(keyHash, returnSalt)) >= c.Withheld
 }
--- a/internal/place/peers.go
+++ b/internal/place/peers.go
@@ -154,11 +154,3 @@
 
 // Holders returns the known holders, the latest used first, up to limit.
 func (t *Table) Holders(limit int) []Held { return t.holders.list(limit) }
-
-// HashOf returns the short form of an endpoint id in the table, or 0.
-func (t *Table) HashOf(id model.EndpointID) uint32 {
-	if s := t.spots[id]; s != nil {
-		return s.hash
-	}
-	return 0
-}
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/hrw"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -121,7 +122,7 @@
 	t.expirePeers(now)
 	total := 0.0
 	var paused []candidate
-	for _, s := range t.sorted(q.Pool) {
+	for _, s := range t.usable(q.Pool) {
 		c := candidate{s, t.load(s)}
 		total += c.load
 		all = append(all, c)
@@ -251,9 +252,4 @@
 }
 
 // order is the rendezvous order of endpoints for a key, the same at every entry.
-func order(key uint64, endpoint uint32) uint64 {
-	z := key ^ (uint64(endpoint)*0x9e3779b97f4a7c15 + 0x9e3779b97f4a7c15)
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
+func order(key uint64, endpoint uint32) uint64 { return hrw.Score(key, uint64(endpoint)) }
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -45,6 +46,7 @@
 	home       model.DataCentre
 	spots      map[model.EndpointID]*spot
 	byHash     map[uint32]*spot
+	inUse      map[model.Pool][]*spot // what usable returned since the last change
 	pools      map[model.Pool]catalog.Pool
 	evacuated  map[model.DataCentre]bool
 	peers      map[string]*peer
@@ -59,7 +61,7 @@
 // New returns a table of an entry in data centre home.
 func New(home model.DataCentre) *Table {
 	return &Table{
-		home: home, spots: map[model.EndpointID]*spot{}, byHash: map[uint32]*spot{},
+		home: home, spots: map[model.EndpointID]*spot{}, byHash: map[uint32]*spot{}, inUse: map[model.Pool][]*spot{},
 		pools: map[model.Pool]catalog.Pool{}, evacuated: map[model.DataCentre]bool{},
 		peers: map[string]*peer{}, peerSums: map[uint32]int{}, holders: newHolderTable(),
 	}
@@ -91,6 +93,7 @@
 func (t *Table) SetEndpoints(now time.Time, list []Endpoint) Changes {
 	var c Changes
 	t.lists++
+	clear(t.inUse)
 	for _, e := range list {
 		s := t.spots[e.ID]
 		switch {
@@ -137,6 +140,7 @@
 		}
 		if s.listed && (s.Draining || !now.Before(t.tolerateTo)) {
 			s.listed = false
+			clear(t.inUse)
 			went = append(went, id)
 		}
 		if !s.listed && s.own == 0 && now.Sub(s.missing) > forgetTime {
@@ -185,15 +189,19 @@
 	return out
 }
 
-// sorted returns the spots of a pool that are listed and not leaving, in a
-// fixed order.
-func (t *Table) sorted(pool model.Pool) []*spot {
+// usable returns the spots of a pool that are listed and not leaving, in a fixed
+// order. Callers do not change it.
+func (t *Table) usable(pool model.Pool) []*spot {
+	if out, ok := t.inUse[pool]; ok {
+		return out
+	}
 	var out []*spot
 	for _, s := range t.spots {
 		if s.Pool == pool && s.listed && !s.Draining {
 			out = append(out, s)
 		}
 	}
-	slices.SortFunc(out, func(a, b *spot) int { return int(int64(a.hash) - int64(b.hash)) })
+	slices.SortFunc(out, func(a, b *spot) int { return cmp.Compare(a.hash, b.hash) })
+	t.inUse[pool] = out
 	return out
 }
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -43,10 +43,10 @@
 	req.Endpoint, req.FetchFrom, req.Choice, req.Unread = p.choice.Endpoint, p.choice.FetchFrom, p.choice.Reason, 0
 	if p.choice.NewHolder {
 		req.Unread = q.Part
-		f.tell(q.Part, p.hash)
+		f.tell(q.Part, place.Hash(req.Endpoint.ID))
 	}
 	if p.choice.NewBase {
-		f.tell(q.Base, p.hash)
+		f.tell(q.Base, place.Hash(req.Endpoint.ID))
 	}
 	req.Excluded = append(req.Excluded, req.Endpoint.ID)
 	if wait := min(p.choice.Wait, req.Route.Target/waitShare); wait > 0 {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -151,8 +151,7 @@
 		}
 		return served{req, answer}, nil
 	}
-	return httptransport.NewServer(endpoint, r.decode, r.encode, httptransport.ServerErrorEncoder(r.encodeRefusal),
-		httptransport.ServerBefore(func(ctx context.Context, _ *http.Request) context.Context { return ctx }))
+	return httptransport.NewServer(endpoint, r.decode, r.encode, httptransport.ServerErrorEncoder(r.encodeRefusal))
 }
 
 // served is an answer with its request.
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -102,7 +102,6 @@
 // picked is the answer to pickEndpoint.
 type picked struct {
 	choice place.Choice
-	hash   uint32
 	found  bool
 }
 
@@ -216,7 +215,7 @@
 	switch e := ev.(type) {
 	case pickEndpoint:
 		c, ok := s.table.Pick(now, e.query)
-		e.Reply(picked{choice: c, hash: s.table.HashOf(c.Endpoint.ID), found: ok})
+		e.Reply(picked{choice: c, found: ok})
 	case requestEnded:
 		if pause := s.table.Ended(now, e.endpoint, e.result, e.unread); pause > 0 {
 			f.log.Info("endpoint passed over", "endpoint", e.endpoint, "cause", resultNames[e.result], "for_ms", pause.Milliseconds())
