--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -69,13 +69,13 @@
 		next := position
 		if known {
 			orders, next, err = r.deps.Store.Changes(ctx, position, wait)
-		} else {
-			orders, next, err = r.deps.Store.Standing(ctx)
+			if errors.Is(err, ErrIncomplete) {
+				r.log.Info("changes of the orders are incomplete, reading all that stand", "position", position, "cause", err.Error())
+				known = false
+			}
 		}
-		if errors.Is(err, ErrIncomplete) {
-			r.log.Info("changes of the orders are incomplete, reading all that stand", "position", position, "cause", err.Error())
-			known = false
-			continue
+		if !known {
+			orders, next, err = r.deps.Store.Standing(ctx)
 		}
 		if err != nil {
 			r.gate.failed.Store(true)
@@ -108,10 +108,6 @@
 		}
 		start, sent := time.Now(), boottime.Now()
 		list, err := f.read(ctx)
-		if errors.Is(err, ErrIncomplete) {
-			r.log.Info("changes of the instance list are incomplete, reading the whole list", "position", f.position, "cause", err.Error())
-			continue
-		}
 		if err != nil {
 			_ = r.loop.Post(ctx, listLost{})
 			r.gate.failed.Store(true)
@@ -145,10 +141,15 @@
 	var read Listing
 	var err error
 	whole := now.Sub(f.whole) > wholeInterval
+	if !whole {
+		read, err = f.r.deps.Store.EndpointChanges(ctx, f.position)
+		if errors.Is(err, ErrIncomplete) {
+			f.r.log.Info("changes of the instance list are incomplete, reading the whole list", "position", f.position, "cause", err.Error())
+			whole = true
+		}
+	}
 	if whole {
 		read, err = f.r.deps.Store.Endpoints(ctx)
-	} else {
-		read, err = f.r.deps.Store.EndpointChanges(ctx, f.position)
 	}
 	if err != nil {
 		f.whole = time.Time{}
