Let only some of many routers send to a cold endpoint

The table knows the names of the announced ones, not their number.

Test: TestColdEndpointsAtManyRouters, with 10, 22, 26 and 301 routers, fails before.

--- a/internal/place/cold.go
+++ b/internal/place/cold.go
@@ -34,6 +34,29 @@
 	if rate <= 0 {
 		return true
 	}
-	limit := max(1, int(rate*coldShare/float64(t.Entries(now))))
-	return s.starts.count(now) < limit
+	share := rate * coldShare
+	if limit := int(share / float64(t.Entries(now))); limit >= 1 {
+		return s.starts.count(now) < limit
+	}
+	// With more entries than requests a second, one each would be too many: the
+	// first ones of the endpoint's order send, one request a second each.
+	return t.rank(s.hash) < max(1, int(share)) && s.starts.count(now) < 1
+}
+
+// rank returns the place of this entry in the order of all entries for an
+// endpoint, 0 first. Entries that know the same ones agree on it.
+func (t *Table) rank(endpoint uint32) int {
+	own := order(t.self, endpoint)
+	before := 0
+	for _, p := range t.peers {
+		if order(p.id, endpoint) > own {
+			before++
+		}
+	}
+	for name, id := range t.announced {
+		if t.peers[name] == nil && order(id, endpoint) > own {
+			before++
+		}
+	}
+	return before
 }
--- a/internal/place/peers.go
+++ b/internal/place/peers.go
@@ -33,6 +33,7 @@
 
 // peer is what another entry said last.
 type peer struct {
+	id    uint64 // hash of its name
 	heard time.Time
 	loads map[uint32]int // counted in peerSums; nil once that is over
 }
@@ -44,7 +45,7 @@
 	p := t.peers[name]
 	fresh := p == nil || now.Sub(p.heard) > t.peerLifetime()
 	if p == nil {
-		p = &peer{}
+		p = &peer{id: entryID(name)}
 		t.peers[name] = p
 	}
 	p.heard = now
@@ -90,16 +91,23 @@
 	}
 }
 
-// SetAnnounced takes the number of entries that announced themselves lately,
-// this one included.
-func (t *Table) SetAnnounced(n int) { t.announced = n }
+// SetAnnounced takes the entries that announced themselves lately, this one
+// included.
+func (t *Table) SetAnnounced(entries []model.InstanceID) {
+	t.announced = make(map[string]uint64, len(entries))
+	for _, e := range entries {
+		t.announced[string(e)] = entryID(string(e))
+	}
+}
+
+func entryID(name string) uint64 { return xxhash.Sum64String(name) }
 
 // Entries returns the number of entries that announced themselves or were heard
 // within forgetTime, this one included. Shares of limits that also bind entries
 // which cannot hear each other follow it.
 func (t *Table) Entries(now time.Time) int {
 	t.expirePeers(now)
-	return max(t.announced, 1+len(t.peers))
+	return max(len(t.announced), 1+len(t.peers))
 }
 
 // load returns the requests in flight at s over all entries that are heard.
@@ -139,7 +147,7 @@
 	var best model.InstanceID
 	var top uint64
 	for _, e := range entries {
-		if score := order(xxhash.Sum64String(string(e)), Hash(id)); best == "" || score > top {
+		if score := order(entryID(string(e)), Hash(id)); best == "" || score > top {
 			best, top = e, score
 		}
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -25,7 +25,7 @@
 }
 
 func table(list []Endpoint) *Table {
-	t := New("dc-0")
+	t := New("self", "dc-0")
 	t.SetPools(map[model.Pool]catalog.Pool{"p": {Name: "p", ColdTime: 3 * time.Second, ColdRate: 10, Engine: true}})
 	t.SetEndpoints(start, list)
 	return t
@@ -286,7 +286,7 @@
 	sent := 0
 	for range routers {
 		tab := table(nil)
-		tab.SetAnnounced(routers)
+		tab.SetAnnounced(names(routers))
 		tab.SetEndpoints(start, engines(1))
 		for ms := 0; ms < 1000; ms += 10 {
 			if _, ok := tab.Pick(start.Add(time.Duration(ms)*time.Millisecond), Query{Pool: "p"}); ok {
@@ -296,3 +296,51 @@
 	}
 	is.True(sent <= 20)
 }
+
+// names returns the names of n routers.
+func names(n int) (out []model.InstanceID) {
+	for i := range n {
+		out = append(out, model.InstanceID(fmt.Sprintf("router-%d", i)))
+	}
+	return out
+}
+
+// Guards against a fleet of more routers than a cold endpoint tolerates requests
+// a second, each of which sends one: 21 of 26 did in one second, where 20 are
+// tolerated.
+func TestColdEndpointsAtManyRouters(t *testing.T) {
+	is := is.New(t)
+	for _, routers := range []int{10, 22, 26, 301} {
+		var tables []*Table
+		for _, self := range names(routers) {
+			tab := New(self, "dc-0")
+			tab.SetPools(map[model.Pool]catalog.Pool{"p": {Name: "p", ColdTime: 3 * time.Second, ColdRate: 10, Engine: true}})
+			tab.SetEndpoints(start, nil)
+			if len(tables)%2 == 0 { // half of them hear the others, half only know the announcements
+				for _, peer := range names(routers) {
+					if peer != self {
+						tab.PeerLoads(start, string(peer), nil)
+					}
+				}
+			} else {
+				tab.SetAnnounced(names(routers))
+			}
+			tab.SetEndpoints(start, engines(1)) // a new endpoint is cold
+			tables = append(tables, tab)
+		}
+		for second := range 2 {
+			sent := 0
+			for ms := 0; ms < 1000; ms += 100 {
+				now := start.Add(time.Duration(1001*second+ms) * time.Millisecond)
+				for _, tab := range tables {
+					if c, ok := tab.Pick(now, Query{Pool: "p"}); ok {
+						sent++
+						tab.Ended(now, c.Endpoint.ID, Answered, 0)
+					}
+				}
+			}
+			is.True(sent > 0)
+			is.True(sent <= 10)
+		}
+	}
+}
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -50,18 +50,19 @@
 	pools      map[model.Pool]catalog.Pool
 	evacuated  map[model.DataCentre]bool
 	peers      map[string]*peer
-	peerSums   map[uint32]int // requests in flight of the peers by endpoint hash
-	announced  int            // entries that announced themselves lately
+	peerSums   map[uint32]int    // requests in flight of the peers by endpoint hash
+	self       uint64            // hash of the own name
+	announced  map[string]uint64 // entries that announced themselves lately, with the hashes of their names
 	holders    holderTable
 	firstList  bool      // the first list of this process has arrived
 	lists      int       // number of the lists that arrived
 	tolerateTo time.Time // until then, endpoints that are missing from the list are kept
 }
 
-// New returns a table of an entry in data centre home.
-func New(home model.DataCentre) *Table {
+// New returns a table of the entry self in data centre home.
+func New(self model.InstanceID, home model.DataCentre) *Table {
 	return &Table{
-		home: home, spots: map[model.EndpointID]*spot{}, byHash: map[uint32]*spot{}, inUse: map[model.Pool][]*spot{},
+		self: entryID(string(self)), home: home, spots: map[model.EndpointID]*spot{}, byHash: map[uint32]*spot{}, inUse: map[model.Pool][]*spot{},
 		pools: map[model.Pool]catalog.Pool{}, evacuated: map[model.DataCentre]bool{},
 		peers: map[string]*peer{}, peerSums: map[uint32]int{}, holders: newHolderTable(),
 	}
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -195,7 +195,7 @@
 		s.table.Outage(now)
 	case membersRead:
 		s.members = e.routers
-		s.table.SetAnnounced(len(e.routers))
+		s.table.SetAnnounced(e.routers)
 	}
 	return false
 }
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -54,7 +54,7 @@
 }
 
 func newState(s Settings) *State {
-	return &State{settings: s, complete: s.FirstStart, read: map[uint32]bool{}, table: place.New(s.DataCentre), evacuated: map[model.DataCentre]bool{},
+	return &State{settings: s, complete: s.FirstStart, read: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), evacuated: map[model.DataCentre]bool{},
 		addresses: map[model.InstanceID]string{}, windows: map[model.Pool]*retry.Window{}}
 }
 
