Use the rendezvous order and the refusal table that exist, and drop derived state

Cause, found in a read of the whole change: - place.Owner and the router's own ranking of readers repeated summary.Rendezvous; one passed an instance's name as an endpoint's id. - Table kept the number of lists and, for each endpoint, the last one that had it; both follow from when it was first missing. - The body that is too large was a second path past the adapter's refusal table. - Two loops cut holders into datagrams by hand; an engine's cache was built twice; /status copied a map.

Change: summary.Rendezvous picks readers and the owners of engines, platform.Protocol.Refusal answers 413 for a limit, slices.Chunk cuts the lists. Behaviour stays, except that another router than before may be a reader or ask a given engine, since the hash differs.

--- a/internal/place/peers.go
+++ b/internal/place/peers.go
@@ -141,19 +141,6 @@
 	return out
 }
 
-// Owner returns the entry that looks after an endpoint, the same at each entry
-// that knows the same entries.
-func Owner(id model.EndpointID, entries []model.InstanceID) model.InstanceID {
-	var best model.InstanceID
-	var top uint64
-	for _, e := range entries {
-		if score := order(entryID(string(e)), Hash(id)); best == "" || score > top {
-			best, top = e, score
-		}
-	}
-	return best
-}
-
 // Held is one prompt part and an endpoint that holds it.
 type Held struct {
 	Part     uint64
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -34,8 +34,7 @@
 	hash      uint32
 	own       int // requests of this entry in flight
 	listed    bool
-	inList    int       // number of the last list that had it
-	missing   time.Time // when it was first missing from the list; zero if listed
+	missing   time.Time // when it was first missing from the list; zero if the last one had it
 	coldUntil time.Time
 	starts    window // sends while cold
 	health    health
@@ -55,7 +54,6 @@
 	announced  map[string]uint64 // entries that announced themselves lately, with the hashes of their names
 	holders    holderTable
 	firstList  bool      // the first list of this process has arrived
-	lists      int       // number of the lists that arrived
 	tolerateTo time.Time // until then, endpoints that are missing from the list are kept
 }
 
@@ -93,9 +91,10 @@
 // listed gets no new work, except for a while after an outage.
 func (t *Table) SetEndpoints(now time.Time, list []Endpoint) Changes {
 	var c Changes
-	t.lists++
 	clear(t.inUse)
+	seen := make(map[model.EndpointID]bool, len(list))
 	for _, e := range list {
+		seen[e.ID] = true
 		s := t.spots[e.ID]
 		switch {
 		case s == nil:
@@ -118,13 +117,18 @@
 		if e.Draining && !s.Draining {
 			c.Leaving = append(c.Leaving, e.ID)
 		}
-		s.missing, s.inList = time.Time{}, t.lists
+		s.missing = time.Time{}
 		s.Endpoint = e
 		if e.ColdLeft > 0 {
 			s.coldUntil = later(s.coldUntil, now.Add(e.ColdLeft))
 		}
 	}
 	t.firstList = true
+	for id, s := range t.spots {
+		if !seen[id] && s.missing.IsZero() {
+			s.missing = now
+		}
+	}
 	c.Went = t.Unchanged(now)
 	return c
 }
@@ -133,11 +137,8 @@
 // that are given up only now, since they were missing after an outage.
 func (t *Table) Unchanged(now time.Time) (went []model.EndpointID) {
 	for id, s := range t.spots {
-		if s.inList == t.lists {
-			continue
-		}
 		if s.missing.IsZero() {
-			s.missing = now
+			continue
 		}
 		if s.listed && (s.Draining || !now.Before(t.tolerateTo)) {
 			s.listed = false
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -87,9 +87,6 @@
 		panic(http.ErrAbortHandler) // nobody waits for the answer
 	}
 	status, header := r.deps.Protocol.Refusal(refusal)
-	if errors.Is(err, errTooLarge) {
-		status = http.StatusRequestEntityTooLarge
-	}
 	for name, values := range header {
 		w.Header()[name] = values
 	}
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -110,20 +110,17 @@
 
 // Status is the answer of the /status path.
 type Status struct {
-	Instance      string         `json:"instance"`
-	ConfigVersion int64          `json:"config_version"`
-	Endpoints     map[string]int `json:"endpoints"` // listed, by pool
-	Ready         bool           `json:"ready"`
+	Instance      string             `json:"instance"`
+	ConfigVersion int64              `json:"config_version"`
+	Endpoints     map[model.Pool]int `json:"endpoints"` // listed, by pool
+	Ready         bool               `json:"ready"`
 }
 
 func (r *Router) status() any {
 	s := r.loop.Snapshot()
-	st := Status{Instance: string(r.settings.Instance), Endpoints: map[string]int{}, Ready: r.ready()}
+	st := Status{Instance: string(r.settings.Instance), Endpoints: s.List.Pools(), Ready: r.ready()}
 	if s.Catalog != nil {
 		st.ConfigVersion = s.Catalog.Version
 	}
-	for pool, n := range s.List.Pools() {
-		st.Endpoints[string(pool)] = n
-	}
 	return st
 }
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -175,13 +175,10 @@
 	req.Body, err = io.ReadAll(http.MaxBytesReader(nil, hr.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, errTooLarge
+		return nil, model.Refuse(model.ReasonLimit, "the body is too large")
 	}
 	if err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, "the body cannot be read")
 	}
 	return req, nil
 }
-
-// errTooLarge refuses a body above the limit.
-var errTooLarge = model.Refuse(model.ReasonLimit, "the body is too large")
--- a/internal/router/source_caches.go
+++ b/internal/router/source_caches.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -9,6 +10,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/summary"
 )
 
 const (
@@ -65,7 +67,7 @@
 	var g errgroup.Group
 	g.SetLimit(cacheReaders)
 	for _, e := range engines {
-		if place.Owner(e.ID, routers) == r.settings.Instance {
+		if slices.Contains(summary.Rendezvous(string(e.ID), routers, 1), r.settings.Instance) {
 			g.Go(func() error { r.readCache(ctx, e); return nil })
 		}
 	}
@@ -78,13 +80,13 @@
 		r.log.Warn("cache of an engine cannot be read", "endpoint", e.ID, "error", err.Error())
 	}
 	r.log.Info("cache of an engine read", "endpoint", e.ID, "parts", len(parts))
-	held := make([]place.Held, len(parts))
-	for i, p := range parts {
-		held[i] = place.Held{Part: p, Endpoint: place.Hash(e.ID)}
+	c := cachesRead{engine: place.Hash(e.ID)}
+	for _, p := range parts {
+		c.holders = append(c.holders, place.Held{Part: p, Endpoint: c.engine})
 	}
-	_ = r.loop.Post(ctx, cachesRead{place.Hash(e.ID), held})
+	_ = r.loop.Post(ctx, c)
 	select {
-	case r.peers.caches <- cachesRead{place.Hash(e.ID), held}:
+	case r.peers.caches <- c:
 	case <-ctx.Done():
 	}
 }
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -149,20 +150,16 @@
 	if err != nil {
 		return
 	}
-	for len(t.holders) > 0 {
-		n := min(len(t.holders), mesh.MaxHolders)
-		p.to(a, mesh.Append(nil, mesh.Message{Name: p.name(), Holders: t.holders[:n]}))
-		t.holders = t.holders[n:]
+	for holders := range slices.Chunk(t.holders, mesh.MaxHolders) {
+		p.to(a, mesh.Append(nil, mesh.Message{Name: p.name(), Holders: holders}))
 	}
 	p.to(a, mesh.Append(nil, mesh.Message{Name: p.name(), Loads: t.loads, Complete: t.complete, Read: t.read}))
 }
 
 // tellCache tells the others what an engine holds, and then that it was read.
 func (p *peerLink) tellCache(c cachesRead) {
-	for rest := c.holders; len(rest) > 0; {
-		n := min(len(rest), mesh.MaxHolders)
-		p.toAll(mesh.Message{Name: p.name(), Holders: rest[:n]})
-		rest = rest[n:]
+	for holders := range slices.Chunk(c.holders, mesh.MaxHolders) {
+		p.toAll(mesh.Message{Name: p.name(), Holders: holders})
 	}
 	p.toAll(mesh.Message{Name: p.name(), Read: []uint32{c.engine}})
 }
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -1,19 +1,19 @@
 package router
 
 import (
-	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/summary"
 )
 
 const (
@@ -140,98 +140,76 @@
 	return true
 }
 
-// reader is a router that may read the store for others.
-type reader struct {
-	name    model.InstanceID
-	address string // of the exchange
-}
-
 // shareStore asks another router what the store holds, if there is one to ask,
 // and has this router read the store itself otherwise.
 func (r *Router) shareStore(ctx context.Context) {
 	avoid := map[model.InstanceID]time.Time{}
 	for control.Pause(ctx, shareInterval) {
-		readers, err := control.Ask(ctx, r.loop, readersAsked{Question: control.NewQuestion[[]reader]()})
+		routers, err := control.Ask(ctx, r.loop, readersAsked{Question: control.NewQuestion[map[model.InstanceID]string]()})
 		if err != nil {
 			return
 		}
-		r.gate.set(r.askReaders(ctx, readers, avoid))
+		r.gate.set(r.askReaders(ctx, routers, avoid))
 	}
 }
 
 // askReaders asks the readers that fall to this router in turn and reports
-// whether one answered. A router whose own reads fail is no reader either.
-func (r *Router) askReaders(ctx context.Context, routers []reader, avoid map[model.InstanceID]time.Time) bool {
+// whether one answered. A router whose own reads fail is no reader either. The
+// routers come with the addresses of their exchange.
+func (r *Router) askReaders(ctx context.Context, routers map[model.InstanceID]string, avoid map[model.InstanceID]time.Time) bool {
 	now := time.Now()
 	if r.gate.failed.Swap(false) {
 		avoid[r.settings.Instance] = now.Add(avoidTime)
 	}
 	n := (len(routers) + groupSize - 1) / groupSize
-	readers := ranked(routers)
-	readers = readers[:min(n+spareReaders, len(readers))]
-	readers = slices.DeleteFunc(readers, func(rd reader) bool { return now.Before(avoid[rd.name]) })
+	readers := summary.Rendezvous(storeService, slices.Collect(maps.Keys(routers)), n+spareReaders)
+	readers = slices.DeleteFunc(readers, func(name model.InstanceID) bool { return now.Before(avoid[name]) })
 	for range maxAsked {
-		next, ok := readerFor(r.settings.Instance, readers[:min(n, len(readers))])
-		if !ok || next.name == r.settings.Instance {
+		next := readerFor(r.settings.Instance, readers[:min(n, len(readers))])
+		if next == r.settings.Instance {
 			return false
 		}
-		pause := r.askReader(ctx, next)
+		pause := r.askReader(ctx, next, routers[next])
 		if pause == 0 {
 			return true
 		}
-		avoid[next.name] = now.Add(pause)
-		readers = slices.DeleteFunc(readers, func(rd reader) bool { return rd.name == next.name })
+		avoid[next] = now.Add(pause)
+		readers = slices.DeleteFunc(readers, func(name model.InstanceID) bool { return name == next })
 	}
 	return false
 }
 
-// ranked returns routers in the order in which they become readers. All routers
-// share it.
-func ranked(all []reader) []reader {
-	rank := func(rd reader) uint64 { return xxhash.Sum64String("store\x00" + string(rd.name)) }
-	return slices.SortedFunc(slices.Values(all), func(a, b reader) int { return cmp.Compare(rank(a), rank(b)) })
-}
-
-// readerFor returns the reader of a router: itself, if it is one of them, else
-// the one that it falls to.
-func readerFor(self model.InstanceID, readers []reader) (reader, bool) {
-	if len(readers) == 0 {
-		return reader{}, false
-	}
-	var names []model.InstanceID
-	for _, rd := range readers {
-		if rd.name == self {
-			return rd, true
-		}
-		names = append(names, rd.name)
+// readerFor returns the reader of a router: itself, if it is one of them or there
+// is none, else the one that it falls to.
+func readerFor(self model.InstanceID, readers []model.InstanceID) model.InstanceID {
+	if len(readers) == 0 || slices.Contains(readers, self) {
+		return self
 	}
-	name := place.Owner(model.EndpointID(self), names)
-	i := slices.IndexFunc(readers, func(rd reader) bool { return rd.name == name })
-	return readers[i], true
+	return summary.Rendezvous(string(self), readers, 1)[0]
 }
 
 // askReader asks one reader and returns how long it is passed over, which is 0 if
 // it knows the store well enough. What it knows counts from when the question was
 // sent.
-func (r *Router) askReader(ctx context.Context, from reader) time.Duration {
+func (r *Router) askReader(ctx context.Context, name model.InstanceID, address string) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, shareTime)
 	defer cancel()
 	sent, snap := boottime.Now(), r.loop.Snapshot()
 	var reply StateReply
-	if err := r.node.Call(ctx, from.address, storeMethod, StateArgs{snap.List.Hash}, &reply); err != nil {
-		r.log.Info("router does not tell the state of the store", "router", from.name, "error", err.Error())
+	if err := r.node.Call(ctx, address, storeMethod, StateArgs{snap.List.Hash}, &reply); err != nil {
+		r.log.Info("router does not tell the state of the store", "router", name, "error", err.Error())
 		return avoidTime
 	}
 	// A read of the orders counts from when it was sent, so its age grows to two
 	// waits before the next one returns.
 	if reply.OrdersAge > 2*snap.Settings.FollowTime+staleMargin || reply.ListAge > snap.Settings.ListInterval+staleMargin {
-		r.log.Info("router knows nothing recent of the store", "router", from.name,
+		r.log.Info("router knows nothing recent of the store", "router", name,
 			"orders_age_ms", reply.OrdersAge.Milliseconds(), "list_age_ms", reply.ListAge.Milliseconds())
 		return staleTime
 	}
 	list := listAfter(snap.List, reply)
 	if list.Hash != reply.List {
-		r.log.Warn("list of endpoints does not match the one of another router", "router", from.name)
+		r.log.Warn("list of endpoints does not match the one of another router", "router", name)
 		return avoidTime
 	}
 	_ = r.loop.Post(ctx, listRead{list: list, sent: sent - reply.ListAge})
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -73,8 +73,11 @@
 	holdersKnown struct{}
 	// cachesAsked asks which engines' caches are to be read.
 	cachesAsked struct{ control.Question[cachesToRead] }
-	// readersAsked asks for the routers that may read the store for others.
-	readersAsked struct{ control.Question[[]reader] }
+	// readersAsked asks for the routers that may read the store for others, with
+	// the addresses of their exchange.
+	readersAsked struct {
+		control.Question[map[model.InstanceID]string]
+	}
 	// loadsAsked asks for what this router tells the others.
 	loadsAsked struct {
 		control.Question[told]
@@ -297,11 +300,11 @@
 }
 
 // readers returns this router and those that are heard with a known address.
-func (f foldPeers) readers(s *State, now time.Time) []reader {
-	out := []reader{{name: s.settings.Instance, address: s.settings.Exchange}}
+func (f foldPeers) readers(s *State, now time.Time) map[model.InstanceID]string {
+	out := map[model.InstanceID]string{s.settings.Instance: s.settings.Exchange}
 	for _, name := range s.table.Heard(now) {
 		if a, ok := s.addresses[name]; ok {
-			out = append(out, reader{name: name, address: a})
+			out[name] = a
 		}
 	}
 	return out
