origin, program: keep fast connections and counts of dropped log lines

TestTheBoundOnAnAnswerEndsWithIt failed at times because the goroutine that sends a request had not reported its result when a fast answer had been read, so the connection was closed instead of reused. Requests with a body of up to 4 KB are now sent before the answer is read; a long body still has a goroutine of its own, since an endpoint may answer before it has read all of it. Ruled out: the read deadline of the earlier request, which Do clears. TestConnectionIsReusedAfterAFastAnswer failed before.

TestLogNeverBlocks failed at times because the writer took the count of dropped lines before it blocked in the write that reports them. The count now stands until that write has succeeded, so it is not lost with a write that fails either.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -40,6 +40,9 @@
 	// informational ones, that are skipped before the answer to a request.
 	maxStaleAnswers = 2
 	bufferBytes     = 4096
+	// maxInlineBody is the size of a body that a connection without unread data
+	// takes without waiting for the endpoint.
+	maxInlineBody = 4096
 )
 
 // Request is a request to an endpoint.
@@ -111,8 +114,7 @@
 	}
 	cn.setReadTimeout(req.ResponseHeaderTimeout)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	sent := make(chan error, 1)
-	go func() { sent <- cn.send(req) }()
+	sent := cn.startSend(req)
 	res, err := cn.receive(req)
 	if err != nil {
 		stop()
@@ -147,6 +149,20 @@
 	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes), address: address}, nil
 }
 
+// startSend sends req and returns a channel that receives the result. It returns
+// before the whole request is sent if the body is long, since an endpoint may answer
+// before it has read all of it. Sending a short request first makes its result known
+// when the answer arrives, so that the connection can be reused.
+func (c *conn) startSend(req *Request) <-chan error {
+	sent := make(chan error, 1)
+	if len(req.Body) <= maxInlineBody {
+		sent <- c.send(req)
+	} else {
+		go func() { sent <- c.send(req) }()
+	}
+	return sent
+}
+
 // send writes req to the connection.
 func (c *conn) send(req *Request) error {
 	r := http.Request{
--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -260,3 +260,37 @@
 	_, _ = do(NewClient(), l.Addr().String(), request("a", func(r *Request) { r.Target = "/a%2fb/?q=%20&x" }))
 	is.Equal(strings.TrimSpace(<-line), "GET /a%2fb/?q=%20&x HTTP/1.1")
 }
+
+// earlyConn is a connection on which the answer to a request arrives while the call
+// that writes the request is still returning.
+type earlyConn struct {
+	net.Conn
+	written chan struct{} // closed when the request has been written
+	answer  io.Reader
+}
+
+func (c *earlyConn) Write(b []byte) (int, error) {
+	close(c.written)
+	time.Sleep(20 * time.Millisecond)
+	return len(b), nil
+}
+
+func (c *earlyConn) Read(b []byte) (int, error) { <-c.written; return c.answer.Read(b) }
+
+func (*earlyConn) Close() error                     { return nil }
+func (*earlyConn) SetReadDeadline(time.Time) error  { return nil }
+func (*earlyConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against a connection that is closed although its request was sent and
+// answered, because the goroutine that sends was not scheduled again before the
+// answer had been read.
+func TestConnectionIsReusedAfterAFastAnswer(t *testing.T) {
+	is := is.New(t)
+	c := NewClient()
+	fast := &earlyConn{written: make(chan struct{}), answer: strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Id: a\r\n\r\na")}
+	c.idle.put(&conn{Conn: fast, r: bufio.NewReader(fast), address: "e", keepAlive: time.Minute})
+	body, err := do(c, "e", request("a", nil))
+	is.NoErr(err)
+	is.Equal(body, "a")
+	is.True(c.idle.get("e", time.Minute) != nil)
+}
--- a/internal/program/log.go
+++ b/internal/program/log.go
@@ -85,14 +85,15 @@
 // queued. It splits them into writes of at most maxWriteBytes, unless one line
 // alone is longer.
 func (w *LineWriter) writeBatch(batch []byte) {
-	if n := w.dropped.Swap(0); n > 0 {
-		batch = append(fmt.Appendf(nil, "{\"msg\":\"log lines were left out\",\"count\":%d}\n", n), batch...)
+	reported := w.dropped.Load()
+	if reported > 0 {
+		batch = append(fmt.Appendf(nil, "{\"msg\":\"log lines were left out\",\"count\":%d}\n", reported), batch...)
 	}
 	for len(batch) < maxWriteBytes {
 		select {
 		case next := <-w.lines:
 			if len(batch)+len(next) > maxWriteBytes && len(batch) > 0 {
-				_, _ = w.out.Write(batch)
+				reported -= w.write(batch, reported)
 				batch = batch[:0]
 			}
 			batch = append(batch, next...)
@@ -102,10 +103,21 @@
 		break
 	}
 	if len(batch) > 0 {
-		_, _ = w.out.Write(batch) // there is no other place to report an error
+		w.write(batch, reported)
 	}
 }
 
+// write writes batch, which reports that many dropped lines, and returns how many
+// of them need no further report. The count stands until the report is written, so
+// that a write that fails or blocks does not lose it.
+func (w *LineWriter) write(batch []byte, reported int64) int64 {
+	if _, err := w.out.Write(batch); err != nil {
+		return 0 // there is no other place to report the error
+	}
+	w.dropped.Add(-reported)
+	return reported
+}
+
 // Close writes the queued lines, waiting up to flushTimeout for the reader.
 func (w *LineWriter) Close() {
 	close(w.stop)
--- a/internal/program/log_test.go
+++ b/internal/program/log_test.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -46,3 +47,31 @@
 	is.True(strings.Contains(b.String(), "log lines were left out"))
 	is.True(strings.Count(b.String(), "line\n") >= logBurstLines-logQueueLines)
 }
+
+// failingWriter is a log output whose first write fails.
+type failingWriter struct {
+	strings.Builder
+	failed bool
+}
+
+func (w *failingWriter) Write(b []byte) (int, error) {
+	if !w.failed {
+		w.failed = true
+		return 0, errors.New("reader is gone")
+	}
+	return w.Builder.Write(b)
+}
+
+// Guards against a number of dropped lines that is lost together with the write
+// that reports it.
+func TestCountOfLeftOutLinesSurvivesAFailedWrite(t *testing.T) {
+	is := is.New(t)
+	out := &failingWriter{}
+	w := &LineWriter{out: out, lines: make(chan []byte, 2)}
+	w.dropped.Store(3)
+	w.writeBatch([]byte("a\n"))
+	is.Equal(w.dropped.Load(), int64(3))
+	w.writeBatch([]byte("b\n"))
+	is.Equal(out.String(), "{\"msg\":\"log lines were left out\",\"count\":3}\nb\n")
+	is.Equal(w.dropped.Load(), int64(0))
+}
