overlay, router: send datagrams to other data centres through a relay

Each router sent each load report and each new cache holder to all others.

Package overlay decides who gets a message: the peers in the sender's data centre, and one random peer in each other one, preferably one heard lately, which forwards it within its own.

Options: one aggregator for each data centre that sums up the reports (fewer datagrams, but a role that fails and is handed over), a tree of all routers (lost subtrees), a random relay for each message (chosen: no state; a message to a relay that has failed is lost, as a datagram may be).

TestHoldersReachAllRoutersOfOtherDataCentres fails without the forwarding.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -5,7 +5,9 @@
 package mesh
 
 import (
+	"bytes"
 	"encoding/binary"
+	"net/netip"
 
 	"github.com/rotisserie/eris"
 
@@ -14,14 +16,16 @@
 
 const (
 	magic         = 0x67 // first byte
-	formatVersion = 1    // second byte
+	formatVersion = 2    // second byte
 
 	flagLoads        = 1 << 0 // the loads are reported; they are all that the sender has in flight
 	flagLeaving      = 1 << 1
 	flagHoldersKnown = 1 << 2
 	flagWantHolders  = 1 << 3
+	flagRelay        = 1 << 4
 
-	headerLen     = 4  // bytes: magic, version, flags and length of the name
+	flagsOffset   = 2
+	headerLen     = 3  // bytes: magic, version and flags
 	loadLen       = 6  // bytes: endpoint hash and requests in flight
 	holderLen     = 12 // bytes: prompt part and endpoint hash
 	cacheReadLen  = 4  // bytes: endpoint hash
@@ -39,7 +43,12 @@
 
 // Message is the content of a datagram.
 type Message struct {
-	Name    string         // of the sender, at most 255 bytes
+	Name       string // of the sender, at most 255 bytes
+	DataCentre string // of the sender, at most 255 bytes
+	// Address is the sender's. It is part of the message because a relayed datagram
+	// comes from the relay.
+	Address netip.AddrPort
+	Relay   bool           // the receiver is to forward the message within its data centre
 	Loads   map[uint32]int // requests in flight by endpoint hash; nil if not reported
 	Holders []place.PartHolder
 	Leaving bool // the sender is stopping
@@ -66,9 +75,16 @@
 	if m.WantHolders {
 		flags |= flagWantHolders
 	}
-	name := m.Name[:min(len(m.Name), 255)]
-	b = append(b, magic, formatVersion, flags, byte(len(name)))
-	b = append(b, name...)
+	if m.Relay {
+		flags |= flagRelay
+	}
+	b = append(b, magic, formatVersion, flags)
+	address, _ := m.Address.MarshalBinary() // never fails
+	for _, field := range []string{m.Name, m.DataCentre, string(address)} {
+		field = field[:min(len(field), 255)]
+		b = append(b, byte(len(field)))
+		b = append(b, field...)
+	}
 	b = binary.BigEndian.AppendUint16(b, uint16(min(len(m.Loads), maxLoads)))
 	n := 0
 	for h, count := range m.Loads {
@@ -91,21 +107,37 @@
 	return b
 }
 
+// Relayed returns the datagram b as its relay forwards it: receivers do not forward
+// it again. b must have been parsed without an error.
+func Relayed(b []byte) []byte {
+	out := bytes.Clone(b)
+	out[flagsOffset] &^= flagRelay
+	return out
+}
+
 // Parse decodes a datagram.
 func Parse(b []byte) (Message, error) {
 	var m Message
 	if len(b) < headerLen || b[0] != magic || b[1] != formatVersion {
 		return m, ErrFormat
 	}
-	flags, nameLen := b[2], int(b[3])
+	flags := b[flagsOffset]
 	b = b[headerLen:]
-	if len(b) < nameLen+2 {
-		return m, ErrFormat
+	var fields [3][]byte
+	for i := range fields {
+		if len(b) == 0 || len(b) < 1+int(b[0]) {
+			return m, ErrFormat
+		}
+		fields[i], b = b[1:1+int(b[0])], b[1+int(b[0]):]
 	}
-	m.Name, m.Leaving = string(b[:nameLen]), flags&flagLeaving != 0
+	if m.Address.UnmarshalBinary(fields[2]) != nil || len(b) < 2 {
+		return Message{}, ErrFormat
+	}
+	m.Name, m.DataCentre = string(fields[0]), string(fields[1])
+	m.Leaving, m.Relay = flags&flagLeaving != 0, flags&flagRelay != 0
 	m.HoldersKnown, m.WantHolders = flags&flagHoldersKnown != 0, flags&flagWantHolders != 0
-	n := int(binary.BigEndian.Uint16(b[nameLen:]))
-	b = b[nameLen+2:]
+	n := int(binary.BigEndian.Uint16(b))
+	b = b[2:]
 	if len(b) < n*loadLen+2 || n > maxLoads {
 		return m, ErrFormat
 	}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"net/netip"
 	"testing"
 
 	"github.com/matryer/is"
@@ -15,6 +16,7 @@
 		{Name: "router-1", Loads: map[uint32]int{7: 3, 9: 65535}, Holders: []place.PartHolder{{Part: 1 << 60, Endpoint: 7}}},
 		{Name: "router-2", Loads: map[uint32]int{}},
 		{Name: "router-3", Leaving: true},
+		{Name: "router-5", DataCentre: "dc-a", Address: netip.MustParseAddrPort("10.1.0.7:7340"), Relay: true},
 		{Name: "router-4", HoldersKnown: true, WantHolders: true, CachesRead: []uint32{1, 2}},
 		{},
 	} {
@@ -24,11 +26,23 @@
 	}
 }
 
+// Guards against a relayed message that is relayed again, without end, or that
+// differs otherwise from the one that was sent.
+func TestRelayedMessageIsNotRelayedAgain(t *testing.T) {
+	is := is.New(t)
+	m := Message{Name: "router-1", DataCentre: "dc-a", Address: netip.MustParseAddrPort("[::1]:7340"), Relay: true, Loads: map[uint32]int{7: 3}}
+	got, err := Parse(Relayed(Append(nil, m)))
+	is.NoErr(err)
+	m.Relay = false
+	is.Equal(got, m)
+}
+
 // Guards against malformed datagrams, which any host can send, that make the
 // decoder panic, and against messages that do not survive a second round trip.
 func FuzzParse(f *testing.F) {
 	f.Add(Append(nil, Message{Name: "router-1", Loads: map[uint32]int{7: 3}, Holders: []place.PartHolder{{Part: 5, Endpoint: 7}}}))
 	f.Add([]byte{magic, formatVersion, 0, 200})
+	f.Add([]byte{magic, formatVersion, 0, 0, 0, 3, 1, 2, 3})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := Parse(b)
 		if err != nil {
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -52,9 +52,10 @@
 // Member is the announcement that a router publishes in the store so that its
 // peers find it.
 type Member struct {
-	Instance model.InstanceID
-	Address  string    // ip:port of the exchange, UDP and TCP
-	Seen     time.Time // time of the announcement by the member's clock
+	Instance   model.InstanceID
+	DataCentre model.DataCentre
+	Address    string    // ip:port of the exchange, UDP and TCP
+	Seen       time.Time // time of the announcement by the member's clock
 }
 
 // Listing is the result of a read of the instance list.
--- /dev/null
+++ b/internal/router/peers_test.go
@@ -0,0 +1,52 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/router"
+)
+
+// Guards against routers that learn the cache holders of prompt parts only from
+// peers in their own data centre, and against a message that reaches the relay but
+// not the other routers of its data centre.
+func TestHoldersReachAllRoutersOfOtherDataCentres(t *testing.T) {
+	const maxParts = 200
+	f := newFleet(t, 6, 0)
+	in := func(name, dc string) *process {
+		return f.start(func(s *router.Settings) {
+			s.Instance, s.DataCentre, s.FirstStart = model.InstanceID(name), model.DataCentre(dc), true
+		}).await()
+	}
+	sender, receivers := in("router-1", "dc-a"), []*process{in("router-2", "dc-b"), in("router-3", "dc-b"), in("router-4", "dc-b")}
+	for part := 1; ; part++ {
+		header := map[string]string{"X-Goldcrestturn-Prefix-Hash": fmt.Sprintf("a:100,%x:200,c:10", 1000+part)}
+		send := func(p *process) reply {
+			r := p.call(context.Background(), http.MethodPost, "/stream/brief/x", "body", header)
+			is.New(t).Equal(r.status, http.StatusOK)
+			return r
+		}
+		send(sender)
+		known := 0
+		for _, p := range receivers {
+			id := send(p).id
+			eventually(t, "the request is logged", func() bool { return strings.Contains(p.text(), id) })
+			if regexp.MustCompile(id + `".*holds_prompt`).MatchString(p.text()) {
+				known++
+			}
+		}
+		if known == len(receivers) {
+			return
+		}
+		if part == maxParts { // a datagram may be slower than the request that follows it
+			t.Fatalf("%d of %d routers in the other data centre knew the holder", known, len(receivers))
+		}
+	}
+}
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/mesh"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/overlay"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
 
@@ -28,6 +30,17 @@
 	// maxHoldersAtStart is the maximum number of holders that are sent to a
 	// starting peer.
 	maxHoldersAtStart = 800
+	// stateSources is the number of peers that a starting router asks for the
+	// holders every stateQueryInterval until it knows them. Some of them may have
+	// just started too.
+	stateSources       = 2
+	stateQueryInterval = 100 * time.Millisecond
+	// reportSlack allows for timers that fire early relative to the last report.
+	reportSlack = 10 * time.Millisecond
+	// receiveQueue is the number of received messages that wait for the send
+	// goroutine. Each engine whose cache is read after a restart of all routers
+	// causes a few messages to relay.
+	receiveQueue = 256
 )
 
 // peerLink exchanges datagrams with the peers. Its send goroutine owns peers and
@@ -35,21 +48,28 @@
 type peerLink struct {
 	r             *Router
 	conn          *net.UDPConn
-	received      chan netip.AddrPort // senders of messages that ask for nothing
-	wantHolders   chan netip.AddrPort // senders that started and ask for the holders
-	members       chan []netip.AddrPort
+	received      chan datagram // messages that ask for nothing
+	wantHolders   chan datagram // messages of senders that started and ask for the holders
+	members       chan []Member
 	newHolders    chan place.PartHolder
 	caches        chan cacheRead
-	peers         map[netip.AddrPort]time.Time // time of the last message or announcement
+	peers         *overlay.Peers
 	self          netip.AddrPort
 	loadsReported bool // the last load report had requests in flight
 	reportedAt    time.Time
 }
 
+// datagram is what the send goroutine needs of a received message.
+type datagram struct {
+	sender     netip.AddrPort
+	dataCentre model.DataCentre
+	relay      []byte // to be forwarded to the peers in the home data centre; nil if not
+}
+
 func newPeerLink(r *Router, conn *net.UDPConn) *peerLink {
 	self, _ := netip.ParseAddrPort(r.settings.Exchange)
-	return &peerLink{r: r, conn: conn, self: self, received: make(chan netip.AddrPort, 16), wantHolders: make(chan netip.AddrPort, 16),
-		members: make(chan []netip.AddrPort, 1), newHolders: make(chan place.PartHolder, 256), caches: make(chan cacheRead), peers: map[netip.AddrPort]time.Time{}}
+	return &peerLink{r: r, conn: conn, self: self, received: make(chan datagram, receiveQueue), wantHolders: make(chan datagram, 16),
+		members: make(chan []Member, 1), newHolders: make(chan place.PartHolder, 256), caches: make(chan cacheRead), peers: overlay.New(self, r.settings.DataCentre)}
 }
 
 // broadcastHolder queues a new holder for broadcast to the peers. If the queue is
@@ -67,7 +87,7 @@
 	defer stop()
 	buf := make([]byte, mesh.MaxLen)
 	for ctx.Err() == nil {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if ctx.Err() != nil || !control.Pause(ctx, minBackoff) {
 				return
@@ -79,17 +99,19 @@
 			malformedDatagrams.Inc()
 			continue
 		}
-		if m.Name == string(p.r.settings.Instance) {
+		if m.Name == string(p.r.settings.Instance) || !m.Address.IsValid() {
 			continue
 		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		_ = p.r.loop.Post(ctx, peerMessage{name: m.Name, address: from.String(), loads: m.Loads, holders: m.Holders, leaving: m.Leaving, holdersKnown: m.HoldersKnown, cachesRead: m.CachesRead})
-		queue := p.received
+		_ = p.r.loop.Post(ctx, peerMessage{name: m.Name, address: m.Address.String(), loads: m.Loads, holders: m.Holders, leaving: m.Leaving, holdersKnown: m.HoldersKnown, cachesRead: m.CachesRead})
+		d, queue := datagram{sender: m.Address, dataCentre: model.DataCentre(m.DataCentre)}, p.received
+		if m.Relay {
+			d.relay = mesh.Relayed(buf[:n])
+		}
 		if m.WantHolders {
 			queue = p.wantHolders
 		}
 		select {
-		case queue <- from:
+		case queue <- d:
 		default:
 		}
 	}
@@ -103,31 +125,30 @@
 	for {
 		select {
 		case <-ctx.Done():
-			p.broadcast(mesh.Message{Name: p.name(), Leaving: true})
+			p.broadcast(mesh.Message{Leaving: true})
 			return
-		case from := <-p.received:
-			p.addPeer(from)
-		case from := <-p.wantHolders:
-			p.addPeer(from)
-			p.sendState(ctx, from)
+		case d := <-p.received:
+			p.acceptDatagram(d)
+		case d := <-p.wantHolders:
+			p.acceptDatagram(d)
+			p.sendState(ctx, d.sender)
 		case list := <-p.members:
-			for _, a := range list {
-				p.addPeer(a)
+			for _, m := range list {
+				if a, err := netip.ParseAddrPort(m.Address); err == nil {
+					p.peers.Announced(time.Now(), a, m.DataCentre)
+				}
 			}
 			p.broadcastLoads(ctx)
 		case h := <-p.newHolders:
-			p.broadcast(mesh.Message{Name: p.name(), Holders: p.batchHolders(h)})
+			p.broadcast(mesh.Message{Holders: p.batchHolders(h)})
 		case c := <-p.caches:
 			p.broadcastCache(c)
 		case <-t.C:
-			p.broadcastLoads(ctx)
-			t.Reset(place.LoadReportInterval(len(p.peers)))
+			t.Reset(p.broadcastLoads(ctx))
 		}
 	}
 }
 
-func (p *peerLink) name() string { return string(p.r.settings.Instance) }
-
 // batchHolders returns first and the holders that are already queued, up to the
 // limit of one datagram.
 func (p *peerLink) batchHolders(first place.PartHolder) []place.PartHolder {
@@ -143,10 +164,15 @@
 	return list
 }
 
-// addPeer adds a peer or renews it.
-func (p *peerLink) addPeer(a netip.AddrPort) {
-	if a != p.self && a.IsValid() {
-		p.peers[a] = time.Now()
+// acceptDatagram records the sender of a received message and forwards the message if
+// this router is its relay.
+func (p *peerLink) acceptDatagram(d datagram) {
+	p.peers.Heard(time.Now(), d.sender, d.dataCentre)
+	if d.relay == nil {
+		return
+	}
+	for _, a := range p.peers.Local(d.sender) {
+		p.sendTo(a, d.relay)
 	}
 }
 
@@ -158,48 +184,70 @@
 		return
 	}
 	for holders := range slices.Chunk(report.holders, mesh.MaxHolders) {
-		p.sendTo(a, mesh.Append(nil, mesh.Message{Name: p.name(), Holders: holders}))
+		p.sendTo(a, p.encode(mesh.Message{Holders: holders}))
 	}
-	p.sendTo(a, mesh.Append(nil, mesh.Message{Name: p.name(), Loads: report.loads, HoldersKnown: report.holdersKnown, CachesRead: report.cachesRead}))
+	p.sendTo(a, p.encode(mesh.Message{Loads: report.loads, HoldersKnown: report.holdersKnown, CachesRead: report.cachesRead}))
 }
 
 // broadcastCache broadcasts the prompt parts that an engine holds, and then that
 // its cache has been read.
 func (p *peerLink) broadcastCache(c cacheRead) {
 	for holders := range slices.Chunk(c.holders, mesh.MaxHolders) {
-		p.broadcast(mesh.Message{Name: p.name(), Holders: holders})
+		p.broadcast(mesh.Message{Holders: holders})
 	}
-	p.broadcast(mesh.Message{Name: p.name(), CachesRead: []uint32{c.engine}})
+	p.broadcast(mesh.Message{CachesRead: []uint32{c.engine}})
 }
 
-// broadcastLoads drops expired peers and broadcasts a load report. A router that
-// has reported that it has no requests in flight, and that knows the holders,
-// repeats the report only every idleReportInterval.
-func (p *peerLink) broadcastLoads(ctx context.Context) {
-	for a, at := range p.peers {
-		if time.Since(at) > memberTTL {
-			delete(p.peers, a)
-		}
-	}
-	if len(p.peers) == 0 {
-		return
+// broadcastLoads drops expired peers, broadcasts a load report and returns the time
+// until the next one. A router that has reported that it has no requests in flight
+// repeats the report only every idleReportInterval. A router that does not know the
+// holders also asks a few peers for them.
+func (p *peerLink) broadcastLoads(ctx context.Context) (next time.Duration) {
+	now := time.Now()
+	p.peers.Expire(now, memberTTL)
+	next = place.LoadReportInterval(p.peers.Len())
+	if p.peers.Len() == 0 {
+		return next
 	}
 	report, err := control.Ask(ctx, p.r.loop, peerReportQuery{Question: control.NewQuestion[peerReport]()})
 	if err != nil {
-		return
+		return next
+	}
+	if !report.holdersKnown {
+		b := p.encode(mesh.Message{WantHolders: true})
+		for _, a := range p.peers.Sources(now, stateSources, rand.IntN) {
+			p.sendTo(a, b)
+		}
+		next = min(next, stateQueryInterval)
 	}
 	idle := len(report.loads) == 0 && !p.loadsReported // nothing in flight, as reported before
-	if idle && report.holdersKnown && time.Since(p.reportedAt) < idleReportInterval {
-		return
+	interval := place.LoadReportInterval(p.peers.Len())
+	if idle {
+		interval = max(interval, idleReportInterval)
+	}
+	if now.Sub(p.reportedAt) < interval-reportSlack {
+		return next
 	}
-	p.broadcast(mesh.Message{Name: p.name(), Loads: report.loads, WantHolders: !report.holdersKnown})
-	p.loadsReported, p.reportedAt = len(report.loads) > 0, time.Now()
+	p.broadcast(mesh.Message{Loads: report.loads})
+	p.loadsReported, p.reportedAt = len(report.loads) > 0, now
+	return next
 }
 
-// broadcast sends m to all peers.
+// encode returns m as a datagram of this router.
+func (p *peerLink) encode(m mesh.Message) []byte {
+	m.Name, m.DataCentre, m.Address = string(p.r.settings.Instance), string(p.r.settings.DataCentre), p.self
+	return mesh.Append(nil, m)
+}
+
+// broadcast sends m to all peers, through relays to those in other data centres.
 func (p *peerLink) broadcast(m mesh.Message) {
-	b := mesh.Append(nil, m)
-	for a := range p.peers {
+	b := p.encode(m)
+	for _, a := range p.peers.Local(p.self) {
+		p.sendTo(a, b)
+	}
+	m.Relay = true
+	b = p.encode(m)
+	for _, a := range p.peers.Relays(time.Now(), rand.IntN) {
 		p.sendTo(a, b)
 	}
 }
@@ -235,7 +283,7 @@
 // loop and to the peerLink.
 func (r *Router) syncMembers(ctx context.Context, announced *time.Time) error {
 	if now := time.Now(); announced.IsZero() || now.Sub(*announced) > announceInterval {
-		if err := r.deps.Store.Announce(ctx, Member{Instance: r.settings.Instance, Address: r.settings.Exchange, Seen: now}); err != nil {
+		if err := r.deps.Store.Announce(ctx, Member{Instance: r.settings.Instance, DataCentre: r.settings.DataCentre, Address: r.settings.Exchange, Seen: now}); err != nil {
 			return err
 		}
 		*announced = now
@@ -244,18 +292,17 @@
 	if err != nil {
 		return err
 	}
+	list = slices.DeleteFunc(list, func(m Member) bool {
+		_, err := netip.ParseAddrPort(m.Address)
+		return err != nil || time.Since(m.Seen).Abs() >= memberTTL
+	})
 	var names []model.InstanceID
-	var addresses []netip.AddrPort
 	for _, m := range list {
-		a, err := netip.ParseAddrPort(m.Address)
-		if err == nil && time.Since(m.Seen).Abs() < memberTTL {
-			addresses = append(addresses, a)
-			names = append(names, m.Instance)
-		}
+		names = append(names, m.Instance)
 	}
 	_ = r.loop.Post(ctx, membersRead{names})
 	select {
-	case r.peers.members <- addresses:
+	case r.peers.members <- list:
 	case <-ctx.Done():
 	}
 	return nil
