router: serve callers once the first configuration and list are applied

A starting router accepted connections as soon as its first read of the configuration was queued for the control loop.

TestStartStateIsAppliedBeforeCallersAreServed failed before.

--- a/internal/control/ask.go
+++ b/internal/control/ask.go
@@ -40,6 +40,19 @@
 // SendReply sends the reply. The loop calls it once, after publishing the snapshot.
 func (q Question[R]) SendReply() { q.pending.reply <- q.pending.value }
 
+// settled is a question that no stage answers.
+type settled struct{ Question[struct{}] }
+
+// EventName implements Event.
+func (settled) EventName() string { return "settled" }
+
+// Settle waits until the events that were posted before have been applied, so that
+// the snapshot contains what they changed.
+func (l *Loop[T, S]) Settle(ctx context.Context) error {
+	_, err := Ask(ctx, l, settled{NewQuestion[struct{}]()})
+	return err
+}
+
 // Deferred is embedded in events like Question, but the reply may be sent while a
 // later event is applied. A stage that keeps the question must reply eventually.
 type Deferred[R any] struct {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,11 +32,12 @@
 	gate     *storeGate
 	meter    *meter
 	random   func() float64 // uniform in [0, 1)
-	// membersReady is closed once the list of routers has been read, configReady
-	// after the first read of the operators' orders, even if it failed, and
+	// membersReady is closed once the list of routers has been read, configReady and
+	// listReady after the result of the first read of the operators' orders and of
+	// the instance list has been applied, even if the read failed, and
 	// holdersReady once the holders of prompt parts are known or the search for
 	// them has ended.
-	membersReady, configReady, holdersReady chan struct{}
+	membersReady, configReady, listReady, holdersReady chan struct{}
 }
 
 // exchangeKey distinguishes routers from processes of other programs. It is no
@@ -47,7 +48,7 @@
 // connection. Start starts it.
 func New(s Settings, deps Deps, datagrams *net.UDPConn) *Router {
 	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64,
-		membersReady: make(chan struct{}), configReady: make(chan struct{}), holdersReady: make(chan struct{})}
+		membersReady: make(chan struct{}), configReady: make(chan struct{}), listReady: make(chan struct{}), holdersReady: make(chan struct{})}
 	r.peers = newPeerLink(r, datagrams)
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.node = exchange.New(exchange.Config{Key: exchangeKey})
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -85,8 +85,8 @@
 	// holdersTimeout bounds the wait for the holders of prompt parts. Without them,
 	// most of the first prompts after a restart of all routers are prefilled again.
 	holdersTimeout = 400 * time.Millisecond
-	// configTimeout bounds the wait for the configuration, without which requests
-	// are refused. With 2,000 routes and a seventh of a core, loading the
+	// configTimeout bounds the wait for the configuration and the instance list,
+	// without which requests are refused. With 2,000 routes and a seventh of a core, loading the
 	// configuration takes 0.7 to 1.1 s.
 	configTimeout = 1500 * time.Millisecond
 )
@@ -97,6 +97,7 @@
 	begin := time.Now()
 	await(ctx, r.holdersReady, begin.Add(holdersTimeout))
 	await(ctx, r.configReady, begin.Add(configTimeout))
+	await(ctx, r.listReady, begin.Add(configTimeout))
 }
 
 // await waits until done is closed, limit has passed or ctx ends.
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -52,13 +52,24 @@
 	return control.Pause(ctx, backoff)
 }
 
+// closeWhenApplied returns a function that closes c once the control loop has applied
+// the events posted before its first call; later calls do nothing. A router that
+// served callers as soon as the configuration was posted refused requests while its
+// control loop still waited for the processor.
+func (r *Router) closeWhenApplied(ctx context.Context, c chan struct{}) func() {
+	return sync.OnceFunc(func() {
+		_ = r.loop.Settle(ctx)
+		close(c)
+	})
+}
+
 // followOrders reads the operators' orders until ctx ends: first the current
 // orders, then the changes. While a store reader supplies this router, it reads
 // only changes that the reader already has.
 func (r *Router) followOrders(ctx context.Context) {
 	dep := &dependency{r: r, name: "operators' orders"}
 	position, known := int64(0), false
-	ready := sync.OnceFunc(func() { close(r.configReady) })
+	ready := r.closeWhenApplied(ctx, r.configReady)
 	for ctx.Err() == nil {
 		wait := r.loop.Snapshot().Settings.FollowWait
 		if known && !r.gate.waitOpen(ctx, ordersLoop) {
@@ -102,6 +113,7 @@
 func (r *Router) followList(ctx context.Context) {
 	dep := &dependency{r: r, name: "instance list"}
 	known := false // a list has been read
+	ready := r.closeWhenApplied(ctx, r.listReady)
 	f := listFollower{r: r}
 	for ctx.Err() == nil {
 		if known {
@@ -112,6 +124,7 @@
 		if err != nil {
 			_ = r.loop.Post(ctx, listReadFailed{})
 			r.gate.readFailed.Store(true)
+			ready()
 			if !dep.failed(ctx, err) {
 				return
 			}
@@ -120,6 +133,7 @@
 		dep.succeeded()
 		known = true
 		_ = r.loop.Post(ctx, listRead{list: list, sent: sent})
+		ready()
 		if !control.Pause(ctx, max(0, r.loop.Snapshot().Settings.ListInterval-time.Since(start))) {
 			return
 		}
--- /dev/null
+++ b/internal/router/start_test.go
@@ -0,0 +1,65 @@
+package router
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+// startStore is a store with a configuration and an endpoint, whose changes never
+// come.
+type startStore struct{}
+
+func (startStore) Endpoints(context.Context) (Listing, error) {
+	return Listing{Delta: place.Delta{Changed: []place.Endpoint{{ID: "e", Pool: "p", Address: "127.0.0.1:1"}}}}, nil
+}
+
+func (startStore) EndpointChanges(ctx context.Context, _ int64) (Listing, error) {
+	<-ctx.Done()
+	return Listing{}, ctx.Err()
+}
+
+func (startStore) CurrentOrders(context.Context) (Orders, int64, error) {
+	return Orders{Catalog: catalog.New(1, nil, nil, 0)}, 1, nil
+}
+
+func (startStore) OrderChanges(ctx context.Context, _ int64, _ time.Duration) (Orders, int64, error) {
+	<-ctx.Done()
+	return Orders{}, 0, ctx.Err()
+}
+
+func (startStore) Announce(context.Context, Member) error    { return nil }
+func (startStore) Members(context.Context) ([]Member, error) { return nil, nil }
+
+// Guards against a starting router that serves callers when it has read the
+// configuration and the instance list but its control loop, which waits for the
+// processor, has not applied them: 343 requests were refused after all routers had
+// been killed.
+func TestStartStateIsAppliedBeforeCallersAreServed(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := New(Settings{Instance: model.InstanceID("router-1")}, Deps{Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Store: startStore{}}, nil)
+	go r.followOrders(ctx)
+	go r.followList(ctx)
+	select {
+	case <-r.configReady:
+		t.Fatal("the configuration counts as known before it is applied")
+	case <-r.listReady:
+		t.Fatal("the instance list counts as known before it is applied")
+	case <-time.After(100 * time.Millisecond): // the control loop does not run yet
+	}
+	go r.loop.Run(ctx)
+	<-r.configReady
+	is.True(r.loop.Snapshot().Catalog != nil)
+	<-r.listReady
+	is.True(r.loop.Snapshot().Listed)
+}
