router: make fewer calls to the store

- While the store fails, a router that has a reader waits up to 2.4 s between its own reads instead of 0.6 s.
Its reader supplies it when the store is back.
- One reader for 24 routers instead of 12.
- A starting router does not read a second time before its first query of the readers has decided whether it has to.
- The list is read four times within the time in which a leaving endpoint must get no new requests (new setting drain), so each second where that is 4 s.
- The list of routers is read every 30 s instead of 10 s.

Ruled out: longer waits of the reads of the orders, since their age bounds how long keys are accepted; fewer announcements, since they expire after 70 s.

--- a/internal/router/deploy_test.go
+++ b/internal/router/deploy_test.go
@@ -22,11 +22,12 @@
 	is := is.New(t)
 	s := fillTemplate(t, map[string]string{
 		"Bounds.GraceS": "8", "Bounds.RevokeMs": "5000", "Bounds.StrictRevoke": "true", "Bounds.RetryRatio": "0.2",
-		"Bounds.RetryBurst": "58", "Bounds.RetryWindowS": "10",
+		"Bounds.RetryBurst": "58", "Bounds.RetryWindowS": "10", "Bounds.DrainMs": "4000",
 	})
 	is.Equal(s.Grace, 8*time.Second)
 	is.Equal(s.Revoke, 5*time.Second)
 	is.Equal(s.RetryBurst, 58.0)
+	is.Equal(s.ListInterval, time.Second) // a quarter of the drain time
 	is.Equal(s.RetryWindow, 10*time.Second)
 	is.Equal(len(s.Regions), 2)
 	_, port, err := net.SplitHostPort(s.Metrics)
@@ -56,7 +57,7 @@
 		"NodeName": "edge-a-1", "Zone": "a", "Listen.Frontend": "10.1.0.1:8227", "Listen.Ready": "10.1.0.1:8220", "Ip": "10.1.0.1",
 		"InternalPorts.0": "7340", "Bootstrap": "true", "Limits.MemoryMb": "184", "Platform.Address": "10.200.1.7:8065",
 		"Bounds.GraceS": "", "Bounds.RevokeMs": "", "Bounds.StrictRevoke": "", "Bounds.RetryRatio": "",
-		"Bounds.RetryBurst": "", "Bounds.RetryWindowS": "",
+		"Bounds.RetryBurst": "", "Bounds.RetryWindowS": "", "Bounds.DrainMs": "",
 	}
 	maps.Copy(values, bounds)
 	fill := func(name, value string) {
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -23,6 +23,7 @@
 
 	Grace        time.Duration // from SIGTERM until the platform kills the process
 	Revoke       time.Duration // after which a revoked key must not be accepted
+	Drain        time.Duration // after which an endpoint that leaves must get no new requests
 	StrictRevoke bool          // Revoke also binds a process that cannot reach the store
 	RetryRatio   float64       // retries per request over all routers
 	RetryBurst   float64       // retries beyond the ratio in a window over all routers
@@ -32,6 +33,11 @@
 	path         string        // of the settings file
 }
 
+// readsPerDrain is how often the instance list is read within the time after which a
+// leaving endpoint must get no new requests. The ages of the list at a store reader
+// and at the routers that query it add up to about two intervals.
+const readsPerDrain = 4
+
 // Allowed range of settings that are durations.
 const (
 	minDuration = time.Millisecond
@@ -65,13 +71,14 @@
 		FirstStart:   f.Bool("router", "first_start", false),
 		Grace:        f.Duration("bounds", "grace", 8*time.Second, minDuration, maxDuration),
 		Revoke:       f.Duration("bounds", "revoke", 5*time.Second, minDuration, maxDuration),
+		Drain:        f.Duration("bounds", "drain", 2*time.Second, minDuration, maxDuration),
 		StrictRevoke: f.Bool("bounds", "strict_revoke", true),
 		RetryRatio:   f.Float("bounds", "retry_ratio", 0.2, 0, 10),
 		RetryBurst:   f.Float("bounds", "retry_burst", 50, 0, 1e6),
 		RetryWindow:  f.Duration("bounds", "retry_window", 10*time.Second, minDuration, maxDuration),
-		ListInterval: f.Duration("platform", "list_interval", 500*time.Millisecond, minDuration, maxDuration),
 		FollowWait:   f.Duration("platform", "follow", time.Second, minDuration, maxDuration),
 	}
+	s.ListInterval = f.Duration("platform", "list_interval", s.Drain/readsPerDrain, minDuration, maxDuration)
 	for _, dc := range f.List("regions", "data_centres") {
 		s.Regions[model.DataCentre(dc)] = model.Region(f.Required("regions", dc))
 	}
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -22,7 +22,7 @@
 	idleReportInterval = 400 * time.Millisecond
 	// memberReadInterval is how often a router reads the list of routers. The read
 	// only adds peers that are missing, since a starting router sends to all peers.
-	memberReadInterval = 10 * time.Second
+	memberReadInterval = 30 * time.Second
 	// announceInterval is how often a router renews its announcement, well before
 	// memberTTL ends.
 	announceInterval = 25 * time.Second
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -35,7 +35,7 @@
 	// than the two seconds after which a leaving endpoint must get no new requests.
 	staleMargin = 150 * time.Millisecond
 	// routersPerReader is the number of routers that share one store reader.
-	routersPerReader = 12
+	routersPerReader = 24
 	// maxReaderQueries is the number of readers that are queried in turn before this
 	// router reads the store itself.
 	maxReaderQueries = 2
@@ -94,7 +94,8 @@
 // storeGate controls whether the loops that read the store run: it is closed while
 // a store reader supplies this router.
 type storeGate struct {
-	closed     atomic.Bool      // another router reads the store for this one
+	closed     atomic.Bool      // another router reads the store for this one, or that is not known yet
+	hasReader  atomic.Bool      // another router is to read the store for this one
 	readFailed atomic.Bool      // a read by this router failed since the last query
 	opened     [2]chan struct{} // by loop; wakes it when the gate opens
 	newOrders  chan struct{}    // the store reader has orders that this router lacks
@@ -106,8 +107,12 @@
 	listLoop
 )
 
+// newStoreGate returns a closed gate. Each loop reads the store once without waiting
+// at it; by the next read the first query of the store readers has decided.
 func newStoreGate() *storeGate {
-	return &storeGate{opened: [2]chan struct{}{make(chan struct{}, 1), make(chan struct{}, 1)}, newOrders: make(chan struct{}, 1)}
+	g := &storeGate{opened: [2]chan struct{}{make(chan struct{}, 1), make(chan struct{}, 1)}, newOrders: make(chan struct{}, 1)}
+	g.closed.Store(true)
+	return g
 }
 
 // wake wakes the goroutine that waits on c, or the next one that will wait on it.
@@ -173,6 +178,7 @@
 	readers = slices.DeleteFunc(readers, func(name model.InstanceID) bool { return now.Before(backoffUntil[name]) })
 	for range maxReaderQueries {
 		next := readerFor(r.settings.Instance, readers[:min(n, len(readers))])
+		r.gate.hasReader.Store(next != r.settings.Instance)
 		if next == r.settings.Instance {
 			return false
 		}
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -15,11 +15,26 @@
 	// fullReadInterval is how often the full instance list is read although its
 	// changes are followed. It repairs a list that has missed a change.
 	fullReadInterval = 30 * time.Second
-	// minBackoff and maxBackoff bound the wait after a failed call.
-	minBackoff = 150 * time.Millisecond
-	maxBackoff = 600 * time.Millisecond
+	// minBackoff and maxBackoff bound the wait after a failed call. A router that has
+	// a store reader waits up to maxMemberBackoff, since the reader supplies it when
+	// the store works again: while the store is down, all routers together would
+	// otherwise make hundreds of calls a second.
+	minBackoff       = 150 * time.Millisecond
+	maxBackoff       = 600 * time.Millisecond
+	maxMemberBackoff = 2400 * time.Millisecond
 )
 
+// storeBackoff returns the wait after a failed call to the store that follows the
+// given number of other failed calls. hasReader says that other routers read the
+// store for this one.
+func storeBackoff(failures int, hasReader bool) time.Duration {
+	longest := maxBackoff
+	if hasReader {
+		longest = maxMemberBackoff
+	}
+	return min(longest, minBackoff<<min(failures, 4))
+}
+
 // dependency logs once when calls to a dependency start to fail and once when they
 // succeed again, and backs off in between.
 type dependency struct {
@@ -47,7 +62,7 @@
 	}
 	d.lost = true
 	storeFailures[d.name].Inc()
-	backoff := min(maxBackoff, minBackoff<<min(d.failures, 4))
+	backoff := storeBackoff(d.failures, d.r.gate.hasReader.Load())
 	d.failures++
 	return control.Pause(ctx, backoff)
 }
