origin: bound the bytes read before an answer begins

An endpoint that sent letters, a header line, header lines or the body of an answer to an earlier request without end was read into memory until the request's deadline. A head, interim answers included, may now have 64 KB and a skipped body 1 MB; beyond that the connection is closed, the attempt counts as failed, and the endpoint goes into backoff as after any malformed answer.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -40,6 +41,11 @@
 	// informational ones, that are skipped before the answer to a request.
 	maxStaleAnswers = 2
 	bufferBytes     = 4096
+	// maxHeadBytes bounds the heads that are read before the answer to a request has
+	// begun, and maxStaleBytes the bodies that are skipped. An endpoint in trouble may
+	// send bytes without end.
+	maxHeadBytes  = 64 << 10
+	maxStaleBytes = 1 << 20
 	// maxInlineBody is the size of a body that a connection without unread data
 	// takes without waiting for the endpoint.
 	maxInlineBody = 4096
@@ -95,10 +101,29 @@
 	}}
 }
 
+// errTooLong is returned while more bytes than allowed are read.
+var errTooLong = eris.New("origin: more bytes than an answer may have before its body")
+
+// limitedReader reads from a connection until left bytes have been read.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+func (l *limitedReader) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := l.r.Read(b[:min(int64(len(b)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
-	r         *bufio.Reader
+	limited   *limitedReader
+	r         *bufio.Reader // reads from limited
 	address   string
 	idleSince time.Time
 	keepAlive time.Duration // idle time that the endpoint allows
@@ -146,7 +171,12 @@
 		c.idle.closeAll(address)
 		return nil, eris.Wrapf(ErrNotSent, "no connection to %s: %v", address, err)
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes), address: address}, nil
+	return newConn(nc, address), nil
+}
+
+func newConn(nc net.Conn, address string) *conn {
+	limited := &limitedReader{r: nc}
+	return &conn{Conn: nc, limited: limited, r: bufio.NewReaderSize(limited, bufferBytes), address: address}
 }
 
 // startSend sends req and returns a channel that receives the result. It returns
@@ -188,9 +218,11 @@
 }
 
 // receive reads answers until one belongs to req, and returns it once its head has
-// been read.
+// been read. The reader of its body sets its own limit.
 func (c *conn) receive(req *Request) (*Response, error) {
 	sent := &http.Request{Method: req.Method}
+	c.limited.left = maxHeadBytes
+	defer func() { c.limited.left = math.MaxInt64 }()
 	for range maxStaleAnswers + 1 {
 		head, err := http.ReadResponse(c.r, sent)
 		if err != nil {
@@ -206,9 +238,12 @@
 			continue
 		}
 		if !req.Matches(head.Header) {
+			left := c.limited.left
+			c.limited.left = maxStaleBytes
 			if _, err := io.Copy(io.Discard, head.Body); err != nil || !framed(head) {
 				return nil, eris.Wrapf(ErrUnexpectedResponse, "answer from %s is to another request", c.address)
 			}
+			c.limited.left = left
 			continue
 		}
 		c.keepAlive = keepAliveTimeout(head.Header)
--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -288,7 +288,9 @@
 	is := is.New(t)
 	c := NewClient()
 	fast := &earlyConn{written: make(chan struct{}), answer: strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Id: a\r\n\r\na")}
-	c.idle.put(&conn{Conn: fast, r: bufio.NewReader(fast), address: "e", keepAlive: time.Minute})
+	idle := newConn(fast, "e")
+	idle.keepAlive = time.Minute
+	c.idle.put(idle)
 	body, err := do(c, "e", request("a", nil))
 	is.NoErr(err)
 	is.Equal(body, "a")
