router, platform: bound stalled streams, slow bodies and long answers

- A resumable stream with two attempts had no bound on the time between events, since the read timeout counted the current attempt twice: an endpoint that sent a byte now and then held it to the deadline.
- An answer beyond 16 MB was cut there and passed on as complete.
Beyond 4 MB it now counts as failed.

Streams that cannot be resumed keep no bound but the deadline: silence is no reason to end an answer.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,6 +37,7 @@
 	Shares        []Share
 	Timeout       time.Duration // maximum time until the end of the answer; 0 means no limit
 	LatencyTarget time.Duration // objective for the time until the answer or the first event
+	EventPause    time.Duration // objective for the time between two events of a stream
 	Attempts      int           // maximum number of endpoints on which one request of a caller is attempted; at least 1
 	Priority      int           // 0 is the most urgent
 	Public        bool          // no API key is needed
--- /dev/null
+++ b/internal/router/answer_test.go
@@ -0,0 +1,42 @@
+package router
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// endless is a body that never ends.
+type endless struct{}
+
+func (endless) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = 'x'
+	}
+	return len(b), nil
+}
+
+// Guards against an answer of more than the allowed size that is cut at that size and
+// passed on as complete, and against memory that is used for a body without end.
+func TestAnswersAreReadWholeOrNotAtAll(t *testing.T) {
+	is := is.New(t)
+	whole := bytes.Repeat([]byte("x"), maxAnswerBytes)
+	body, err := readBody(bytes.NewReader(whole))
+	is.NoErr(err)
+	is.Equal(len(body), maxAnswerBytes)
+	_, err = readBody(io.MultiReader(bytes.NewReader(whole), strings.NewReader("y")))
+	is.True(errors.Is(err, errAnswerTooLong))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	_, err = readBody(endless{})
+	runtime.ReadMemStats(&after)
+	is.True(errors.Is(err, errAnswerTooLong))
+	const most = 16 << 20 // of live memory: the last two buffers of io.ReadAll
+	is.True(after.HeapAlloc < before.HeapAlloc+most)
+}
--- /dev/null
+++ b/internal/router/body.go
@@ -0,0 +1,39 @@
+package router
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+// limitBodyTime bounds the time in which h reads the body of a request.
+func limitBodyTime(h http.Handler, timeout time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Body != http.NoBody {
+			req.Body = &timedBody{ReadCloser: req.Body, conn: http.NewResponseController(w), timeout: timeout}
+		}
+		h.ServeHTTP(w, req)
+	})
+}
+
+// timedBody is a body whose read deadline runs from the first read to the end of the
+// body. net/http would take a deadline that passes later, while the request is
+// served, for a caller that has disconnected.
+type timedBody struct {
+	io.ReadCloser
+	conn    *http.ResponseController
+	timeout time.Duration
+	begun   bool
+}
+
+func (b *timedBody) Read(p []byte) (int, error) {
+	if !b.begun {
+		b.begun = true
+		_ = b.conn.SetReadDeadline(time.Now().Add(b.timeout))
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		_ = b.conn.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// isComment reports whether an event consists of comments only, which some servers
+// send to keep a connection open.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the value of the id field of an event, or "" if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/origin"
@@ -23,8 +25,9 @@
 	// maxIdleRetryable is the same bound for other requests.
 	maxIdleRetryable = 4 * time.Second
 	// maxAnswerBytes is the maximum size of the body of an answer that is not a
-	// stream.
-	maxAnswerBytes = 16 << 20
+	// stream. The body is held in memory, and a router may have 184 MB for all its
+	// requests.
+	maxAnswerBytes = 4 << 20
 	// stallFactor times the latency target is how long a retryable request waits
 	// for a silent endpoint before it is retried at another one, but at least
 	// minStallTimeout.
@@ -75,9 +78,9 @@
 	return f.readAnswer(ctx, req, res)
 }
 
-// stallTimeout returns how long req waits for the next bytes from its endpoint, or
-// 0 for no bound but the deadline. Only a request that can still be retried
-// abandons a silent endpoint.
+// stallTimeout returns how long req, which is about to be sent, waits for the head of
+// the answer, or 0 for no bound but the deadline. Only a request that can still be
+// retried abandons a silent endpoint.
 func stallTimeout(req *Request) time.Duration {
 	if !req.Route.Retryable() || req.Runs+1 >= req.Route.Attempts {
 		return 0
@@ -125,8 +128,8 @@
 		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body), recordResult: f.recordResult}
 		return answer, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
-	res.Release(err == nil && len(body) < maxAnswerBytes)
+	body, err := readBody(res.Body)
+	res.Release(err == nil)
 	if err != nil {
 		return nil, f.refuseFailed(ctx, req, err)
 	}
@@ -139,10 +142,22 @@
 	return answer, nil
 }
 
+// errAnswerTooLong is returned for a body of more than maxAnswerBytes.
+var errAnswerTooLong = eris.Errorf("router: answer is longer than %d bytes", maxAnswerBytes)
+
+// readBody reads the body of an answer that is not a stream.
+func readBody(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		return nil, errAnswerTooLong
+	}
+	return body, err
+}
+
 // refuseNotRun handles an answer that says that the endpoint did not run the
 // request.
 func (f send) refuseNotRun(req *Request, res *origin.Response, class ResponseClass) *model.Refusal {
-	_, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxAnswerBytes))
+	_, err := readBody(res.Body)
 	res.Release(err == nil)
 	result, detail := place.Refused, "endpoint did not run the request"
 	if class.Misdirected {
@@ -159,13 +174,18 @@
 	ctx          context.Context
 	events       *eventSplitter
 	recordResult func(model.EndpointID, place.Result, uint64)
+	waiting      bool // the read timeout of the next event runs
 	finished     bool
 }
 
 func (s *stream) Next() ([]byte, error) {
-	s.res.SetReadTimeout(s.readTimeout())
+	if !s.waiting {
+		s.res.SetReadTimeout(s.readTimeout())
+	}
 	event, err := s.events.next()
 	if err == nil {
+		// A stalled endpoint may still send comments, which are no progress.
+		s.waiting = isComment(event)
 		return event, nil
 	}
 	switch {
@@ -182,11 +202,16 @@
 	return nil, err
 }
 
-// readTimeout returns how long the endpoint may send nothing before the stream is
-// resumed at another one, or 0 for no bound. req.Runs already includes this attempt,
-// which stallTimeout adds once more, so there is a bound only while at least two
-// further attempts are left.
-func (s *stream) readTimeout() time.Duration { return stallTimeout(s.req) }
+// readTimeout returns how long the endpoint may take for the next event before the
+// stream is resumed at another one, or 0 for no bound but the deadline if it cannot
+// be.
+func (s *stream) readTimeout() time.Duration {
+	route := s.req.Route
+	if !route.Retryable() || s.req.Runs >= route.Attempts {
+		return 0
+	}
+	return max(minStreamStallTimeout, stallFactor*max(route.LatencyTarget, route.EventPause))
+}
 
 func (s *stream) Close() { s.finish(false, place.Cancelled) }
 
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -55,7 +56,7 @@
 	g.Go(func() error { return r.node.Serve(background, rpc) })
 	active := &atomic.Int64{}
 	srv := &http.Server{
-		Handler: r.countActive(active, r.Handler()), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: r.countActive(active, limitBodyTime(r.Handler(), readBodyTimeout)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	readinessSrv := &http.Server{Handler: r.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 2)
@@ -185,6 +186,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, model.Refuse(model.ReasonLimit, "the body is too large")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, model.Refuse(model.ReasonDeadline, "the body arrives too slowly")
+	}
 	if err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, "the body cannot be read")
 	}
