router: pass changed orders on through the store readers

A store reader now keeps the last four changes that it read, compressed, and sends them with its reply to a router that has all orders before them; a router that does not, or whose change has more than 16 KB compressed, reads the store as before.

TestConfigurationsArriveThroughPeers failed before (the key was refused).

--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -64,7 +64,8 @@
 
 // StateArgs is the query of a router to its store reader.
 type StateArgs struct {
-	List uint64 // hash of the instance list that the router has
+	List     uint64 // hash of the instance list that the router has
+	Position int64  // after the last order that the router has
 	// Buckets are the hashes of the buckets of that list. They are sent in a second
 	// query if the reader does not know List.
 	Buckets []uint32
@@ -78,11 +79,14 @@
 	Starting  bool // the reader knows nothing yet; the other fields are empty
 	OrdersAge time.Duration
 	Position  int64 // position after the last order that was read
-	ListAge   time.Duration
-	List      uint64 // hash of the instance list
-	Delta     place.Delta
-	Unknown   bool    // the reader does not know StateArgs.List, so Delta is empty
-	Replaced  []uint8 // buckets of the list whose endpoints are those in Delta.Changed
+	// Orders are the orders from StateArgs.Position to Position, compressed, or empty
+	// if the reader does not keep them.
+	Orders   [][]byte
+	ListAge  time.Duration
+	List     uint64 // hash of the instance list
+	Delta    place.Delta
+	Unknown  bool    // the reader does not know StateArgs.List, so Delta is empty
+	Replaced []uint8 // buckets of the list whose endpoints are those in Delta.Changed
 }
 
 // storeServer answers the queries of peers from the snapshot.
@@ -99,6 +103,9 @@
 		OrdersAge: now - snap.Confirmed, Position: snap.Position,
 		ListAge: now - snap.ListSent, List: snap.List.Hash,
 	}
+	if args.Position < snap.Position {
+		reply.Orders = batchesSince(snap.orders, args.Position)
+	}
 	if args.List == snap.List.Hash {
 		return nil
 	}
@@ -117,11 +124,11 @@
 // storeGate controls whether the loops that read the store run: it is closed while
 // a store reader supplies this router.
 type storeGate struct {
-	closed     atomic.Bool      // another router reads the store for this one, or that is not known yet
-	hasReader  atomic.Bool      // another router is to read the store for this one
-	readFailed atomic.Bool      // a read by this router failed since the last query
-	opened     [2]chan struct{} // by loop; wakes it when the gate opens
-	newOrders  chan struct{}    // the store reader has orders that this router lacks
+	closed     atomic.Bool       // another router reads the store for this one, or that is not known yet
+	hasReader  atomic.Bool       // another router is to read the store for this one
+	readFailed atomic.Bool       // a read by this router failed since the last query
+	opened     [2]chan struct{}  // by loop; wakes it when the gate opens
+	newOrders  chan orderRecords // from the store reader
 }
 
 // The loops that wait at a storeGate.
@@ -134,7 +141,7 @@
 // store readers has decided, so that not all routers that start at once read the
 // store.
 func newStoreGate() *storeGate {
-	g := &storeGate{opened: [2]chan struct{}{make(chan struct{}, 1), make(chan struct{}, 1)}, newOrders: make(chan struct{}, 1)}
+	g := &storeGate{opened: [2]chan struct{}{make(chan struct{}, 1), make(chan struct{}, 1)}, newOrders: make(chan orderRecords, 1)}
 	g.closed.Store(true)
 	return g
 }
@@ -155,24 +162,33 @@
 	}
 }
 
-// waitOpen waits until the gate is open or ctx ends. It returns false if the gate
-// is still closed and the loop should only read the orders that the store reader
-// has and this router lacks.
-func (g *storeGate) waitOpen(ctx context.Context, loop int) (open bool) {
-	var newer chan struct{}
+// offerOrders passes orders of the store reader to the loop that follows the orders.
+// It drops them if the loop has not taken the last ones, since the next query offers
+// them again.
+func (g *storeGate) offerOrders(o orderRecords) {
+	select {
+	case g.newOrders <- o:
+	default:
+	}
+}
+
+// waitOpen waits until the gate is open or ctx ends. It returns false and the orders
+// if the gate is still closed and the store reader has orders for the loop.
+func (g *storeGate) waitOpen(ctx context.Context, loop int) (o orderRecords, open bool) {
+	var offered chan orderRecords
 	if loop == ordersLoop {
-		newer = g.newOrders
+		offered = g.newOrders
 	}
 	for g.closed.Load() {
 		select {
 		case <-g.opened[loop]:
-		case <-newer:
-			return false
+		case o = <-offered:
+			return o, false
 		case <-ctx.Done():
-			return true
+			return o, true
 		}
 	}
-	return true
+	return o, true
 }
 
 // queryStoreReaders queries the store readers at queryInterval until ctx ends. While
@@ -303,7 +319,7 @@
 // which the query was sent.
 func (r *Router) queryReader(ctx context.Context, name model.InstanceID, address string) readerState {
 	sent, snap := boottime.Now(), r.loop.Snapshot()
-	reply, err := r.callReader(ctx, address, snap.List)
+	reply, err := r.callReader(ctx, address, snap)
 	if err != nil {
 		r.log.Info("router does not tell the state of the store", "router", name, "error", err.Error())
 		return readerFailed
@@ -326,22 +342,23 @@
 	_ = r.loop.Post(ctx, listRead{list: list, sent: sent - reply.ListAge})
 	r.listKnown(ctx)
 	if reply.Position > snap.Position {
-		wake(r.gate.newOrders)
+		r.gate.offerOrders(orderRecords{from: snap.Position, to: reply.Position, packed: reply.Orders, sent: sent - reply.OrdersAge})
 		return readerFresh
 	}
 	_ = r.loop.Post(ctx, ordersRead{sent: sent - reply.OrdersAge, position: snap.Position})
 	return readerFresh
 }
 
-// callReader queries the reader at address for a router that has the given list.
-func (r *Router) callReader(ctx context.Context, address string, list place.List) (StateReply, error) {
+// callReader queries the reader at address for a router with the given snapshot.
+func (r *Router) callReader(ctx context.Context, address string, snap *Snapshot) (StateReply, error) {
 	var reply StateReply
-	err := r.node.CallWithin(ctx, queryTimeout, address, storeMethod, StateArgs{List: list.Hash}, &reply)
+	args := StateArgs{List: snap.List.Hash, Position: snap.Position}
+	err := r.node.CallWithin(ctx, queryTimeout, address, storeMethod, args, &reply)
 	if err != nil || !reply.Unknown {
 		return reply, err
 	}
-	reply = StateReply{}
-	err = r.node.CallWithin(ctx, listTimeout, address, storeMethod, StateArgs{List: list.Hash, Buckets: list.Buckets()}, &reply)
+	reply, args.Buckets = StateReply{}, snap.List.Buckets()
+	err = r.node.CallWithin(ctx, listTimeout, address, storeMethod, args, &reply)
 	return reply, err
 }
 
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -97,8 +97,14 @@
 	position, known := int64(0), false
 	for ctx.Err() == nil {
 		wait := r.loop.Snapshot().Settings.FollowWait
-		if known && !r.gate.waitOpen(ctx, ordersLoop) {
-			wait = 0
+		if known {
+			if records, open := r.gate.waitOpen(ctx, ordersLoop); !open {
+				if next, complete := r.applyRecords(ctx, position, records); complete {
+					position = next
+					continue
+				}
+				wait = 0
+			}
 		}
 		sent := boottime.Now()
 		var orders Orders
@@ -126,12 +132,41 @@
 		if orders.Skipped > 0 {
 			r.log.Warn("records of the orders cannot be read", "count", orders.Skipped, "position", position)
 		}
-		_ = r.loop.Post(ctx, ordersRead{orders: orders, current: !known, sent: sent, position: next})
+		ev := ordersRead{orders: orders, current: !known, sent: sent, position: next}
+		if known && next > position {
+			if packed, ok := packOrders(orders.Records); ok {
+				ev.batch = &orderBatch{from: position, to: next, packed: packed}
+			}
+		}
+		_ = r.loop.Post(ctx, ev)
 		r.closeWhenApplied(ctx, r.configReady)
 		position, known = next, true
 	}
 }
 
+// applyRecords applies the orders that the store reader sent to a router that knows
+// them up to position. It returns the position after them, or false if the orders
+// have to be read from the store.
+func (r *Router) applyRecords(ctx context.Context, position int64, records orderRecords) (next int64, complete bool) {
+	if records.to <= position {
+		return position, true // offered twice
+	}
+	if records.from != position || len(records.packed) == 0 {
+		return position, false
+	}
+	data, err := unpackOrders(records.packed)
+	var orders Orders
+	if err == nil {
+		orders, err = r.deps.Store.DecodeOrders(data)
+	}
+	if err != nil {
+		r.log.Warn("orders of another router cannot be read", "position", position, "error", err.Error())
+		return position, false
+	}
+	_ = r.loop.Post(ctx, ordersRead{orders: orders, sent: records.sent, position: records.to})
+	return records.to, true
+}
+
 // followList reads the instance list at ListInterval until ctx ends, unless a store
 // reader supplies this router. It reads the full list first and after each
 // failure, and the changes otherwise.
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -20,6 +20,9 @@
 		current  bool // all current orders rather than changes
 		sent     time.Duration
 		position int64 // after the orders
+		// batch holds the orders for the peers that this router supplies; nil if they
+		// came from a peer or are too long.
+		batch *orderBatch
 	}
 	// listRead carries the instance list and the boot time at which its read was
 	// sent.
@@ -143,6 +146,9 @@
 		return false
 	}
 	s.confirmed, s.position = max(s.confirmed, e.sent), max(s.position, e.position)
+	if e.batch != nil {
+		s.orderBatches = addBatch(s.orderBatches, *e.batch)
+	}
 	if c := e.orders.Catalog; c != nil && (s.catalog == nil || c.Version > s.catalog.Version) {
 		f.log.Info("configuration in force", "version", c.Version, "routes", c.Routes(), "pools", len(c.Pools))
 		s.catalog = c
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -32,6 +32,7 @@
 	phase        Phase
 	retryWindows map[model.Pool]*retry.Window
 	position     int64                                // after the last order that was read
+	orderBatches []orderBatch                         // the last orders that were read, for the peers
 	list         place.List                           // the latest instance list
 	history      place.History                        // the last changes of list
 	listSent     time.Duration                        // boot time at which the read of list was sent
@@ -49,6 +50,7 @@
 	// The state of the store, from which peers that use this router as store reader
 	// are answered.
 	Position int64
+	orders   []orderBatch
 	List     place.List
 	History  place.History
 	ListSent time.Duration
@@ -62,5 +64,5 @@
 // publish returns the snapshot of the state.
 func publish(s *State, _ time.Time) *Snapshot {
 	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Phase: s.phase,
-		Position: s.position, List: s.list, History: s.history, ListSent: s.listSent}
+		Position: s.position, orders: s.orderBatches, List: s.list, History: s.history, ListSent: s.listSent}
 }
--- a/internal/router/store_test.go
+++ b/internal/router/store_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -189,6 +190,47 @@
 	}
 }
 
+// Guards against a router that the store rejects and that refuses requests with a key
+// once the configuration has changed, and against a read of the store by each router
+// for each change.
+func TestConfigurationsArriveThroughPeers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 1)
+	const routers = 3
+	var listeners []*standin.StoreListener
+	var fleet []*process
+	for i := range routers {
+		listener := f.store.NewListener()
+		listeners = append(listeners, listener)
+		fleet = append(fleet, f.start(func(s *router.Settings) {
+			s.Instance, s.Store = model.InstanceID(fmt.Sprintf("router-%d", i)), listener.Address()
+		}))
+	}
+	for _, p := range fleet {
+		p.await()
+		eventually(t, "all peers are live", func() bool { return strings.Count(p.text(), "router heard") == routers-1 })
+	}
+	for i, p := range fleet {
+		listeners[i].SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+		config := routes(2 + i)
+		key := fmt.Sprint("new-key-", i)
+		config["Tenants"] = []any{map[string]any{"Name": "studio", "ApiKeys": []string{"key-1", key}}}
+		f.store.SetConfig(config)
+		eventually(t, "the new key is accepted by the router that the store rejects", func() bool {
+			r := p.call(context.Background(), http.MethodGet, "/read/x", "", map[string]string{"Authorization": "Bearer " + key})
+			return r.status == http.StatusOK
+		})
+		is.Equal(p.get("/read/x").status, http.StatusOK)
+		listeners[i].SetFaults(standin.StoreFaults{})
+		for _, q := range fleet { // all have the same orders before the next change
+			eventually(t, "the new key is accepted everywhere", func() bool {
+				r := q.call(context.Background(), http.MethodGet, "/read/x", "", map[string]string{"Authorization": "Bearer " + key})
+				return r.status == http.StatusOK
+			})
+		}
+	}
+}
+
 // Guards against a starting router that refuses requests although it gets its
 // configuration a moment later: 272 requests were refused after all routers had
 // been lost behind links of 10 Mbit/s.
