--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -238,9 +238,12 @@
 			continue
 		}
 		if !req.Matches(head.Header) {
+			if !framed(head) { // the answer to this request cannot follow it
+				return nil, eris.Wrapf(ErrUnexpectedResponse, "answer from %s is to another request", c.address)
+			}
 			left := c.limited.left
 			c.limited.left = maxStaleBytes
-			if _, err := io.Copy(io.Discard, head.Body); err != nil || !framed(head) {
+			if _, err := io.Copy(io.Discard, head.Body); err != nil {
 				return nil, eris.Wrapf(ErrUnexpectedResponse, "answer from %s is to another request", c.address)
 			}
 			c.limited.left = left
--- a/internal/router/source_caches.go
+++ b/internal/router/source_caches.go
@@ -84,8 +84,9 @@
 	parts, err := r.deps.Caches.CachedParts(ctx, e.Address)
 	if err != nil {
 		r.log.Warn("cache of an engine cannot be read", "endpoint", e.ID, "error", err.Error())
+	} else {
+		r.log.Info("cache of an engine read", "endpoint", e.ID, "parts", len(parts))
 	}
-	r.log.Info("cache of an engine read", "endpoint", e.ID, "parts", len(parts))
 	c := cacheRead{engine: place.EndpointHash(e.ID)}
 	for _, p := range parts {
 		c.holders = append(c.holders, place.PartHolder{Part: p, Endpoint: c.engine})
