overlay, router: bound the routers that messages can name

Any host can send a datagram with any name and address. The peers and their addresses were kept without a bound, the addresses for ever. There may now be 2,048 of each, and each read of the list of routers drops the addresses of those that are neither announced nor live.

--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -17,6 +17,10 @@
 // without requests sends several messages in that time.
 const liveTime = 5 * time.Second
 
+// maxPeers bounds the set, since any host can send a datagram with any address in it.
+// It is far above the 370 routers of the target size.
+const maxPeers = 2048
+
 // Peers is the set of the other routers. Its methods must be called by one goroutine
 // at a time.
 type Peers struct {
@@ -38,18 +42,26 @@
 
 // Announced adds a router that is announced in the store, or renews it.
 func (p *Peers) Announced(now time.Time, a netip.AddrPort, dc model.DataCentre) {
-	if a != p.self && a.IsValid() {
+	if p.accepts(a) {
 		p.peers[a] = peer{dataCentre: dc, known: now, heard: p.peers[a].heard}
 	}
 }
 
 // Heard adds a router from which a message came, or renews it.
 func (p *Peers) Heard(now time.Time, a netip.AddrPort, dc model.DataCentre) {
-	if a != p.self && a.IsValid() {
+	if p.accepts(a) {
 		p.peers[a] = peer{dataCentre: dc, known: now, heard: now}
 	}
 }
 
+// accepts reports whether the router at a is or may become a peer.
+func (p *Peers) accepts(a netip.AddrPort) bool {
+	if _, known := p.peers[a]; known {
+		return true
+	}
+	return a != p.self && a.IsValid() && len(p.peers) < maxPeers
+}
+
 // Expire removes the peers without a message or an announcement within ttl.
 func (p *Peers) Expire(now time.Time, ttl time.Duration) {
 	for a, e := range p.peers {
--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -107,3 +107,19 @@
 	is.Equal(len(alone[address(0, 0)].Sources(start, 2, pick)), 2) // none is in its own
 	is.Equal(len(New(address(0, 0), "dc-0").Sources(start, 2, pick)), 0)
 }
+
+// Guards against memory that fills with the senders of forged datagrams, and against
+// forged ones that drive known peers out.
+func TestPeersAreBounded(t *testing.T) {
+	is := is.New(t)
+	p := New(address(0, 0), dataCentre(0))
+	known := address(0, 1)
+	p.Heard(start, known, dataCentre(0))
+	for i := range 3 * maxPeers {
+		p.Heard(start, address(7, i), dataCentre(7))
+	}
+	is.Equal(p.Len(), maxPeers)
+	p.Heard(start.Add(liveTime), known, dataCentre(0))
+	p.Expire(start.Add(liveTime), liveTime-1)
+	is.Equal(p.Local(address(0, 0)), []netip.AddrPort{known})
+}
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -106,6 +106,10 @@
 func (storeReadersQuery) EventName() string { return "readers_asked" }
 func (peerReportQuery) EventName() string   { return "loads_asked" }
 
+// maxRouters bounds the routers whose messages are applied, since any host can send
+// messages with any name. It is far above the 370 of the target size.
+const maxRouters = 2048
+
 // exchangeAddress is where the exchange of a router is reached.
 type exchangeAddress struct {
 	address    string // ip:port, UDP and TCP
@@ -211,18 +215,31 @@
 	case listReadFailed:
 		s.table.RecordStoreOutage(now)
 	case membersRead:
-		s.members = nil
-		for _, m := range e.routers {
-			s.members = append(s.members, m.Instance)
-			if _, known := s.addresses[m.Instance]; !known {
-				s.addresses[m.Instance] = exchangeAddress{m.Address, m.DataCentre}
-			}
-		}
-		s.table.SetAnnounced(s.members)
+		f.applyMembers(s, now, e.routers)
 	}
 	return false
 }
 
+// applyMembers replaces the list of announced routers and drops the addresses of
+// routers that are neither announced nor live.
+func (applyList) applyMembers(s *State, now time.Time, members []Member) {
+	addresses := map[model.InstanceID]exchangeAddress{}
+	for _, name := range s.table.LivePeers(now) {
+		if at, ok := s.addresses[name]; ok {
+			addresses[name] = at
+		}
+	}
+	s.members = nil
+	for _, m := range members {
+		s.members = append(s.members, m.Instance)
+		if _, live := addresses[m.Instance]; !live {
+			addresses[m.Instance] = exchangeAddress{m.Address, m.DataCentre}
+		}
+	}
+	s.addresses = addresses
+	s.table.SetAnnounced(s.members)
+}
+
 // logRemoved logs the endpoints that were removed from the table.
 func (f applyList) logRemoved(endpoints []model.EndpointID) {
 	for _, id := range endpoints {
@@ -282,7 +299,11 @@
 func (f applyPeers) Apply(s *State, now time.Time, ev control.Event) bool {
 	switch e := ev.(type) {
 	case peerMessage:
-		s.addresses[model.InstanceID(e.name)] = e.at
+		name := model.InstanceID(e.name)
+		if _, known := s.addresses[name]; !known && len(s.addresses) >= maxRouters {
+			return false
+		}
+		s.addresses[name] = e.at
 		if e.leaving {
 			s.table.DropPeer(e.name)
 			f.log.Info("router left", "router", e.name)
