--- /dev/null
+++ b/internal/router/control_events.go
@@ -0,0 +1,135 @@
+package router
+
+import (
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+// Events of the control loop.
+type (
+	// ordersRead carries orders and the boot time at which their read was sent.
+	ordersRead struct {
+		orders   Orders
+		current  bool // all current orders rather than changes
+		sent     time.Duration
+		position int64 // after the orders
+		// batch holds the orders for the peers that this router supplies; nil if they
+		// came from a peer or are too long.
+		batch *orderBatch
+	}
+	// listRead carries the instance list and the boot time at which its read was
+	// sent.
+	listRead struct {
+		list place.List
+		sent time.Duration
+	}
+	// listReadFailed is posted if the instance list could not be read.
+	listReadFailed struct{}
+	// membersRead carries the routers whose announcements have not expired.
+	membersRead struct{ routers []Member }
+	// settingsRead carries the settings of a changed file.
+	settingsRead struct{ settings Settings }
+	// phaseChanged starts the next phase of a planned stop.
+	phaseChanged struct{ phase Phase }
+	// pickEndpoint asks for an endpoint.
+	pickEndpoint struct {
+		control.Question[pickReply]
+		query place.Query
+	}
+	// requestEnded reports the result of a placed request.
+	requestEnded struct {
+		endpoint    model.EndpointID
+		result      place.Result
+		pendingPart uint64
+	}
+	// requestArrived counts a request towards the retry budget of a pool.
+	requestArrived struct{ pool model.Pool }
+	// allowRetry takes a retry from the retry budget of a pool. The reply is false
+	// if there was none left.
+	allowRetry struct {
+		control.Question[bool]
+		pool model.Pool
+	}
+	// peerMessage carries a datagram of a peer.
+	peerMessage struct {
+		name    string
+		at      exchangeAddress
+		loads   map[uint32]int
+		holders []place.PartHolder
+		leaving bool
+		// holdersKnown says that the sender knows the holders from before its start.
+		holdersKnown bool
+		cachesRead   []uint32 // engines whose caches the sender has read since its start
+	}
+	// cacheRead carries the prompt parts in the cache of one engine.
+	cacheRead struct {
+		engine  uint32
+		holders []place.PartHolder
+	}
+	// holderSearchEnded ends the search for holders from before the start.
+	holderSearchEnded struct{}
+	// cachesQuery asks which engines' caches are still to be read.
+	cachesQuery struct{ control.Question[cachesReply] }
+	// storeReadersQuery asks for the routers that can be store readers, with their
+	// exchange addresses.
+	storeReadersQuery struct {
+		control.Question[map[model.InstanceID]exchangeAddress]
+	}
+	// peerReportQuery asks for the state that this router sends to its peers.
+	peerReportQuery struct {
+		control.Question[peerReport]
+		maxHolders int // maximum number of holders in the reply
+	}
+)
+
+func (ordersRead) EventName() string        { return "orders_read" }
+func (listRead) EventName() string          { return "list_read" }
+func (listReadFailed) EventName() string    { return "list_lost" }
+func (membersRead) EventName() string       { return "members_read" }
+func (settingsRead) EventName() string      { return "settings_read" }
+func (phaseChanged) EventName() string      { return "phase_changed" }
+func (pickEndpoint) EventName() string      { return "pick_endpoint" }
+func (requestEnded) EventName() string      { return "request_ended" }
+func (requestArrived) EventName() string    { return "request_came" }
+func (allowRetry) EventName() string        { return "may_repeat" }
+func (peerMessage) EventName() string       { return "peer_heard" }
+func (cacheRead) EventName() string         { return "caches_read" }
+func (holderSearchEnded) EventName() string { return "holders_known" }
+func (cachesQuery) EventName() string       { return "caches_asked" }
+func (storeReadersQuery) EventName() string { return "readers_asked" }
+func (peerReportQuery) EventName() string   { return "loads_asked" }
+
+// maxRouters bounds the routers whose messages are applied, since any host can send
+// messages with any name. It is far above the 370 of the target size.
+const maxRouters = 2048
+
+// exchangeAddress is where the exchange of a router is reached.
+type exchangeAddress struct {
+	address    string // ip:port, UDP and TCP
+	dataCentre model.DataCentre
+}
+
+// pickReply is the reply to pickEndpoint.
+type pickReply struct {
+	choice place.Choice
+	found  bool
+}
+
+// cachesReply is the reply to cachesQuery.
+type cachesReply struct {
+	engines      []place.Endpoint   // engines whose caches no router has read yet
+	routers      []model.InstanceID // routers whose announcements have not expired
+	livePeers    []model.InstanceID
+	holdersKnown bool // the holders need no further search
+}
+
+// peerReport is the reply to peerReportQuery.
+type peerReport struct {
+	loads        map[uint32]int
+	holders      []place.PartHolder
+	holdersKnown bool
+	cachesRead   []uint32
+}
--- /dev/null
+++ b/internal/router/store_server.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+// The names of the RPC service and its method are short because each call carries
+// them.
+const (
+	storeService = "S"
+	storeMethod  = "S.State"
+)
+
+// StateArgs is the query of a router to its store reader.
+type StateArgs struct {
+	List     uint64 // hash of the instance list that the router has
+	Position int64  // after the last order that the router has
+	// Buckets are the hashes of the buckets of that list. They are sent in a second
+	// query if the reader does not know List.
+	Buckets []uint32
+}
+
+// StateReply is the state of the store as the reader knows it. An age is the
+// time between the start of the read of the store and the reply: the state was
+// current that long before the reply, or later. net/rpc writes it with gob, so the
+// names of its fields are part of the protocol.
+type StateReply struct {
+	Starting  bool // the reader knows nothing yet; the other fields are empty
+	OrdersAge time.Duration
+	Position  int64 // position after the last order that was read
+	// Orders are the orders from StateArgs.Position to Position, compressed, or empty
+	// if the reader does not keep them.
+	Orders   [][]byte
+	ListAge  time.Duration
+	List     uint64 // hash of the instance list
+	Delta    place.Delta
+	Unknown  bool    // the reader does not know StateArgs.List, so Delta is empty
+	Replaced []uint8 // buckets of the list whose endpoints are those in Delta.Changed
+}
+
+// storeServer answers the queries of peers from the snapshot.
+type storeServer struct{ snapshot func() *Snapshot }
+
+// State implements the RPC method storeMethod.
+func (s *storeServer) State(args StateArgs, reply *StateReply) error {
+	snap, now := s.snapshot(), boottime.Now()
+	if snap.Catalog == nil || !snap.Listed {
+		reply.Starting = true
+		return nil
+	}
+	*reply = StateReply{
+		OrdersAge: now - snap.Confirmed, Position: snap.Position,
+		ListAge: now - snap.ListSent, List: snap.List.Hash,
+	}
+	if args.Position < snap.Position {
+		reply.Orders = batchesSince(snap.orders, args.Position)
+	}
+	if args.List == snap.List.Hash {
+		return nil
+	}
+	var known bool
+	if reply.Delta, known = snap.History.Since(args.List); known {
+		return nil
+	}
+	if args.Buckets == nil {
+		reply.Unknown = true
+		return nil
+	}
+	reply.Replaced, reply.Delta.Changed = snap.List.Differing(args.Buckets)
+	return nil
+}
+
+// applyReply returns the instance list of a reader that sent reply to a router with
+// list l.
+func applyReply(l place.List, reply StateReply) place.List {
+	if reply.Delta.Empty() && reply.Replaced == nil {
+		return l
+	}
+	for i, e := range reply.Delta.Changed {
+		if e.ColdLeft > 0 {
+			// At least a millisecond: the endpoint must stay cold in this list, since
+			// the hash covers that it was cold in the reader's list.
+			reply.Delta.Changed[i].ColdLeft = max(time.Millisecond, e.ColdLeft-reply.ListAge)
+		}
+	}
+	if reply.Replaced != nil {
+		return l.ReplaceBuckets(reply.Replaced, reply.Delta.Changed)
+	}
+	return l.Apply(reply.Delta)
+}
--- a/internal/router/store_test.go
+++ b/internal/router/store_test.go
@@ -162,25 +162,31 @@
 	is.Equal(f.store.FullReads("keyed.servers"), before)
 }
 
-// Guards against a router that refuses requests with a key while the store rejects
-// its reads, although its peers know which keys are valid.
-func TestRoutersThatAreTurnedAwayAskOthers(t *testing.T) {
-	is := is.New(t)
-	f := newFleet(t, 0, 1)
-	const routers = 3
-	var listeners []*standin.StoreListener
-	var fleet []*process
+// startBehindListeners starts routers whose connections to the store can be made to
+// fail one by one, and waits until they are ready and know each other.
+func (f *fleet) startBehindListeners(routers int, change func(*router.Settings)) (listeners []*standin.StoreListener, fleet []*process) {
+	f.t.Helper()
 	for i := range routers {
 		listener := f.store.NewListener()
 		listeners = append(listeners, listener)
 		fleet = append(fleet, f.start(func(s *router.Settings) {
-			s.Instance, s.Store, s.Revoke = model.InstanceID(fmt.Sprintf("router-%d", i)), listener.Address(), 2500*time.Millisecond
+			s.Instance, s.Store = model.InstanceID(fmt.Sprintf("router-%d", i)), listener.Address()
+			change(s)
 		}))
 	}
 	for _, p := range fleet {
 		p.await()
-		eventually(t, "all peers are live", func() bool { return strings.Count(p.text(), "router heard") == routers-1 })
+		eventually(f.t, "all peers are live", func() bool { return strings.Count(p.text(), "router heard") == routers-1 })
 	}
+	return listeners, fleet
+}
+
+// Guards against a router that refuses requests with a key while the store rejects
+// its reads, although its peers know which keys are valid.
+func TestRoutersThatAreTurnedAwayAskOthers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 1)
+	listeners, fleet := f.startBehindListeners(3, func(s *router.Settings) { s.Revoke = 2500 * time.Millisecond })
 	for i, p := range fleet {
 		listeners[i].SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
 		for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
@@ -196,20 +202,7 @@
 func TestConfigurationsArriveThroughPeers(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 0, 1)
-	const routers = 3
-	var listeners []*standin.StoreListener
-	var fleet []*process
-	for i := range routers {
-		listener := f.store.NewListener()
-		listeners = append(listeners, listener)
-		fleet = append(fleet, f.start(func(s *router.Settings) {
-			s.Instance, s.Store = model.InstanceID(fmt.Sprintf("router-%d", i)), listener.Address()
-		}))
-	}
-	for _, p := range fleet {
-		p.await()
-		eventually(t, "all peers are live", func() bool { return strings.Count(p.text(), "router heard") == routers-1 })
-	}
+	listeners, fleet := f.startBehindListeners(3, func(*router.Settings) {})
 	for i, p := range fleet {
 		listeners[i].SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
 		config := routes(2 + i)
