overlay: do not relay through a router that has sent a leaving notice

A router that had left was preferred as relay for 5 s, as one that was heard lately, and each message through it was lost for its data centre. Found in reading; TestRelaysArePreferablyLive covers it.

--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -62,6 +62,10 @@
 	return a != p.self && a.IsValid() && len(p.peers) < maxPeers
 }
 
+// Left removes a router that sent a notice of its shutdown, so that it is not chosen
+// as a relay.
+func (p *Peers) Left(a netip.AddrPort) { delete(p.peers, a) }
+
 // Expire removes the peers without a message or an announcement within ttl.
 func (p *Peers) Expire(now time.Time, ttl time.Duration) {
 	for a, e := range p.peers {
--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -90,6 +90,8 @@
 	}
 	p.Expire(now.Add(liveTime), liveTime+1)
 	is.Equal(p.Len(), 2)
+	p.Left(address(1, 7))
+	is.Equal(p.Relays(now, pick), []netip.AddrPort{address(1, 8)}) // the other one sent a leaving notice
 }
 
 // Guards against a starting router that asks all its peers for their state: 102
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -63,6 +63,7 @@
 type datagram struct {
 	sender     netip.AddrPort
 	dataCentre model.DataCentre
+	leaving    bool   // the sender is stopping
 	relay      []byte // to be forwarded to the peers in the home data centre; nil if not
 }
 
@@ -103,7 +104,7 @@
 			continue
 		}
 		_ = p.r.loop.Post(ctx, peerMessage{name: m.Name, at: exchangeAddress{m.Address.String(), model.DataCentre(m.DataCentre)}, loads: m.Loads, holders: m.Holders, leaving: m.Leaving, holdersKnown: m.HoldersKnown, cachesRead: m.CachesRead})
-		d, queue := datagram{sender: m.Address, dataCentre: model.DataCentre(m.DataCentre)}, p.received
+		d, queue := datagram{sender: m.Address, dataCentre: model.DataCentre(m.DataCentre), leaving: m.Leaving}, p.received
 		if m.Relay {
 			d.relay = mesh.Relayed(buf[:n])
 		}
@@ -167,7 +168,11 @@
 // acceptDatagram records the sender of a received message and forwards the message if
 // this router is its relay.
 func (p *peerLink) acceptDatagram(d datagram) {
-	p.peers.Heard(time.Now(), d.sender, d.dataCentre)
+	if d.leaving {
+		p.peers.Left(d.sender)
+	} else {
+		p.peers.Heard(time.Now(), d.sender, d.dataCentre)
+	}
 	if d.relay == nil {
 		return
 	}
