--- a/internal/router/readers.go
+++ b/internal/router/readers.go
@@ -22,19 +22,19 @@
 
 // readerCount returns the number of store readers of this router's group.
 func (r *Router) readerCount(routers map[model.InstanceID]exchangeAddress) int {
-	return (len(sharesReaders(r.settings.DataCentre, routers)) + routersPerReader - 1) / routersPerReader
+	return (len(readerGroup(r.settings.DataCentre, routers)) + routersPerReader - 1) / routersPerReader
 }
 
 // readers returns the store readers of this router's group and then their
 // replacements.
 func (r *Router) readers(routers map[model.InstanceID]exchangeAddress) []model.InstanceID {
-	return summary.Rendezvous(storeService, sharesReaders(r.settings.DataCentre, routers), r.readerCount(routers)+spareReaders)
+	return summary.Rendezvous(storeService, readerGroup(r.settings.DataCentre, routers), r.readerCount(routers)+spareReaders)
 }
 
-// sharesReaders returns the routers that have the same store readers as those in data
-// centre home: the routers in home if there are minLocalRouters, else those of all
-// data centres that have fewer.
-func sharesReaders(home model.DataCentre, routers map[model.InstanceID]exchangeAddress) []model.InstanceID {
+// readerGroup returns the routers that have the same store readers as a router in
+// data centre home: the routers in home if there are at least minLocalRouters, else
+// those in all data centres that have fewer.
+func readerGroup(home model.DataCentre, routers map[model.InstanceID]exchangeAddress) []model.InstanceID {
 	byDataCentre := map[model.DataCentre][]model.InstanceID{}
 	for name, at := range routers {
 		byDataCentre[at.dataCentre] = append(byDataCentre[at.dataCentre], name)
--- a/internal/router/readers_test.go
+++ b/internal/router/readers_test.go
@@ -25,16 +25,16 @@
 		return out
 	}
 	large := routers(20, 21, 20, 3, 4)
-	home := sharesReaders("dc-1", large)
+	home := readerGroup("dc-1", large)
 	is.Equal(len(home), 21)
 	for _, name := range home {
 		is.Equal(large[name].dataCentre, model.DataCentre("dc-1"))
 	}
-	rest := sharesReaders("dc-4", large)
+	rest := readerGroup("dc-4", large)
 	is.Equal(len(rest), 3+4)
-	other := sharesReaders("dc-3", large)
+	other := readerGroup("dc-3", large)
 	slices.Sort(rest)
 	slices.Sort(other)
 	is.Equal(rest, other) // routers that share readers agree on them
-	is.Equal(len(sharesReaders("dc-0", routers(2, 2, 1))), 5)
+	is.Equal(len(readerGroup("dc-0", routers(2, 2, 1))), 5)
 }
