suspect: keep refused properties while the table is full

Callers saw one server after another end again under a request that had been refused before.

Cause: each crash adds the fingerprints of all requests in flight to the table of 1024 properties, and no later request has them, so nothing clears them. A full table evicted the properties whose last crash was the oldest. A refused property is not sent, so it was the oldest.

Change: evict the properties with the fewest separate crashes first.

TestRefusedCausesStayWhileTheTableIsFull failed before (the property was no longer refused after 2048 fingerprints of other crashes) and passes now.

--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -74,10 +74,13 @@
 	return true
 }
 
-// evict removes the eighth of the table whose last crashes are the oldest.
+// evict removes an eighth of the table: the properties with the fewest crashes first, and
+// of those the ones whose last crashes are the oldest. Refused properties are not sent,
+// so theirs are old, while each crash adds all requests that were in flight.
 func (t *Causes) evict() {
 	keys := slices.SortedFunc(maps.Keys(t.byKey), func(a, b uint64) int {
-		return cmp.Or(t.byKey[a].last().Compare(t.byKey[b].last()), cmp.Compare(a, b))
+		x, y := t.byKey[a], t.byKey[b]
+		return cmp.Or(cmp.Compare(x.separateCrashes(), y.separateCrashes()), x.last().Compare(y.last()), cmp.Compare(a, b))
 	})
 	for _, k := range keys[:MaxCauses/8] {
 		delete(t.byKey, k)
@@ -92,17 +95,20 @@
 	return s.crashes[len(s.crashes)-1].At
 }
 
-// refused reports whether there were CauseThreshold crashes, MinCrashInterval apart.
-func (s *cause) refused() bool {
-	n, counted := 0, time.Time{}
+// separateCrashes returns the number of crashes that are MinCrashInterval apart.
+func (s *cause) separateCrashes() (n int) {
+	counted := time.Time{}
 	for _, c := range s.crashes {
 		if n == 0 || c.At.Sub(counted) >= MinCrashInterval {
 			n, counted = n+1, c.At
 		}
 	}
-	return n >= CauseThreshold
+	return n
 }
 
+// refused reports whether requests with the property are refused.
+func (s *cause) refused() bool { return s.separateCrashes() >= CauseThreshold }
+
 // Clear records that a request with the property was answered, and reports whether
 // there were crashes to forget.
 func (t *Causes) Clear(key uint64) bool {
--- a/internal/suspect/causes_test.go
+++ b/internal/suspect/causes_test.go
@@ -84,3 +84,21 @@
 	}
 	is.True(len(c.Crashes(3*MaxCauses)) <= maxCauseCrashes)
 }
+
+// Guards against a request that is sent on after many other crashes, each of which adds
+// the requests in flight to the table.
+func TestRefusedCausesStayWhileTheTableIsFull(t *testing.T) {
+	is := is.New(t)
+	c := NewCauses()
+	now := time.Unix(1_700_000_000, 0)
+	const deadly = 1
+	for i := range uint32(CauseThreshold) {
+		c.Add(now, CauseCrash{deadly, i, now})
+		now = now.Add(time.Second)
+	}
+	for i := range uint64(2 * MaxCauses) {
+		c.Add(now, CauseCrash{i + 2, uint32(i / 60), now})
+		now = now.Add(time.Millisecond)
+	}
+	is.True(c.View()[deadly])
+}
