router: an error answer does not clear a request that crashes endpoints

Callers saw a request crash one endpoint after another while some endpoints of the pool failed all their requests.

Cause: any whole answer with a signature cleared the crashes of the request's properties, also the 500 of an endpoint that fails requests without running them. Only an answer without an error shows that a request can run.

Ruled out: refusals as not run and answers without a signature, which cleared nothing before.

--- /dev/null
+++ b/internal/router/deadly_test.go
@@ -0,0 +1,90 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/router"
+	"github.com/goldcrestturn/goldcrestturn/platform/standin"
+)
+
+const (
+	deadlyBody = "deadly"
+	// stableWindow and maxLateRuns are the platform's bound: a request that crashed
+	// three endpoints runs at most maxLateRuns times later than stableWindow after the
+	// third crash.
+	stableWindow = 4 * time.Second
+	maxLateRuns  = 3
+)
+
+// deadlyEndpoints are endpoints that crash at deadlyBody.
+var deadlyEndpoints = standin.EndpointFaults{DeadlyBody: deadlyBody, DownTime: 600 * time.Millisecond}
+
+// startRouters starts n routers.
+func (f *fleet) startRouters(n int) (out []*process) {
+	for i := range n {
+		out = append(out, f.start(func(s *router.Settings) { s.Instance, s.FirstStart = model.InstanceID(fmt.Sprint("router-", i)), true }))
+	}
+	for _, p := range out {
+		p.await()
+	}
+	return out
+}
+
+// sendDeadly sends the deadly request to a router.
+func (p *process) sendDeadly(path string) reply {
+	return p.call(context.Background(), http.MethodPost, path, deadlyBody, nil)
+}
+
+// deadlyRuns returns how often endpoints crashed at the deadly request, and how many of
+// these runs were later than the platform allows without counting them.
+func (f *fleet) deadlyRuns() (crashes, late int) {
+	var at []time.Time
+	for _, e := range f.endpoints {
+		for _, r := range e.Received() {
+			if r.Ran && r.Body == deadlyBody && r.Crashed {
+				at = append(at, r.At)
+			}
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	for _, t := range at {
+		if len(at) >= 3 && t.After(at[2].Add(stableWindow)) {
+			late++
+		}
+	}
+	return len(at), late
+}
+
+// checkDeadlyRuns fails the test if the deadly request ran too often, or too rarely for
+// the test to show anything.
+func (f *fleet) checkDeadlyRuns() {
+	f.t.Helper()
+	crashes, late := f.deadlyRuns()
+	f.t.Logf("%d endpoints crashed, %d of them late", crashes, late)
+	is.New(f.t).True(crashes >= 3)
+	is.New(f.t).True(late <= maxLateRuns)
+}
+
+// Guards against a request that crashes endpoints and is sent on since an endpoint that
+// fails requests answered it with an error.
+func TestErrorAnswersDoNotClearDeadlyRequests(t *testing.T) {
+	f := newFleet(t, 0, 8)
+	routers := f.startRouters(2)
+	f.setFaults("", deadlyEndpoints)
+	for i := range 4 {
+		f.setFaults(fmt.Sprint("service-", i), standin.EndpointFaults{Fail: true})
+	}
+	for i := range 60 {
+		routers[i%2].sendDeadly("/assign/x")
+		time.Sleep(200 * time.Millisecond)
+	}
+	f.checkDeadlyRuns()
+}
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -143,10 +143,11 @@
 		return nil, f.refuseFailed(ctx, req, err)
 	}
 	answer.Body = body
-	f.recordSound(req)
 	result := place.Answered
 	if answer.EndpointError {
-		result = place.EndpointError
+		result = place.EndpointError // an endpoint that fails all requests does not run them
+	} else {
+		f.recordSound(req)
 	}
 	f.recordResult(req.Endpoint.ID, result, 0)
 	return answer, nil
