suspect: each crash counts for copies of one request

Callers saw a request that is sent in several copies together crash as many endpoints again with each wave.

Cause: crashes less than 0.3 s apart counted as one, since a data centre that loses power ends many endpoints at the same moment, and requests in flight at several of them share prompt parts. A request as a whole was counted in the same way, so three waves of copies were needed, however many endpoints each ended.

Change: keys tell parts from requests, and for a request each endpoint that crashed counts. If that rests on one moment only, the first trial comes after 1 s rather than 10 s, within the time in which runs do not count as late, so copies that a loss of power met are refused for a short time only.

TestCopiesOfARequestCountEach fails without it. Waves of different requests that share a deadly part still count once each 0.3 s.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -25,7 +25,7 @@
 	d := xxhash.New()
 	_, _ = d.WriteString(r.Key + "\x00" + r.Method + "\x00" + r.Host + "\x00" + r.Target + "\x00")
 	_, _ = d.Write(r.Body)
-	out := []uint64{d.Sum64()}
+	out := []uint64{suspect.KeyOfRequest(d.Sum64())}
 	for _, p := range r.Parts[:max(0, len(r.Parts)-1)] {
 		if len(out) == maxCausesPerRequest {
 			break
@@ -38,7 +38,7 @@
 // causeOfPart returns the key of a prompt part. It is hashed, so that a caller cannot
 // choose a part whose key is the fingerprint of another caller's request.
 func causeOfPart(part uint64) uint64 {
-	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte("part"), part))
+	return suspect.KeyOfPart(xxhash.Sum64(binary.BigEndian.AppendUint64([]byte("part"), part)))
 }
 
 // guardEndpoints refuses requests with a property that crashes endpoints.
--- a/internal/router/deadly_test.go
+++ b/internal/router/deadly_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -88,3 +89,20 @@
 	}
 	f.checkDeadlyRuns()
 }
+
+// Guards against a request that crashes several endpoints at once, since its caller
+// sends copies together, and counts as one crash each time.
+func TestDeadlyRequestsSentTogether(t *testing.T) {
+	f := newFleet(t, 0, 8)
+	routers := f.startRouters(2)
+	f.setFaults("", deadlyEndpoints)
+	for range 3 {
+		var copies sync.WaitGroup
+		for i := range 4 {
+			copies.Go(func() { routers[i%2].sendDeadly("/assign/x") })
+		}
+		copies.Wait()
+		time.Sleep(stableWindow + 500*time.Millisecond)
+	}
+	f.checkDeadlyRuns()
+}
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -22,15 +22,27 @@
 	// trialInterval is the time from the last crash to the first request that is let
 	// through again. It doubles with each one.
 	trialInterval = 10 * time.Second
+	// earlyTrialInterval is the time to the first one if the crashes were not
+	// MinCrashInterval apart, so that a request is refused for a short time only if a
+	// data centre lost power while several callers waited for it.
+	earlyTrialInterval = time.Second
 	// MaxCauses is the maximum number of causes in a table, and maxCauseCrashes that of
 	// the crashes of one.
 	MaxCauses       = 1024
 	maxCauseCrashes = 8
 )
 
+// partBit tells the keys of prompt parts from those of requests.
+const partBit = 1
+
+// KeyOfPart and KeyOfRequest return the key of a prompt part or a request with the given
+// hash.
+func KeyOfPart(hash uint64) uint64    { return hash | partBit }
+func KeyOfRequest(hash uint64) uint64 { return hash &^ partBit }
+
 // CauseCrash is a crash of an endpoint while a request that had a certain property was
 // in flight and had no answer yet. Key stands for the property: a prompt part, or the
-// fingerprint of a request.
+// request as a whole.
 type CauseCrash struct {
 	Key      uint64
 	Endpoint uint32 // hash of its id
@@ -39,6 +51,7 @@
 
 // cause is what is known of one property.
 type cause struct {
+	key     uint64
 	crashes []CauseCrash // in the order of time
 	trials  int          // requests that were let through since it reached the threshold
 	tried   time.Time    // when the last one was
@@ -62,7 +75,7 @@
 		if len(t.byKey) >= MaxCauses {
 			t.evict()
 		}
-		s = &cause{}
+		s = &cause{key: c.Key}
 		t.byKey[c.Key] = s
 	}
 	if slices.ContainsFunc(s.crashes, func(o CauseCrash) bool { return o.Endpoint == c.Endpoint && c.At.Sub(o.At).Abs() < sameCrash }) {
@@ -106,8 +119,20 @@
 	return n
 }
 
-// refused reports whether requests with the property are refused.
-func (s *cause) refused() bool { return s.separateCrashes() >= CauseThreshold }
+// refused reports whether requests with the property are refused. Many sound requests in
+// flight at one moment may share a prompt part, but few are copies of one request, so for
+// these each crash counts: callers may send copies together.
+func (s *cause) refused() bool {
+	return s.separateCrashes() >= CauseThreshold || s.key&partBit == 0 && len(s.crashes) >= CauseThreshold
+}
+
+// trialWait returns the time from the last crash or trial to the next trial.
+func (s *cause) trialWait() time.Duration {
+	if s.trials == 0 && s.separateCrashes() < CauseThreshold {
+		return earlyTrialInterval
+	}
+	return trialInterval << min(s.trials, 6)
+}
 
 // Clear records that a request with the property was answered, and reports whether
 // there were crashes to forget.
@@ -141,7 +166,7 @@
 	if s.tried.After(since) {
 		since = s.tried
 	}
-	if now.Sub(since) < trialInterval<<min(s.trials, 6) {
+	if now.Sub(since) < s.trialWait() {
 		return false
 	}
 	s.trials, s.tried = s.trials+1, now
--- a/internal/suspect/causes_test.go
+++ b/internal/suspect/causes_test.go
@@ -102,3 +102,21 @@
 	}
 	is.True(c.View()[deadly])
 }
+
+// Guards against a request whose caller sends copies together, so that each time several
+// endpoints crash at one moment, and against one that stays refused after a loss of power
+// at several endpoints that ran copies of it.
+func TestCopiesOfARequestCountEach(t *testing.T) {
+	is := is.New(t)
+	c := NewCauses()
+	now := time.Unix(1_700_000_000, 0)
+	key := KeyOfRequest(7)
+	for i := range uint32(CauseThreshold) {
+		is.True(!c.View()[key])
+		c.Add(now, CauseCrash{key, i, now})
+	}
+	is.True(c.View()[key])
+	is.True(!c.AllowTrial(now.Add(earlyTrialInterval-1), key))
+	is.True(c.AllowTrial(now.Add(earlyTrialInterval), key))
+	is.True(!c.AllowTrial(now.Add(earlyTrialInterval+trialInterval), key)) // only once so early
+}
