router: a workspace's keys count as one caller of a deadly request

Callers saw a request crash three more endpoints for each API key of its workspace under which it was sent.

Cause: the fingerprint of a request contained the key. Configurations add and remove keys in ordinary work. Now it contains the workspace that the key names, and nothing on public routes, whose callers need none.

Routers of the version before compute other fingerprints, so until a roll-out ends each version counts for itself.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -22,8 +22,12 @@
 // causes returns the properties of a request that other requests may share and that can
 // crash an endpoint: the prompt parts except the last one, and the request as a whole.
 func (r *Request) causes() []uint64 {
+	var caller model.Workspace
+	if r.Workspace != nil { // rather than the key, since a workspace may have several
+		caller = r.Workspace.Name
+	}
 	d := xxhash.New()
-	_, _ = d.WriteString(r.Key + "\x00" + r.Method + "\x00" + r.Host + "\x00" + r.Target + "\x00")
+	_, _ = d.WriteString(string(caller) + "\x00" + r.Method + "\x00" + r.Host + "\x00" + r.Target + "\x00")
 	_, _ = d.Write(r.Body)
 	out := []uint64{suspect.KeyOfRequest(d.Sum64())}
 	for _, p := range r.Parts[:max(0, len(r.Parts)-1)] {
--- a/internal/router/deadly_test.go
+++ b/internal/router/deadly_test.go
@@ -106,3 +106,21 @@
 	}
 	f.checkDeadlyRuns()
 }
+
+// Guards against a request that crashes endpoints and is sent on under each API key of
+// its workspace.
+func TestDeadlyRequestsUnderSeveralKeys(t *testing.T) {
+	f := newFleet(t, 0, 8)
+	p := f.start(nil).await()
+	f.setFaults("", deadlyEndpoints)
+	for i := range 9 {
+		if i == 3 {
+			time.Sleep(stableWindow)
+		}
+		p.call(context.Background(), http.MethodPost, "/assign/x", deadlyBody, map[string]string{"Authorization": fmt.Sprint("Bearer key-", 1+i/3%2)})
+		time.Sleep(400 * time.Millisecond)
+	}
+	crashes, _ := f.deadlyRuns()
+	t.Logf("%d endpoints crashed", crashes)
+	is.New(t).Equal(crashes, 3)
+}
