router: only a complete stream clears a request that crashes endpoints

Callers saw a request crash one endpoint after another, each one just after the first event of its stream.

Cause: the first event of a stream cleared the properties of its request, and a crash after it was not counted. An endpoint begins to run a request with its first token, so a crash at that moment may come after the event has been sent. Now only a complete answer clears, and a crash counts until then. The log line is `endpoint crashed while it ran a request`.

Sound parts that share a crash are now cleared by the end of the next stream with them rather than by its first event.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -78,7 +78,7 @@
 }
 
 // recordCrash reports the properties of a request whose endpoint closed the connection
-// before it answered and then accepts no new one, since its process has ended. An
+// before its answer was complete and then accepts no new one, since its process has ended. An
 // endpoint that lives has only lost the answer.
 func (r *Router) recordCrash(ctx context.Context, req *Request) {
 	if r.client.Refuses(ctx, req.Endpoint.Address) {
@@ -121,7 +121,7 @@
 			// All crashes with the property, since peers may have missed a message.
 			crashes = append(crashes, agesOf(s.causes.Crashes(key), now)...)
 		}
-		f.log.Info("endpoint crashed before it answered", "endpoint", e.endpoint, "properties", len(e.causes))
+		f.log.Info("endpoint crashed while it ran a request", "endpoint", e.endpoint, "properties", len(e.causes))
 		f.broadcast(mesh.Message{Crashes: crashes})
 		return f.publish(s, now)
 	case causesSound:
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -58,7 +58,7 @@
 		leaving  bool
 		turnAway time.Duration
 	}
-	// crashSeen says that an endpoint crashed before it answered a request that had the
+	// crashSeen says that an endpoint crashed while it ran a request that had the
 	// given properties.
 	crashSeen struct {
 		endpoint model.EndpointID
--- a/internal/router/deadly_test.go
+++ b/internal/router/deadly_test.go
@@ -124,3 +124,18 @@
 	t.Logf("%d endpoints crashed", crashes)
 	is.New(t).Equal(crashes, 3)
 }
+
+// Guards against a request that crashes endpoints as its stream begins, and is taken for
+// sound because of the first event.
+func TestDeadlyStreamsThatBegin(t *testing.T) {
+	f := newFleet(t, 8, 0)
+	routers := f.startRouters(2)
+	set := deadlyEndpoints
+	set.DeadlyEvents = 1
+	f.setFaults("", set)
+	for i := range 20 {
+		routers[i%2].sendDeadly("/stream/brief/x")
+		time.Sleep(400 * time.Millisecond)
+	}
+	f.checkDeadlyRuns()
+}
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -203,10 +203,7 @@
 	if err == nil {
 		// A stalled endpoint may still send comments, which are no progress.
 		s.waiting = isComment(event)
-		if !s.waiting && !s.begun {
-			s.begun = true
-			s.recordSound(s.req)
-		}
+		s.begun = s.begun || !s.waiting
 		return event, nil
 	}
 	if errors.Is(err, io.EOF) && !s.begun && !s.res.Framed() {
@@ -214,13 +211,12 @@
 	}
 	switch {
 	case errors.Is(err, io.EOF):
+		s.recordSound(s.req) // not earlier, since an endpoint may crash after its first events
 		s.finish(true, place.Answered)
 	case errors.Is(s.ctx.Err(), context.Canceled):
 		s.finish(false, place.Cancelled)
 	default:
-		if !s.begun {
-			s.recordCrash(s.ctx, s.req)
-		}
+		s.recordCrash(s.ctx, s.req)
 		s.finish(false, place.Failed)
 	}
 	if s.ctx.Err() != nil {
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -41,7 +41,7 @@
 func KeyOfRequest(hash uint64) uint64 { return hash &^ partBit }
 
 // CauseCrash is a crash of an endpoint while a request that had a certain property was
-// in flight and had no answer yet. Key stands for the property: a prompt part, or the
+// in flight and had no complete answer yet. Key stands for the property: a prompt part, or the
 // request as a whole.
 type CauseCrash struct {
 	Key      uint64
