router, platform: what crashes endpoints outlasts the routers

Callers saw a request crash three more endpoints whenever all routers had been restarted.

Cause: the refused properties were held by routers only. A router that starts asks its peers, but after a loss of all nobody knows. They now lie in the platform's store (keyed.suspects): the router that sees a refused property crash an endpoint writes its crashes, the one whose caller gets an answer removes them, and a router reads the records when it starts, before it accepts callers (at most 1.5 s, as for the configuration). Calls to the store: one read a start, one append for each crash of a refused property.

A single router that restarts learnt it from its peers before too.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -106,7 +106,8 @@
 
 // judgeCauses tracks the properties of requests that crash endpoints.
 type judgeCauses struct {
-	broadcast func(mesh.Message) // must not block
+	broadcast func(mesh.Message)   // must not block
+	save      func(suspect.Record) // writes to the store; must not block
 	log       *slog.Logger
 }
 
@@ -123,13 +124,21 @@
 		}
 		f.log.Info("endpoint crashed while it ran a request", "endpoint", e.endpoint, "properties", len(e.causes))
 		f.broadcast(mesh.Message{Crashes: crashes})
-		return f.publish(s, now)
+		f.publish(s, now)
+		f.saveRefused(s, e.causes)
+		return true
 	case causesSound:
 		sound := f.clear(s, e.causes)
-		if len(sound) > 0 {
-			f.broadcast(mesh.Message{Sound: sound})
+		if len(sound) == 0 {
+			return false
+		}
+		f.broadcast(mesh.Message{Sound: sound})
+		for _, key := range sound {
+			if s.causeView[key] {
+				f.save(s.causes.Record(key))
+			}
 		}
-		return len(sound) > 0 && f.publish(s, now)
+		return f.publish(s, now)
 	case trialAsked:
 		allowed := s.table.IsFirst(uint32(e.cause)) && s.causes.AllowTrial(now, e.cause)
 		if allowed {
@@ -144,11 +153,36 @@
 			s.causes.Add(now, suspect.CauseCrash{Key: c.Key, Endpoint: c.Endpoint, At: now.Add(-c.Age)})
 		}
 		f.clear(s, e.sound)
-		return f.publish(s, now)
+		before := s.causeView
+		f.publish(s, now)
+		for key, refused := range s.causeView {
+			// The router that saw the last crash may not have known of the others.
+			if refused && !before[key] && s.table.IsFirst(uint32(key)) {
+				f.save(s.causes.Record(key))
+			}
+		}
+		return true
+	case suspectsRead:
+		for _, r := range e.records {
+			s.causes.Merge(now, r)
+			if len(s.causes.Crashes(r.Key)) == 0 && s.table.IsFirst(uint32(r.Key)) {
+				f.save(suspect.Record{Key: r.Key}) // expired
+			}
+		}
+		return len(e.records) > 0 && f.publish(s, now)
 	}
 	return false
 }
 
+// saveRefused stores the records of those properties that are refused.
+func (f judgeCauses) saveRefused(s *State, keys []uint64) {
+	for _, key := range keys {
+		if s.causeView[key] {
+			f.save(s.causes.Record(key))
+		}
+	}
+}
+
 // agesOf returns crashes in the form in which they are sent to peers.
 func agesOf(list []suspect.CauseCrash, now time.Time) (out []mesh.Crash) {
 	for _, c := range list {
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -7,6 +7,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/mesh"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
 // Events of the control loop.
@@ -66,6 +67,8 @@
 	}
 	// causesSound carries properties of a request that was answered.
 	causesSound struct{ causes []uint64 }
+	// suspectsRead carries the refused properties that the store holds.
+	suspectsRead struct{ records []suspect.Record }
 	// trialAsked asks whether a request with a refused property may be sent.
 	trialAsked struct {
 		control.Question[bool]
@@ -126,6 +129,7 @@
 func (noticeSeen) EventName() string        { return "notice_seen" }
 func (crashSeen) EventName() string         { return "crash_seen" }
 func (causesSound) EventName() string       { return "causes_sound" }
+func (suspectsRead) EventName() string      { return "suspects_read" }
 func (trialAsked) EventName() string        { return "trial_asked" }
 func (loadStated) EventName() string        { return "load_stated" }
 func (requestArrived) EventName() string    { return "request_came" }
--- a/internal/router/deadly_test.go
+++ b/internal/router/deadly_test.go
@@ -139,3 +139,30 @@
 	}
 	f.checkDeadlyRuns()
 }
+
+// Guards against a request that crashes three more endpoints whenever all routers have
+// been restarted, since only routers knew of it.
+func TestDeadlyRequestsAfterARestartOfAllRouters(t *testing.T) {
+	f := newFleet(t, 0, 8)
+	f.setFaults("", deadlyEndpoints)
+	for range 3 {
+		routers := f.startRouters(2)
+		time.Sleep(stableWindow) // the platform excuses runs before
+		for i := range 5 {
+			routers[i%2].sendDeadly("/assign/x")
+			time.Sleep(400 * time.Millisecond)
+		}
+		stopRouters(routers)
+	}
+	f.checkDeadlyRuns()
+}
+
+// stopRouters stops routers and waits until they have ended.
+func stopRouters(list []*process) {
+	for _, p := range list {
+		p.stop()
+	}
+	for _, p := range list {
+		<-p.ended
+	}
+}
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
 // Protocol translates between the router and the wire format of callers and
@@ -97,6 +98,10 @@
 	// Announce publishes m. Members returns the published members.
 	Announce(ctx context.Context, m Member) error
 	Members(ctx context.Context) ([]Member, error)
+	// PutSuspect stores the record of a refused property in place of the one with the
+	// same key, or removes that one if it has no crashes. Suspects returns all records.
+	PutSuspect(ctx context.Context, r suspect.Record) error
+	Suspects(ctx context.Context) ([]suspect.Record, error)
 }
 
 // CacheReader asks engines which prompt parts they have cached.
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -89,12 +89,17 @@
 	"operators' orders": metrics.NewCounter(`goldcrest_router_store_failures_total{read="orders"}`),
 	"instance list":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="list"}`),
 	"router list":       metrics.NewCounter(`goldcrest_router_store_failures_total{read="routers"}`),
+	"suspects":          metrics.NewCounter(`goldcrest_router_store_failures_total{read="suspects"}`),
 }
 
 // causesRefused counts the requests that were refused for a property that crashes
 // endpoints.
 var causesRefused = metrics.NewCounter("goldcrest_router_suspects_refused_total")
 
+// suspectRecordsDropped counts the records of refused properties that were not written to
+// the store, since too many waited.
+var suspectRecordsDropped = metrics.NewCounter("goldcrest_router_suspect_records_dropped_total")
+
 var malformedDatagrams = metrics.NewCounter("goldcrest_router_datagrams_malformed_total")
 
 // serveMetrics serves the admin paths, /metrics among them, on the metrics
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,7 @@
 	peers    *peerLink
 	node     *exchange.Node
 	gate     *storeGate
+	suspects *suspectWriter
 	meter    *meter
 	random   func() float64 // uniform in [0, 1)
 	// membersReady is closed once the list of routers has been read, configReady and
@@ -39,6 +40,9 @@
 	// them has ended.
 	membersReady, holdersReady chan struct{}
 	configReady, listReady     *startLatch
+	// suspectsReady is closed in the same way after the first read of the refused
+	// properties.
+	suspectsReady *startLatch
 }
 
 // exchangeKey distinguishes routers from processes of other programs. It is no
@@ -49,8 +53,8 @@
 // connection. Start starts it.
 func New(s Settings, deps Deps, datagrams *net.UDPConn) *Router {
 	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64,
-		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch()}
-	r.peers = newPeerLink(r, datagrams)
+		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch()}
+	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.node = exchange.New(exchange.Config{Key: exchangeKey})
 	r.loop = control.New(control.Config[State, Snapshot]{
@@ -62,7 +66,7 @@
 // Start starts the control loop and its sources, which run until ctx ends.
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
 	for _, run := range []func(context.Context){
-		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches,
+		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run,
 		r.queryStoreReaders, r.node.Run, r.meter.run, r.serveMetrics,
 	} {
 		g.Go(func() error { run(ctx); return nil })
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -87,7 +87,8 @@
 	// most of the first prompts after a restart of all routers are prefilled again.
 	holdersTimeout = 400 * time.Millisecond
 	// configTimeout bounds the wait for the configuration and the instance list,
-	// without which requests are refused. With 2,000 routes and a seventh of a core, loading the
+	// without which requests are refused, and for the properties of requests that crash
+	// endpoints. With 2,000 routes and a seventh of a core, loading the
 	// configuration takes 0.7 to 1.1 s.
 	configTimeout = 1500 * time.Millisecond
 )
@@ -99,6 +100,7 @@
 	await(ctx, r.holdersReady, begin.Add(holdersTimeout))
 	await(ctx, r.configReady.closed, begin.Add(configTimeout))
 	await(ctx, r.listReady.closed, begin.Add(configTimeout))
+	await(ctx, r.suspectsReady.closed, begin.Add(configTimeout))
 }
 
 // await waits until done is closed, limit has passed or ctx ends.
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -12,6 +12,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
 // startStore is a store with a configuration and an endpoint, whose changes never
@@ -41,6 +42,9 @@
 func (startStore) Announce(context.Context, Member) error    { return nil }
 func (startStore) Members(context.Context) ([]Member, error) { return nil, nil }
 
+func (startStore) PutSuspect(context.Context, suspect.Record) error   { return nil }
+func (startStore) Suspects(context.Context) ([]suspect.Record, error) { return nil, nil }
+
 // Guards against a starting router that serves callers when it has read the
 // configuration and the instance list but its control loop, which waits for the
 // processor, has not applied them: 343 requests were refused after all routers had
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -26,10 +26,10 @@
 	// MinCrashInterval apart, so that a request is refused for a short time only if a
 	// data centre lost power while several callers waited for it.
 	earlyTrialInterval = time.Second
-	// MaxCauses is the maximum number of causes in a table, and maxCauseCrashes that of
+	// MaxCauses is the maximum number of causes in a table, and MaxCauseCrashes that of
 	// the crashes of one.
 	MaxCauses       = 1024
-	maxCauseCrashes = 8
+	MaxCauseCrashes = 8
 )
 
 // partBit tells the keys of prompt parts from those of requests.
@@ -83,7 +83,7 @@
 	}
 	s.crashes = append(s.crashes, c)
 	slices.SortFunc(s.crashes, func(a, b CauseCrash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Endpoint, b.Endpoint)) })
-	s.crashes = s.crashes[max(0, len(s.crashes)-maxCauseCrashes):]
+	s.crashes = s.crashes[max(0, len(s.crashes)-MaxCauseCrashes):]
 	return true
 }
 
@@ -155,6 +155,31 @@
 	return out
 }
 
+// Record is what the store holds of a refused property.
+type Record struct {
+	Key     uint64
+	Crashes []CauseCrash // MaxCauseCrashes at most; none if the property is no longer refused
+}
+
+// Record returns the record of a property, without crashes if it is not refused.
+func (t *Causes) Record(key uint64) Record {
+	out := Record{Key: key}
+	if s := t.byKey[key]; s != nil && s.refused() {
+		out.Crashes = slices.Clone(s.crashes)
+	}
+	return out
+}
+
+// Merge adds what another router recorded.
+func (t *Causes) Merge(now time.Time, r Record) {
+	for _, c := range r.Crashes {
+		if c.At.After(now) { // by the clock of another instance
+			c.At = now
+		}
+		t.Add(now, c)
+	}
+}
+
 // AllowTrial reports whether one request with a refused property may be sent, which
 // shows whether endpoints still crash. Only one router must ask for each property.
 func (t *Causes) AllowTrial(now time.Time, key uint64) bool {
--- a/internal/suspect/causes_test.go
+++ b/internal/suspect/causes_test.go
@@ -82,7 +82,7 @@
 	for i := range uint32(100) {
 		c.Add(now, CauseCrash{3 * MaxCauses, i, now})
 	}
-	is.True(len(c.Crashes(3*MaxCauses)) <= maxCauseCrashes)
+	is.True(len(c.Crashes(3*MaxCauses)) <= MaxCauseCrashes)
 }
 
 // Guards against a request that is sent on after many other crashes, each of which adds
