suspect: two trials of a refused request, each claimed in the store

Callers saw servers end again and again under a request that had long been known to crash them, once at each trial, and three times ten minutes after the last one.

Cause: trials doubled their interval without an end, each router that took itself for the first one granted its own, and all was forgotten after ten minutes. The platform allows three late runs of such a request.

Change: two trials at most; a trial needs a conditional append to the store, so one router in all sends it and none while the store is unreachable; a refused property stays refused for 24 h after its last crash (other properties are forgotten after ten minutes as before).

TestRefusedCausesAreTried now runs for an hour rather than a minute: the code before let 10 requests through, two now.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -71,10 +71,23 @@
 // It is longer than any deadline, since the request would be refused before.
 const suspectRetryAfter = 30 * time.Second
 
-// allowTrial asks the control goroutine whether a refused request may be sent.
+// allowTrial reports whether a refused request may be sent. If its trial is due, it claims
+// it in the store, which the routers that take themselves for the first one share.
 func (r *Router) allowTrial(ctx context.Context, cause uint64) bool {
-	ok, err := control.Ask(ctx, r.loop, trialAsked{Question: control.NewQuestion[bool](), cause: cause})
-	return ok && err == nil
+	trial, err := control.Ask(ctx, r.loop, trialAsked{Question: control.NewQuestion[trialReply](), cause: cause})
+	if err != nil || !trial.due {
+		return false
+	}
+	stored, claimed, err := r.deps.Store.ClaimTrial(ctx, trial.record)
+	if err != nil {
+		r.log.Info("trial of a refused property not claimed", "property", suspect.Name(cause), "error", err.Error())
+		return false
+	}
+	_ = r.loop.Post(ctx, suspectsRead{[]suspect.Record{stored}})
+	if claimed {
+		r.log.Info("refused property tried again", "property", suspect.Name(cause), "trial", stored.Trials)
+	}
+	return claimed
 }
 
 // recordCrash reports the properties of a request whose endpoint closed the connection
@@ -140,11 +153,11 @@
 		}
 		return f.publish(s, now)
 	case trialAsked:
-		allowed := s.table.IsFirst(uint32(e.cause)) && s.causes.AllowTrial(now, e.cause)
-		if allowed {
-			f.log.Info("refused property tried again", "property", suspect.Name(e.cause))
+		var reply trialReply
+		if s.table.IsFirst(uint32(e.cause)) {
+			reply.record, reply.due = s.causes.DueTrial(now, e.cause)
 		}
-		e.Reply(allowed)
+		e.Reply(reply)
 	case peerMessage:
 		if len(e.crashes)+len(e.sound) == 0 {
 			return false
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -69,9 +69,9 @@
 	causesSound struct{ causes []uint64 }
 	// suspectsRead carries the refused properties that the store holds.
 	suspectsRead struct{ records []suspect.Record }
-	// trialAsked asks whether a request with a refused property may be sent.
+	// trialAsked asks whether a request with a refused property is due to be sent.
 	trialAsked struct {
-		control.Question[bool]
+		control.Question[trialReply]
 		cause uint64
 	}
 	// requestArrived counts a request towards the retry budget of a pool.
@@ -151,6 +151,12 @@
 	dataCentre model.DataCentre
 }
 
+// trialReply is the reply to trialAsked: the record with which to claim the trial.
+type trialReply struct {
+	record suspect.Record
+	due    bool
+}
+
 // pickReply is the reply to pickEndpoint.
 type pickReply struct {
 	choice place.Choice
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -102,6 +102,10 @@
 	// same key, or removes that one if it has no crashes. Suspects returns all records.
 	PutSuspect(ctx context.Context, r suspect.Record) error
 	Suspects(ctx context.Context) ([]suspect.Record, error)
+	// ClaimTrial stores a record with one more trial, unless the stored one has as many
+	// already, and returns the record that is stored then. It fails if another router
+	// stores a record at the same time.
+	ClaimTrial(ctx context.Context, r suspect.Record) (stored suspect.Record, claimed bool, err error)
 }
 
 // CacheReader asks engines which prompt parts they have cached.
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -42,7 +42,10 @@
 func (startStore) Announce(context.Context, Member) error    { return nil }
 func (startStore) Members(context.Context) ([]Member, error) { return nil, nil }
 
-func (startStore) PutSuspect(context.Context, suspect.Record) error   { return nil }
+func (startStore) PutSuspect(context.Context, suspect.Record) error { return nil }
+func (startStore) ClaimTrial(_ context.Context, r suspect.Record) (suspect.Record, bool, error) {
+	return r, true, nil
+}
 func (startStore) Suspects(context.Context) ([]suspect.Record, error) { return nil, nil }
 
 // Guards against a starting router that serves callers when it has read the
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -26,6 +26,12 @@
 	// MinCrashInterval apart, so that a request is refused for a short time only if a
 	// data centre lost power while several callers waited for it.
 	earlyTrialInterval = time.Second
+	// maxTrials is the number of requests that are let through. The platform allows three
+	// runs of a request that crashed three endpoints; one is left for a request that was
+	// already on its way.
+	maxTrials = 2
+	// refusedLifetime is how long a property stays refused after its last crash.
+	refusedLifetime = 24 * time.Hour
 	// MaxCauses is the maximum number of causes in a table, and MaxCauseCrashes that of
 	// the crashes of one.
 	MaxCauses       = 1024
@@ -54,7 +60,7 @@
 	key     uint64
 	crashes []CauseCrash // in the order of time
 	trials  int          // requests that were let through since it reached the threshold
-	tried   time.Time    // when the last one was
+	tried   time.Time    // when the last one was, or the last attempt to claim one
 }
 
 // Causes finds the properties of requests that crash each endpoint which begins to
@@ -67,7 +73,7 @@
 
 // Add records a crash and reports whether it is new.
 func (t *Causes) Add(now time.Time, c CauseCrash) bool {
-	if now.Sub(c.At) >= Lifetime {
+	if now.Sub(c.At) >= refusedLifetime {
 		return false
 	}
 	s := t.byKey[c.Key]
@@ -159,13 +165,14 @@
 type Record struct {
 	Key     uint64
 	Crashes []CauseCrash // MaxCauseCrashes at most; none if the property is no longer refused
+	Trials  int          // requests that were let through since it is refused
 }
 
 // Record returns the record of a property, without crashes if it is not refused.
 func (t *Causes) Record(key uint64) Record {
 	out := Record{Key: key}
 	if s := t.byKey[key]; s != nil && s.refused() {
-		out.Crashes = slices.Clone(s.crashes)
+		out.Crashes, out.Trials = slices.Clone(s.crashes), s.trials
 	}
 	return out
 }
@@ -178,31 +185,41 @@
 		}
 		t.Add(now, c)
 	}
+	if s := t.byKey[r.Key]; s != nil {
+		s.trials = max(s.trials, r.Trials)
+	}
 }
 
-// AllowTrial reports whether one request with a refused property may be sent, which
-// shows whether endpoints still crash. Only one router must ask for each property.
-func (t *Causes) AllowTrial(now time.Time, key uint64) bool {
+// DueTrial reports whether one request with a refused property is due to be sent, which
+// shows whether endpoints still crash. The record counts it. Since several routers may
+// take a trial for due, each must claim it by storing the record before it sends, and
+// Merge the record then.
+func (t *Causes) DueTrial(now time.Time, key uint64) (Record, bool) {
 	s := t.byKey[key]
-	if s == nil {
-		return true
+	if s == nil || s.trials >= maxTrials {
+		return Record{}, false
 	}
 	since := s.last()
 	if s.tried.After(since) {
 		since = s.tried
 	}
 	if now.Sub(since) < s.trialWait() {
-		return false
+		return Record{}, false
 	}
-	s.trials, s.tried = s.trials+1, now
-	return true
+	s.tried = now
+	r := t.Record(key)
+	r.Trials++
+	return r, true
 }
 
-// Sweep removes the properties whose last crash is older than Lifetime, and reports
-// whether there were any.
+// Sweep removes the properties whose last crash is older than Lifetime, or
+// refusedLifetime if they are refused, and reports whether there were any.
 func (t *Causes) Sweep(now time.Time) bool {
 	before := len(t.byKey)
-	maps.DeleteFunc(t.byKey, func(_ uint64, s *cause) bool { return now.Sub(s.last()) >= Lifetime })
+	maps.DeleteFunc(t.byKey, func(_ uint64, s *cause) bool {
+		age := now.Sub(s.last())
+		return age >= refusedLifetime || age >= Lifetime && !s.refused()
+	})
 	return len(t.byKey) != before
 }
 
--- a/internal/suspect/causes_test.go
+++ b/internal/suspect/causes_test.go
@@ -55,15 +55,20 @@
 		now = now.Add(time.Second)
 	}
 	trials := 0
-	for range 60 * 10 {
-		if c.AllowTrial(now, 1) {
+	for i := range 60 * 60 * 10 {
+		if r, due := c.DueTrial(now, 1); due {
 			trials++
+			c.Merge(now, r)
 			c.Add(now, CauseCrash{1, 9, now})
 		}
 		now = now.Add(100 * time.Millisecond)
+		if i == 60*10 {
+			is.Equal(trials, 2) // in a minute
+		}
+		is.True(!c.Sweep(now)) // what ends is followed by CauseThreshold more crashes
 	}
-	is.Equal(trials, 2) // in a minute
-	is.True(c.Sweep(now.Add(Lifetime)))
+	is.Equal(trials, 2) // in an hour
+	is.True(c.Sweep(now.Add(refusedLifetime)))
 	is.Equal(len(c.View()), 0)
 }
 
@@ -116,7 +121,11 @@
 		c.Add(now, CauseCrash{key, i, now})
 	}
 	is.True(c.View()[key])
-	is.True(!c.AllowTrial(now.Add(earlyTrialInterval-1), key))
-	is.True(c.AllowTrial(now.Add(earlyTrialInterval), key))
-	is.True(!c.AllowTrial(now.Add(earlyTrialInterval+trialInterval), key)) // only once so early
+	_, due := c.DueTrial(now.Add(earlyTrialInterval-1), key)
+	is.True(!due)
+	r, due := c.DueTrial(now.Add(earlyTrialInterval), key)
+	is.True(due)
+	c.Merge(now, r)
+	_, due = c.DueTrial(now.Add(earlyTrialInterval+trialInterval), key)
+	is.True(!due) // only once so early
 }
