--- a/internal/router/deadly_test.go
+++ b/internal/router/deadly_test.go
@@ -77,6 +77,7 @@
 // Guards against a request that crashes endpoints and is sent on since an endpoint that
 // fails requests answered it with an error.
 func TestErrorAnswersDoNotClearDeadlyRequests(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 0, 8)
 	routers := f.startRouters(2)
 	f.setFaults("", deadlyEndpoints)
@@ -93,6 +94,7 @@
 // Guards against a request that crashes several endpoints at once, since its caller
 // sends copies together, and counts as one crash each time.
 func TestDeadlyRequestsSentTogether(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 0, 8)
 	routers := f.startRouters(2)
 	f.setFaults("", deadlyEndpoints)
@@ -110,6 +112,7 @@
 // Guards against a request that crashes endpoints and is sent on under each API key of
 // its workspace.
 func TestDeadlyRequestsUnderSeveralKeys(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 0, 8)
 	p := f.start(nil).await()
 	f.setFaults("", deadlyEndpoints)
@@ -128,6 +131,7 @@
 // Guards against a request that crashes endpoints as its stream begins, and is taken for
 // sound because of the first event.
 func TestDeadlyStreamsThatBegin(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 8, 0)
 	routers := f.startRouters(2)
 	set := deadlyEndpoints
@@ -143,6 +147,7 @@
 // Guards against a request that crashes three more endpoints whenever all routers have
 // been restarted, since only routers knew of it.
 func TestDeadlyRequestsAfterARestartOfAllRouters(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 0, 8)
 	f.setFaults("", deadlyEndpoints)
 	for range 3 {
