--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -296,3 +296,23 @@
 	is.Equal(body, "a")
 	is.True(c.idle.get("e", time.Minute) != nil)
 }
+
+// Guards against an answer whose head is cut off, at any byte, and that counts as an
+// answer with an empty body.
+func TestHeadsThatAreCutOffAreNoAnswers(t *testing.T) {
+	for name, rest := range map[string]string{"length 0": "Content-Length: 0\r\n\r\n", "no length": "X-More: 1\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n" + rest
+			for n := range len(head) + 1 {
+				address, _ := serve(t, func(c net.Conn, _ string) bool {
+					_, _ = io.WriteString(c, head[:n])
+					return false
+				})
+				_, err := do(NewClient(), address, request("1", nil))
+				if whole := n == len(head); (err == nil) != whole {
+					t.Errorf("%q: answer %v, error %v", head[:n], whole, err)
+				}
+			}
+		})
+	}
+}
