router: a planned stop leaves time for what it still accepts

Operators of a similar system saw requests that came late in the grace time passed on and cut at its end. Here the router accepted requests for 2.5 s whatever the grace time, so with one of 3 s it accepted them until the process ended.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -244,6 +245,39 @@
 	is.NoErr(<-p.ended)
 }
 
+// Guards against requests that a router takes late in a short grace time, passes on, and
+// cuts at its end.
+func TestPlannedStopInAShortGraceTime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 2)
+	p := f.start(func(s *router.Settings) { s.Grace = 3 * time.Second }).await()
+	f.setFaults("", standin.EndpointFaults{Latency: 700 * time.Millisecond})
+	replies := make(chan reply, 10_000)
+	var callers sync.WaitGroup
+	for range 10 {
+		callers.Go(func() {
+			for begin := time.Now(); time.Since(begin) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
+				replies <- p.post("/assign/x")
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	p.stop()
+	callers.Wait()
+	close(replies)
+	is.NoErr(<-p.ended)
+	served := 0
+	for r := range replies {
+		if r.status == http.StatusOK {
+			served++
+		}
+		if r.err != nil && len(f.received(r.id)) > 0 {
+			t.Errorf("%s was passed on and cut: %v", r.id, r.err)
+		}
+	}
+	is.True(served >= 10)
+}
+
 // Guards against routers that do not exchange holders: a router that starts later
 // must send a prompt to the endpoint that holds it because of the first router, or
 // have it fetched from there.
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -37,6 +37,9 @@
 	// readiness check fails, so that the load balancer stops sending requests. The
 	// balancer needs two failed checks, a second apart, and one may be in flight.
 	drainDelay = 2500 * time.Millisecond
+	// maxDrainShare is the largest part of the grace time that drainDelay may take. The
+	// requests that are accepted until then need the rest.
+	maxDrainShare = 1.0 / 3
 	// exitMargin is the part of the grace time that is reserved for the exit of the
 	// process.
 	exitMargin = 600 * time.Millisecond
@@ -120,7 +123,7 @@
 func (r *Router) shutDown(ctx context.Context, srv *http.Server, active *atomic.Int64) {
 	begin := time.Now()
 	_ = r.loop.Post(ctx, phaseChanged{Leaving})
-	control.Pause(ctx, drainDelay)
+	control.Pause(ctx, min(drainDelay, time.Duration(maxDrainShare*float64(r.settings.Grace))))
 	_ = r.loop.Post(ctx, phaseChanged{Refusing})
 	limit, cancel := context.WithDeadline(ctx, begin.Add(r.settings.Grace-exitMargin))
 	defer cancel()
