--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -57,7 +57,12 @@
 	f.failures = append(f.failures, fmt.Sprintf(format, args...))
 }
 
-// freePort returns a loopback address whose port is free for TCP and UDP.
+// givenPorts holds the addresses that freePort has returned, since processes of fleets
+// that run in parallel listen on theirs a little later.
+var givenPorts sync.Map
+
+// freePort returns a loopback address whose port is free for TCP and UDP. It returns none
+// twice.
 func freePort(t *testing.T) string {
 	for range 50 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -68,8 +73,11 @@
 		udpAddress, _ := net.ResolveUDPAddr("udp", address)
 		conn, err := net.ListenUDP("udp", udpAddress)
 		_ = l.Close()
-		if err == nil {
-			_ = conn.Close()
+		if err != nil {
+			continue
+		}
+		_ = conn.Close()
+		if _, given := givenPorts.LoadOrStore(address, true); !given {
 			return address
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -41,18 +42,10 @@
 		t.Skip("starts processes")
 	}
 	binary := buildRouter(t)
-	seeds := ciSeeds
-	for _, r := range regressions {
-		seeds = append(seeds, r.seed)
-	}
-	if *seedRange != "" {
-		var first, last uint64
-		if _, err := fmt.Sscanf(*seedRange, "%d-%d", &first, &last); err != nil {
-			t.Fatal(err)
-		}
-		seeds = nil
-		for s := first; s <= last; s++ {
-			seeds = append(seeds, s)
+	seeds := soakSeeds(t)
+	if *seedRange == "" {
+		for _, r := range regressions {
+			seeds = append(seeds, r.seed)
 		}
 	}
 	for _, seed := range seeds {
@@ -60,6 +53,23 @@
 	}
 }
 
+// soakSeeds returns the seeds to run: those of the -soak flag, or ciSeeds without it.
+func soakSeeds(t *testing.T) []uint64 {
+	t.Helper()
+	if *seedRange == "" {
+		return slices.Clone(ciSeeds)
+	}
+	var first, last uint64
+	if _, err := fmt.Sscanf(*seedRange, "%d-%d", &first, &last); err != nil {
+		t.Fatal(err)
+	}
+	var seeds []uint64
+	for s := first; s <= last; s++ {
+		seeds = append(seeds, s)
+	}
+	return seeds
+}
+
 // buildRouter builds the router program and returns its path.
 func buildRouter(t *testing.T) string {
 	t.Helper()
