suspect: requests refused after one moment stay while the table is full

Callers would have seen a request that crashed several endpoints at one moment, sent in copies, forgotten after many other crashes: since the table evicts by crashes that are 0.3 s apart, and such a request has one. Refused properties are now evicted last, whatever refused them.

TestRefusedCausesStayWhileTheTableIsFull has the case and failed before.

--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -47,8 +47,8 @@
 func KeyOfRequest(hash uint64) uint64 { return hash &^ partBit }
 
 // CauseCrash is a crash of an endpoint while a request that had a certain property was
-// in flight and had no complete answer yet. Key stands for the property: a prompt part, or the
-// request as a whole.
+// in flight and had no complete answer yet. Key stands for the property: a prompt part, or
+// the request as a whole.
 type CauseCrash struct {
 	Key      uint64
 	Endpoint uint32 // hash of its id
@@ -63,9 +63,9 @@
 	tried   time.Time    // when the last one was, or the last attempt to claim one
 }
 
-// Causes finds the properties of requests that crash each endpoint which begins to
-// answer them. A property is cleared by any answer to a request that has it. Causes
-// belongs to the control goroutine.
+// Causes finds the properties of requests that crash each endpoint which runs them. A
+// property is cleared by a complete answer, without an error, to a request that has it.
+// Causes belongs to the control goroutine.
 type Causes struct{ byKey map[uint64]*cause }
 
 // NewCauses returns an empty table.
@@ -93,13 +93,20 @@
 	return true
 }
 
-// evict removes an eighth of the table: the properties with the fewest crashes first, and
-// of those the ones whose last crashes are the oldest. Refused properties are not sent,
-// so theirs are old, while each crash adds all requests that were in flight.
+// evict removes an eighth of the table: the properties with the fewest crashes first and
+// refused ones last, and of those the ones whose last crashes are the oldest. Refused
+// properties are not sent, so theirs are old, while each crash adds all requests that
+// were in flight.
 func (t *Causes) evict() {
+	weight := func(s *cause) int {
+		if s.refused() {
+			return CauseThreshold
+		}
+		return s.separateCrashes()
+	}
 	keys := slices.SortedFunc(maps.Keys(t.byKey), func(a, b uint64) int {
 		x, y := t.byKey[a], t.byKey[b]
-		return cmp.Or(cmp.Compare(x.separateCrashes(), y.separateCrashes()), x.last().Compare(y.last()), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(weight(x), weight(y)), x.last().Compare(y.last()), cmp.Compare(a, b))
 	})
 	for _, k := range keys[:MaxCauses/8] {
 		delete(t.byKey, k)
--- a/internal/suspect/causes_test.go
+++ b/internal/suspect/causes_test.go
@@ -96,16 +96,20 @@
 	is := is.New(t)
 	c := NewCauses()
 	now := time.Unix(1_700_000_000, 0)
-	const deadly = 1
+	const deadly, copies = 1, 2
+	for i := range uint32(CauseThreshold) {
+		c.Add(now, CauseCrash{copies, i, now}) // at one moment
+	}
 	for i := range uint32(CauseThreshold) {
 		c.Add(now, CauseCrash{deadly, i, now})
 		now = now.Add(time.Second)
 	}
 	for i := range uint64(2 * MaxCauses) {
-		c.Add(now, CauseCrash{i + 2, uint32(i / 60), now})
+		c.Add(now, CauseCrash{i + 3, uint32(i / 60), now})
 		now = now.Add(time.Millisecond)
 	}
 	is.True(c.View()[deadly])
+	is.True(c.View()[copies])
 }
 
 // Guards against a request whose caller sends copies together, so that each time several
