place: limits that differ by less than a tenth are not told anew

A server that computes its limit for each answer would have caused a datagram to all routers for each change by more than 2 in 100. With nine tenths of a limit in use, one that is kept although it fell by a tenth is used whole, and the platform allows half more.

--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -37,8 +37,9 @@
 	// requests, for each step of priority, while all endpoints state limits.
 	reservedShare = 0.1
 	maxReserved   = 0.5
-	// limitChange is the factor between two limits from which they count as different.
-	limitChange = 1.02
+	// limitChange is the factor between two limits from which they count as different. With
+	// limitShare, a limit that is higher by less is kept too.
+	limitChange = 1.1
 )
 
 // statedLimit is the limit on the requests a second of all routers that an endpoint
