--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,8 +1,8 @@
 // Package mesh encodes the datagrams in which routers report to their peers their
 // requests in flight, which endpoints hold which prompt parts, what endpoints stated
-// about their load and their limits, and crashes of endpoints. A prompt part is a prefix of a prompt that
-// requests share. Datagrams are not acknowledged, since the
-// next one makes up for one that is lost.
+// about their load and their limits, and crashes of endpoints. A prompt part is a prefix
+// of a prompt that requests share. Datagrams are not acknowledged, since the next one
+// makes up for one that is lost.
 package mesh
 
 import (
--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -37,8 +37,8 @@
 	// requests, for each step of priority, while all endpoints state limits.
 	reservedShare = 0.1
 	maxReserved   = 0.5
-	// limitChange is the factor between two limits from which they count as different. With
-	// limitShare, a limit that is higher by less is kept too.
+	// limitChange is the factor between two limits from which they count as different, so
+	// that not each answer causes a message to all routers. limitShare makes up for it.
 	limitChange = 1.1
 )
 
