suspect, router: crashes that only the instance list shows

Callers saw a request crash endpoints without an end where the endpoints were back before the router had looked, at most 0.1 s after the connection ended.

Cause: a crash was a host that refuses connections at that moment and nothing else. Now a router keeps an attempt that ended without a whole answer for 15 s, and counts it as a crash if the instance list shows that the endpoint's process started again, or is gone without having drained. That covers crashes that show as silence too, unless the caller gives up before the connection does.

--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -199,6 +199,16 @@
 	return Endpoint{}, false
 }
 
+// HasRestarted reports whether the process of an endpoint that was started at a time, Unix
+// ms, has ended since, by the instance list. One that left it as draining has not crashed.
+func (t *Table) HasRestarted(id model.EndpointID, started int64) bool {
+	s := t.endpoints[id]
+	if s == nil || s.Draining || s.leaving {
+		return false
+	}
+	return !s.listed || started != 0 && s.Started != 0 && s.Started != started
+}
+
 // Loads returns the requests of this router in flight by endpoint hash, for its
 // load reports to the peers.
 func (t *Table) Loads() map[uint32]int {
--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -91,12 +91,11 @@
 }
 
 // recordCrash reports the properties of a request whose endpoint closed the connection
-// before its answer was complete and then accepts no new one, since its process has ended. An
-// endpoint that lives has only lost the answer.
+// before its answer was complete, and whether it accepts a new one. If not, its process has
+// ended; otherwise it has lost the answer, or is back already, or cannot be reached.
 func (r *Router) recordCrash(ctx context.Context, req *Request) {
-	if r.client.Refuses(ctx, req.Endpoint.Address) {
-		_ = r.loop.Post(context.WithoutCancel(ctx), crashSeen{endpoint: req.Endpoint.ID, causes: req.causes()})
-	}
+	_ = r.loop.Post(context.WithoutCancel(ctx), crashSeen{certain: r.client.Refuses(ctx, req.Endpoint.Address),
+		failure: suspect.Failure{Endpoint: req.Endpoint.ID, Started: req.Endpoint.Started, Causes: req.causes()}})
 }
 
 // recordSound reports that an endpoint answered a request, if it has a property that was
@@ -129,17 +128,19 @@
 func (f judgeCauses) Apply(s *State, now time.Time, ev control.Event) bool {
 	switch e := ev.(type) {
 	case crashSeen:
-		var crashes []mesh.Crash
-		for _, key := range e.causes {
-			s.causes.Add(now, suspect.CauseCrash{Key: key, Endpoint: place.EndpointHash(e.endpoint), At: now})
-			// All crashes with the property, since peers may have missed a message.
-			crashes = append(crashes, agesOf(s.causes.Crashes(key), now)...)
-		}
-		f.log.Info("endpoint crashed while it ran a request", "endpoint", e.endpoint, "properties", len(e.causes))
-		f.broadcast(mesh.Message{Crashes: crashes})
-		f.publish(s, now)
-		f.saveRefused(s, e.causes)
+		e.failure.At = now
+		if !e.certain {
+			s.failures.Add(e.failure)
+			return false
+		}
+		f.addCrash(s, now, e.failure)
 		return true
+	case listRead:
+		crashes := s.failures.Crashes(now, s.table.HasRestarted)
+		for _, failure := range crashes {
+			f.addCrash(s, now, failure)
+		}
+		return len(crashes) > 0
 	case causesSound:
 		sound := f.clear(s, e.causes)
 		if len(sound) == 0 {
@@ -187,6 +188,20 @@
 	return false
 }
 
+// addCrash counts a crash for each property of the request that the endpoint ran.
+func (f judgeCauses) addCrash(s *State, now time.Time, failure suspect.Failure) {
+	var crashes []mesh.Crash
+	for _, key := range failure.Causes {
+		s.causes.Add(now, suspect.CauseCrash{Key: key, Endpoint: place.EndpointHash(failure.Endpoint), At: failure.At})
+		// All crashes with the property, since peers may have missed a message.
+		crashes = append(crashes, agesOf(s.causes.Crashes(key), now)...)
+	}
+	f.log.Info("endpoint crashed while it ran a request", "endpoint", failure.Endpoint, "properties", len(failure.Causes), "ago_ms", now.Sub(failure.At).Milliseconds())
+	f.broadcast(mesh.Message{Crashes: crashes})
+	f.publish(s, now)
+	f.saveRefused(s, failure.Causes)
+}
+
 // saveRefused stores the records of those properties that are refused.
 func (f judgeCauses) saveRefused(s *State, keys []uint64) {
 	for _, key := range keys {
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -61,11 +61,11 @@
 		leaving  bool
 		turnAway time.Duration
 	}
-	// crashSeen says that an endpoint crashed while it ran a request that had the
-	// given properties.
+	// crashSeen says that an endpoint crashed while it ran a request, or may have, if that
+	// is not certain.
 	crashSeen struct {
-		endpoint model.EndpointID
-		causes   []uint64
+		failure suspect.Failure
+		certain bool
 	}
 	// causesSound carries properties of a request that was answered.
 	causesSound struct{ causes []uint64 }
--- a/internal/router/deadly_test.go
+++ b/internal/router/deadly_test.go
@@ -144,6 +144,34 @@
 	f.checkDeadlyRuns()
 }
 
+// Guards against a request that crashes endpoints which are back before the router has
+// looked whether they accept connections: the instance list shows that they started again.
+func TestDeadlyRequestsAtEndpointsThatAreBackAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0, 8)
+	list := func(e *standin.Endpoint) {
+		f.store.Put("keyed.servers", e.ID, map[string]any{"Service": "service", "Address": e.Address(), "Zone": "dc-a", "Version": "v1",
+			"Slots": 8, "State": "ready", "Sequence": 1, "born": time.Now().UnixMilli()})
+	}
+	for _, e := range f.endpoints {
+		list(e)
+	}
+	routers := f.startRouters(2)
+	f.setFaults("", standin.EndpointFaults{DeadlyBody: deadlyBody})
+	listed := map[string]int{} // crashes by endpoint, as the list shows them
+	for i := range 40 {
+		routers[i%2].sendDeadly("/assign/x")
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range f.endpoints {
+			if n := len(e.Received()); n > listed[e.ID] {
+				listed[e.ID] = n
+				list(e)
+			}
+		}
+	}
+	f.checkDeadlyRuns()
+}
+
 // Guards against a request that crashes three more endpoints whenever all routers have
 // been restarted, since only routers knew of it.
 func TestDeadlyRequestsAfterARestartOfAllRouters(t *testing.T) {
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -34,6 +34,7 @@
 	phase        Phase
 	causes       *suspect.Causes   // properties of requests that were met at crashes
 	causeView    suspect.CauseView // of causes
+	failures     suspect.Failures  // attempts at endpoints that may have crashed
 	retryWindows map[model.Pool]*retry.Window
 	position     int64                                // after the last order that was read
 	config       []byte                               // encoding of catalog
--- /dev/null
+++ b/internal/suspect/restarts.go
@@ -0,0 +1,52 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+const (
+	// restartTime is how long the instance list is watched after a failure. An endpoint
+	// that ended leaves the list after three missed check-ins.
+	restartTime = 15 * time.Second
+	maxFailures = 256
+)
+
+// Failure is an attempt whose answer did not come, or not whole, from an endpoint of which
+// it is not known whether it crashed.
+type Failure struct {
+	Endpoint model.EndpointID
+	Started  int64 // start time of its process when the request was placed, Unix ms; 0 if unknown
+	At       time.Time
+	Causes   []uint64
+}
+
+// Failures holds recent failures until the instance list shows whether the endpoint has
+// started again since. It belongs to the control goroutine.
+type Failures struct{ list []Failure }
+
+// Add records a failure. The oldest one goes if there are too many.
+func (t *Failures) Add(f Failure) {
+	if len(t.list) >= maxFailures {
+		t.list = slices.Delete(t.list, 0, 1)
+	}
+	t.list = append(t.list, f)
+}
+
+// Crashes removes and returns the failures whose endpoints have ended since: restarted
+// reports whether the process of an endpoint that was started at a time has ended.
+func (t *Failures) Crashes(now time.Time, restarted func(model.EndpointID, int64) bool) (out []Failure) {
+	t.list = slices.DeleteFunc(t.list, func(f Failure) bool {
+		if now.Sub(f.At) >= restartTime {
+			return true
+		}
+		if restarted(f.Endpoint, f.Started) {
+			out = append(out, f)
+			return true
+		}
+		return false
+	})
+	return out
+}
