--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -19,15 +19,16 @@
 	// limitLifetime is how long a limit holds that neither this router nor a peer has met
 	// in an answer again.
 	limitLifetime = 30 * time.Second
-	// limitTellInterval is how long a limit that peers were notified of is not told again.
+	// limitTellInterval is the time after which the peers are notified again of a limit
+	// that has not changed.
 	limitTellInterval = 3 * time.Second
 	// limitBurstTime is the time whose requests may be sent at one moment.
 	limitBurstTime = 250 * time.Millisecond
 	// limitShareInterval is how long the share of this router holds, which depends on the
 	// number of routers.
 	limitShareInterval = time.Second
-	// minLimitReturn and maxLimitReturn bound the time after which a caller returns that
-	// was refused because of limits. Beyond the longest one it has left.
+	// minLimitReturn and maxLimitReturn bound the time after which callers that were
+	// refused because of limits are told to return. Few would still wait longer.
 	minLimitReturn = 200 * time.Millisecond
 	maxLimitReturn = 10 * time.Second
 	// noShareReturn is the same time at a router that does not send to the endpoint; the
@@ -36,7 +37,7 @@
 	// reservedShare is the share of the endpoints of a pool that are kept for more urgent
 	// requests, for each step of priority, while all endpoints state limits.
 	reservedShare = 0.1
-	maxReserved   = 0.5
+	maxReserved   = 0.5 // the largest such share
 	// limitChange is the factor between two limits from which they count as different, so
 	// that not each answer causes a message to all routers. limitShare makes up for it.
 	limitChange = 1.1
--- a/internal/router/deadly_test.go
+++ b/internal/router/deadly_test.go
@@ -45,7 +45,7 @@
 }
 
 // deadlyRuns returns how often endpoints crashed at the deadly request, and how many of
-// these runs were later than the platform allows without counting them.
+// these runs were later than stableWindow after the third crash.
 func (f *fleet) deadlyRuns() (crashes, late int) {
 	var at []time.Time
 	for _, e := range f.endpoints {
--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -28,7 +28,7 @@
 	deadlyFaultTimes = 3
 )
 
-// disturbances are the times until which routers do not count as undisturbed.
+// disturbances are the spans of time in which routers were disturbed.
 type disturbances struct {
 	mu    sync.Mutex
 	spans map[string][][2]time.Time // by router
