--- /dev/null
+++ b/review/drive/engine.go
@@ -0,0 +1,230 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// engine is a stand-in of a model server that streams events. It sends the head of an
+// answer when it has admitted the request, and the events as they are made. It is sound:
+// it ends each stream that it began, unless the connection is closed, which ends the work.
+type engine struct {
+	w        *world
+	id       string
+	address  string
+	slots    int
+	queue    int // requests that may wait for a slot
+	events   int
+	interval time.Duration // between events
+	// firstEvent returns how long the prompt of the n-th run takes to be read.
+	firstEvent func(n int) time.Duration
+	// preempt returns how long the n-th run is preempted after its third event.
+	preempt func(n int) time.Duration
+
+	// deadly is a prompt part at which the engine crashes as it begins to answer, and down
+	// the time until it is back, as a new process under the same id.
+	deadly           string
+	down             time.Duration
+	pool, dataCentre string
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	active   int
+	waiting  int
+	runs     []*engineRun
+	crashes  []time.Time
+}
+
+// engineRun is one run of a request.
+type engineRun struct {
+	id       string
+	engine   string
+	began    time.Time
+	ended    time.Time
+	complete bool // all events were sent
+	closed   bool // the connection was closed by the router before
+}
+
+func (w *world) addEngine(id string, slots int) (*engine, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	none := func(int) time.Duration { return 0 }
+	e := &engine{w: w, id: id, address: l.Addr().String(), listener: l, conns: map[net.Conn]bool{}, slots: slots, events: 20, interval: 50 * time.Millisecond, firstEvent: none, preempt: none}
+	go e.accept(l)
+	return e, nil
+}
+
+func (e *engine) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns[c] = true
+		e.mu.Unlock()
+		go e.serve(c)
+	}
+}
+
+// crash ends the engine with all its connections and starts it again after e.down.
+func (e *engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes = append(e.crashes, time.Now())
+	_ = e.listener.Close()
+	for c := range e.conns {
+		_ = c.Close()
+	}
+	time.AfterFunc(e.down, func() {
+		l, err := net.Listen("tcp", e.address)
+		if err != nil {
+			e.w.logf("%s cannot start again: %v", e.id, err)
+			return
+		}
+		e.mu.Lock()
+		e.listener = l
+		e.mu.Unlock()
+		e.w.register(e.id, e.address, e.pool, e.dataCentre, "ready", time.Now().UnixMilli())
+		e.w.logf("%s is back", e.id)
+		e.accept(l)
+	})
+}
+
+func (e *engine) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		e.mu.Lock()
+		delete(e.conns, c)
+		e.mu.Unlock()
+	}()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil || !e.answer(c, r, req) {
+			return
+		}
+	}
+}
+
+// answer answers a request and reports whether the connection stays open.
+func (e *engine) answer(c net.Conn, r *bufio.Reader, req *http.Request) bool {
+	if req.URL.Path == "/goldcrestturn/kv-list" {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 32\r\n\r\n{\"epoch\":1,\"Next\":0,\"held\":[]}\r\n")
+		return err == nil
+	}
+	id := req.Header.Get("X-Goldcrestturn-Request-Id")
+	head := "X-Goldcrestturn-Request-Id: " + id + "\r\n"
+	if want := req.Header.Get("X-Goldcrestturn-Expect-Instance"); want != "" && want != e.id {
+		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\nX-Goldcrestturn-Instance-Id: "+e.id+"\r\n"+head+"\r\n")
+		return err == nil
+	}
+	e.mu.Lock()
+	if e.active >= e.slots && e.waiting < e.queue {
+		e.waiting++
+		for e.active >= e.slots {
+			e.mu.Unlock()
+			if !e.pause(c, r, 5*time.Millisecond) {
+				e.mu.Lock()
+				e.waiting--
+				e.mu.Unlock()
+				return false
+			}
+			e.mu.Lock()
+		}
+		e.waiting--
+	}
+	if e.active >= e.slots {
+		e.mu.Unlock()
+		e.w.logf("%s is full: request %s not executed", e.id, id)
+		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nX-Goldcrestturn-Not-Executed: 1\r\n"+head+"\r\n")
+		return err == nil
+	}
+	e.active++
+	n := len(e.runs)
+	run := &engineRun{id: id, engine: e.id, began: time.Now()}
+	e.runs = append(e.runs, run)
+	e.mu.Unlock()
+	e.w.logf("%s runs request %s, last event %q", e.id, id, req.Header.Get("Last-Event-Id"))
+	if e.deadly != "" && strings.Contains(","+req.Header.Get("X-Goldcrestturn-Prefix-Hash"), ","+e.deadly+":") {
+		e.w.logf("%s crashes at request %s", e.id, id)
+		e.crash()
+	}
+	open := e.stream(c, r, req, run, head, n)
+	e.mu.Lock()
+	e.active--
+	run.ended = time.Now()
+	e.mu.Unlock()
+	e.w.logf("%s ends request %s: complete=%v closed_by_router=%v", e.id, id, run.complete, run.closed)
+	return open
+}
+
+func (e *engine) stream(c net.Conn, r *bufio.Reader, req *http.Request, run *engineRun, head string, n int) bool {
+	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Goldcrestturn-Server-Signature: "+e.id+"."+run.id+"\r\n"+head+"\r\n"); err != nil {
+		run.closed = true
+		return false
+	}
+	first := 0
+	if v := req.Header.Get("Last-Event-Id"); v != "" {
+		last, _ := strconv.Atoi(v)
+		first = last + 1
+	}
+	if !e.pause(c, r, e.firstEvent(n)) {
+		run.closed = true
+		return false
+	}
+	for i := first; i < e.events; i++ {
+		if i-first == 3 && !e.pause(c, r, e.preempt(n)) {
+			run.closed = true
+			return false
+		}
+		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil || !e.pause(c, r, e.interval) {
+			run.closed = true
+			return false
+		}
+	}
+	run.complete = true
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+// pause waits for d and reports whether the connection is still open.
+func (e *engine) pause(c net.Conn, r *bufio.Reader, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	defer c.SetReadDeadline(time.Time{})
+	_, err := r.Peek(1)
+	ne, ok := err.(net.Error)
+	return ok && ne.Timeout()
+}
+
+// runsOf returns the runs of all engines by request id.
+func runsOf(engines ...*engine) map[string][]engineRun {
+	out := map[string][]engineRun{}
+	for _, e := range engines {
+		e.mu.Lock()
+		for _, r := range e.runs {
+			out[r.id] = append(out[r.id], *r)
+		}
+		e.mu.Unlock()
+	}
+	return out
+}
