--- a/review/drive/engine.go
+++ b/review/drive/engine.go
@@ -25,10 +25,14 @@
 	queue    int // requests that may wait for a slot
 	events   int
 	interval time.Duration // between events
+	// prompt is the time to read a prompt. The engine reads one after the other.
+	prompt time.Duration
 	// firstEvent returns how long the prompt of the n-th run takes to be read.
 	firstEvent func(n int) time.Duration
 	// preempt returns how long the n-th run is preempted after its third event.
 	preempt func(n int) time.Duration
+	began   int64 // Unix ms
+	quiet   bool  // leaves the requests out of the record
 
 	// deadly is a prompt part at which the engine crashes as it begins to answer, and down
 	// the time until it is back, as a new process under the same id.
@@ -41,6 +45,7 @@
 	conns    map[net.Conn]bool
 	active   int
 	waiting  int
+	reading  chan struct{} // holds one token while a prompt is read
 	runs     []*engineRun
 	crashes  []time.Time
 }
@@ -61,7 +66,7 @@
 		return nil, err
 	}
 	none := func(int) time.Duration { return 0 }
-	e := &engine{w: w, id: id, address: l.Addr().String(), listener: l, conns: map[net.Conn]bool{}, slots: slots, events: 20, interval: 50 * time.Millisecond, firstEvent: none, preempt: none}
+	e := &engine{w: w, id: id, address: l.Addr().String(), listener: l, conns: map[net.Conn]bool{}, slots: slots, began: time.Now().UnixMilli(), reading: make(chan struct{}, 1), events: 20, interval: 50 * time.Millisecond, firstEvent: none, preempt: none}
 	go e.accept(l)
 	return e, nil
 }
@@ -160,7 +165,7 @@
 	run := &engineRun{id: id, engine: e.id, began: time.Now()}
 	e.runs = append(e.runs, run)
 	e.mu.Unlock()
-	e.w.logf("%s runs request %s, last event %q", e.id, id, req.Header.Get("Last-Event-Id"))
+	e.logf("%s runs request %s, last event %q", e.id, id, req.Header.Get("Last-Event-Id"))
 	if e.deadly != "" && strings.Contains(","+req.Header.Get("X-Goldcrestturn-Prefix-Hash"), ","+e.deadly+":") {
 		e.w.logf("%s crashes at request %s", e.id, id)
 		e.crash()
@@ -170,7 +175,7 @@
 	e.active--
 	run.ended = time.Now()
 	e.mu.Unlock()
-	e.w.logf("%s ends request %s: complete=%v closed_by_router=%v", e.id, id, run.complete, run.closed)
+	e.logf("%s ends request %s: complete=%v closed_by_router=%v", e.id, id, run.complete, run.closed)
 	return open
 }
 
@@ -184,7 +189,7 @@
 		last, _ := strconv.Atoi(v)
 		first = last + 1
 	}
-	if !e.pause(c, r, e.firstEvent(n)) {
+	if e.prompt > 0 && !e.read(c, r) || !e.pause(c, r, e.firstEvent(n)) {
 		run.closed = true
 		return false
 	}
@@ -204,6 +209,22 @@
 	return err == nil
 }
 
+// read waits for its turn and reads a prompt. It reports whether the connection is still
+// open.
+func (e *engine) read(c net.Conn, r *bufio.Reader) bool {
+	for {
+		select {
+		case e.reading <- struct{}{}:
+			defer func() { <-e.reading }()
+			return e.pause(c, r, e.prompt)
+		default:
+			if !e.pause(c, r, 5*time.Millisecond) {
+				return false
+			}
+		}
+	}
+}
+
 // pause waits for d and reports whether the connection is still open.
 func (e *engine) pause(c net.Conn, r *bufio.Reader, d time.Duration) bool {
 	if d <= 0 {
@@ -216,6 +237,31 @@
 	return ok && ne.Timeout()
 }
 
+// logf writes a line on a request to record.txt.
+func (e *engine) logf(format string, args ...any) {
+	if !e.quiet {
+		e.w.logf(format, args...)
+	}
+}
+
+// leave ends the engine once its requests have ended. Its entry goes first.
+func (e *engine) leave() {
+	e.w.store.Put("keyed.servers", e.id, nil)
+	for {
+		e.mu.Lock()
+		if e.active+e.waiting == 0 {
+			break
+		}
+		e.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+	}
+	defer e.mu.Unlock()
+	_ = e.listener.Close()
+	for c := range e.conns {
+		_ = c.Close()
+	}
+}
+
 // runsOf returns the runs of all engines by request id.
 func runsOf(engines ...*engine) map[string][]engineRun {
 	out := map[string][]engineRun{}
--- a/review/drive/harness.go
+++ b/review/drive/harness.go
@@ -200,6 +200,8 @@
 	name string
 	conn net.Conn
 	r    *bufio.Reader
+	// quiet leaves the requests out of the record.
+	quiet bool
 }
 
 func (w *world) dial(name string, r *router) (*caller, error) {
@@ -240,6 +242,9 @@
 		out.read(c.r, method)
 	}
 	out.took = time.Since(sent)
+	if c.quiet {
+		return out
+	}
 	c.w.logf("%s %s %s id=%s -> status=%d signed=%v bytes=%d err=%v after %.3f s", c.name, method, path, out.id, out.status, out.signed, len(out.body), out.err, out.took.Seconds())
 	return out
 }
