--- a/review/drive/descriptors.go
+++ b/review/drive/descriptors.go
@@ -24,8 +24,8 @@
 		callers  = 700 // streams that run at once, over all routers
 		routers  = 2
 		maxFds   = 4100
-		replaced = 8 // at a time
-		gap      = 1100 * time.Millisecond
+		replaced = 7 // at a time
+		gap      = time.Second
 		releases = 55 * time.Second
 		drain    = 3 * time.Second // DrainMs
 		timeout  = 2 * time.Second // of the route of the requests at the end
@@ -79,15 +79,15 @@
 	time.Sleep(4500 * time.Millisecond) // StableWindowMs
 	var stop atomic.Bool
 	var wg sync.WaitGroup
-	var served, failed atomic.Int64
+	var served, refused, failed atomic.Int64
 	for i := range callers {
-		wg.Go(func() { w.keepStreaming(i, w.routers[i%routers], &stop, &served, &failed) })
+		wg.Go(func() { w.keepStreaming(i, w.routers[i%routers], &stop, &served, &refused, &failed) })
 		time.Sleep(3 * time.Millisecond)
 	}
 	begin := time.Now()
 	for n := 0; time.Since(begin) < releases; n++ {
 		if n%5 == 0 {
-			w.logDescriptors(started-engines, served.Swap(0), failed.Swap(0))
+			w.logDescriptors(started-engines, served.Swap(0), refused.Swap(0), failed.Swap(0))
 		}
 		if w.trouble {
 			for range replaced {
@@ -105,7 +105,7 @@
 	}
 	// Nothing leaves any more. The callers go on on their kept connections.
 	time.Sleep(drain + 2*time.Second)
-	w.logDescriptors(started-engines, served.Swap(0), failed.Swap(0))
+	w.logDescriptors(started-engines, served.Swap(0), refused.Swap(0), failed.Swap(0))
 	var late, due atomic.Int64
 	var probing sync.WaitGroup
 	for i := range routers * probes {
@@ -130,7 +130,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	probing.Wait()
-	w.logDescriptors(started-engines, served.Load(), failed.Load())
+	w.logDescriptors(started-engines, served.Load(), refused.Load(), failed.Load())
 	stop.Store(true)
 	wg.Wait()
 	w.logf("CONFIG: of %d requests on new connections, %d were unanswered at the time-out, and %d had no answer half a second later; the rule allows half of these", routers*probes, due.Load(), late.Load())
@@ -138,7 +138,7 @@
 }
 
 // keepStreaming sends one stream after the other on a kept connection until stop is set.
-func (w *world) keepStreaming(i int, r *router, stop *atomic.Bool, served, failed *atomic.Int64) {
+func (w *world) keepStreaming(i int, r *router, stop *atomic.Bool, served, refused, failed *atomic.Int64) {
 	var c *caller
 	for n := 0; !stop.Load(); n++ {
 		if c == nil {
@@ -152,9 +152,13 @@
 			c.quiet = true
 		}
 		o := c.do("POST", fmt.Sprintf("/stream/lookup/%d-%d", i, n), 10*time.Second, streamHeaders(i)...)
-		if o.status == 200 && o.err == nil {
+		switch {
+		case o.status == 200 && o.err == nil:
 			served.Add(1)
-		} else {
+		case o.status == 503:
+			refused.Add(1)
+			time.Sleep(300 * time.Millisecond)
+		default:
 			failed.Add(1)
 			time.Sleep(300 * time.Millisecond)
 		}
@@ -169,9 +173,9 @@
 }
 
 // logDescriptors logs how many descriptors each router has open.
-func (w *world) logDescriptors(replaced int, served, failed int64) {
+func (w *world) logDescriptors(replaced int, served, refused, failed int64) {
 	for _, r := range w.routers {
 		open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid))
-		w.logf("%s has %d descriptors open (%v); engines replaced so far: %d; streams since: %d served, %d not", r.name, len(open), err, replaced, served, failed)
+		w.logf("%s has %d descriptors open (error: %v); replaced so far: %d; requests since: %d served, %d refused (503), %d others", r.name, len(open), err, replaced, served, refused, failed)
 	}
 }
--- a/review/drive/evacuate.go
+++ b/review/drive/evacuate.go
@@ -51,6 +51,7 @@
 	idle := [2]chan *caller{make(chan *caller, 1000), make(chan *caller, 1000)}
 	var mu sync.Mutex
 	var results []outcome
+	onKept := map[string]bool{} // requests that were not the first ones of their connections
 	var wg sync.WaitGroup
 	begin, evacuated := time.Now(), false
 	for n := 0; time.Since(begin) < before+after; n++ {
@@ -61,9 +62,11 @@
 		}
 		wg.Go(func() {
 			var c *caller
+			kept := true
 			select {
 			case c = <-idle[n%2]:
 			default:
+				kept = false
 				var err error
 				if c, err = w.dial(fmt.Sprintf("caller-%d", n), w.routers[n%2]); err != nil {
 					w.logf("no connection: %v", err)
@@ -78,6 +81,9 @@
 			}
 			mu.Lock()
 			results = append(results, o)
+			if kept {
+				onKept[o.id] = true
+			}
 			mu.Unlock()
 		})
 		time.Sleep(every)
@@ -89,11 +95,11 @@
 		if o.status != 0 {
 			answered++
 		}
-		if len(runs[o.id]) > 0 && o.closedUnanswered() && o.took < patience {
+		if len(runs[o.id]) > 0 && onKept[o.id] && o.closedUnanswered() && o.took < patience {
 			lost++
-			w.logf("request %s was passed on to %s, and its connection was closed without an answer after %.3f s", o.id, runs[o.id][0].engine, o.took.Seconds())
+			w.logf("request %s was passed on to %s, and its kept connection was closed without an answer after %.3f s", o.id, runs[o.id][0].engine, o.took.Seconds())
 		}
 	}
-	w.logf("of %d requests, %d were answered; %d connections were closed without an answer after the request had been passed on to a sound engine; the rule allows %d", len(results), answered, lost, tolerated)
+	w.logf("of %d requests, %d were answered; %d kept connections were closed without an answer after the request had been passed on to a sound engine; the rule allows %d", len(results), answered, lost, tolerated)
 	return lost <= tolerated, nil
 }
--- a/review/drive/idle.go
+++ b/review/drive/idle.go
@@ -58,11 +58,11 @@
 	var mu sync.Mutex
 	var open []net.Conn
 	var wg sync.WaitGroup
-	var served, failed, late, due atomic.Int64
+	var served, refused, failed, late, due atomic.Int64
 	begin := time.Now()
 	for n := 0; time.Since(begin) < length; n++ {
 		if n%(128*5) == 0 {
-			w.logDescriptors(0, served.Swap(0), failed.Swap(0))
+			w.logDescriptors(0, served.Swap(0), refused.Swap(0), failed.Swap(0))
 		}
 		judged := time.Since(begin) > length-last
 		wg.Go(func() {
@@ -77,9 +77,12 @@
 			mu.Unlock()
 			c.quiet = true
 			o := c.do("POST", "/reserve/1", 4*time.Second)
-			if o.status == 200 && o.err == nil {
+			switch {
+			case o.status == 200 && o.err == nil:
 				served.Add(1)
-			} else {
+			case o.status == 503:
+				refused.Add(1)
+			default:
 				failed.Add(1)
 			}
 			took := time.Since(sent)
@@ -96,7 +99,7 @@
 		time.Sleep(time.Until(begin.Add(time.Duration(n+1) * every)))
 	}
 	wg.Wait()
-	w.logDescriptors(0, served.Load(), failed.Load())
+	w.logDescriptors(0, served.Load(), refused.Load(), failed.Load())
 	for _, c := range open {
 		_ = c.Close()
 	}
