--- a/review/drive/harness.go
+++ b/review/drive/harness.go
@@ -15,7 +15,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -328,5 +327,5 @@
 
 // streamHeaders are the headers of a request for a model server.
 func streamHeaders(part int) []string {
-	return []string{"X-Goldcrestturn-Model: m", "X-Goldcrestturn-Token-Usage: 200,40", fmt.Sprintf("X-Goldcrestturn-Prefix-Hash: a1:100,%x:80", 0xb000+part), "Accept: " + strings.ToLower("text/event-stream")}
+	return []string{"X-Goldcrestturn-Model: m", "X-Goldcrestturn-Token-Usage: 200,40", fmt.Sprintf("X-Goldcrestturn-Prefix-Hash: a1:100,%x:80", 0xb000+part), "Accept: text/event-stream"}
 }
--- a/review/drive/stop.go
+++ b/review/drive/stop.go
@@ -70,10 +70,8 @@
 	time.Sleep(200 * time.Millisecond)
 	term := time.Now()
 	if w.trouble {
-		for _, r := range w.routers[:1] {
-			w.logf("SIGTERM to %s", r.name)
-			_ = r.cmd.Process.Signal(syscall.SIGTERM)
-		}
+		w.logf("SIGTERM to %s", w.routers[0].name)
+		_ = w.routers[0].cmd.Process.Signal(syscall.SIGTERM)
 	}
 	wg.Wait()
 	lost := 0
