--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the driver of the scripts, with the project's stand-ins in it, into review/bin.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review -o review/bin/drive ./review/drive
+go test -c -tags review -o review/bin/drive ./review/drive
--- a/review/drive/evacuate.go
+++ b/review/drive/evacuate_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package drive
 
 import (
 	"fmt"
--- a/review/drive/harness.go
+++ b/review/drive/harness_test.go
@@ -1,9 +1,10 @@
 //go:build review
 
-// Command drive runs one case of the review: it starts routers as separate processes in
+// Package drive runs one case of the review. It is built as a test binary, drive, and called
+// with the name of the case and the path of the record. It starts routers as separate processes in
 // front of the project's stand-ins of the store and the endpoints, sends requests as
 // callers do, and judges what callers and endpoints saw.
-package main
+package drive
 
 import (
 	"bufio"
@@ -18,6 +19,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
@@ -270,7 +272,8 @@
 // cases are the cases by name.
 var cases = map[string]func(*world) (bool, error){}
 
-func main() {
+// TestMain runs a case in place of tests.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: drive CASE RECORD")
 		os.Exit(cannotRun)
