--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the driver of the scripts, with the project's stand-ins in it, into review/bin.
+# Builds the stand-ins of the scripts, the project's own among them, into review/bin.
 set -eu
 cd "$(dirname "$0")/.."
-go test -c -tags review -o review/bin/drive ./review/drive
+go build -o review/bin/platform ./review/platform
--- a/review/drive/deadly_test.go
+++ b/review/platform/deadly.go
@@ -1,6 +1,4 @@
-//go:build review
-
-package drive
+package main
 
 import (
 	"fmt"
@@ -45,20 +43,20 @@
 		list = append(list, e)
 	}
 	for i := range routers {
-		if _, err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i%2)); err != nil {
+		if err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i%2)); err != nil {
 			return false, err
 		}
 	}
-	if err := w.awaitReady(); err != nil {
+	if err := w.startRouters(); err != nil {
 		return false, err
 	}
-	time.Sleep(3500 * time.Millisecond)
+	pause(3500 * time.Millisecond)
 	type attempt struct {
 		at    time.Time
 		began bool
 	}
-	var mu sync.Mutex
-	var sound []attempt
+	results := newOwner()
+	var sound []attempt                // of results
 	ended := make(chan struct{}, 1000) // one for each sound request that ended
 	var wg sync.WaitGroup
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))
@@ -81,9 +79,7 @@
 				}
 			}
 			if !bad {
-				mu.Lock()
-				sound = append(sound, attempt{at, began})
-				mu.Unlock()
+				results.do(func() { sound = append(sound, attempt{at, began}) })
 			}
 		})
 	}
@@ -113,14 +109,12 @@
 			send(rng.IntN(1000), "deadly", fmt.Sprintf("%s,%s:400,%x:100", firstPart, deadly, 0x200000+n), true)
 			nextBad = nextBad.Add(spread(badEvery))
 		}
-		time.Sleep(10 * time.Millisecond)
+		pause(10 * time.Millisecond)
 	}
 	wg.Wait()
 	var crashes []time.Time
 	for _, e := range list {
-		e.mu.Lock()
-		crashes = append(crashes, e.crashes...)
-		e.mu.Unlock()
+		e.state.do(func() { crashes = append(crashes, e.crashes...) })
 	}
 	sort.Slice(crashes, func(i, j int) bool { return crashes[i].Before(crashes[j]) })
 	from := begin.Add(baseline)
--- a/review/drive/descriptors_test.go
+++ b/review/platform/descriptors.go
@@ -1,6 +1,4 @@
-//go:build review
-
-package drive
+package main
 
 import (
 	"fmt"
@@ -9,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
@@ -23,7 +19,6 @@
 		engines  = 47
 		callers  = 700 // streams that run at once, over all routers
 		routers  = 2
-		maxFds   = 4100
 		replaced = 7 // at a time
 		gap      = time.Second
 		releases = 55 * time.Second
@@ -64,25 +59,20 @@
 	service.SetFaults(standin.EndpointFaults{Latency: 60 * time.Millisecond})
 	w.register(service.ID, service.Address(), "service", "dc-0", "ready", time.Now().UnixMilli())
 	for i := range routers {
-		r, err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i%2))
-		if err != nil {
+		if err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i%2)); err != nil {
 			return false, err
 		}
-		limit := unix.Rlimit{Cur: maxFds, Max: maxFds}
-		if err := unix.Prlimit(r.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
-			return false, fmt.Errorf("%w: %v", errCannotRun, err)
-		}
 	}
-	if err := w.awaitReady(); err != nil {
+	if err := w.startRouters(); err != nil {
 		return false, err
 	}
-	time.Sleep(4500 * time.Millisecond) // StableWindowMs
+	pause(4500 * time.Millisecond) // StableWindowMs
 	var stop atomic.Bool
 	var wg sync.WaitGroup
 	var served, refused, failed atomic.Int64
 	for i := range callers {
 		wg.Go(func() { w.keepStreaming(i, w.routers[i%routers], &stop, &served, &refused, &failed) })
-		time.Sleep(3 * time.Millisecond)
+		pause(3 * time.Millisecond)
 	}
 	begin := time.Now()
 	for n := 0; time.Since(begin) < releases; n++ {
@@ -101,10 +91,10 @@
 				time.AfterFunc(drain+500*time.Millisecond, func() { old.leave() })
 			}
 		}
-		time.Sleep(gap)
+		pause(gap)
 	}
 	// Nothing leaves any more. The callers go on on their kept connections.
-	time.Sleep(drain + 2*time.Second)
+	pause(drain + 2*time.Second)
 	w.logDescriptors(started-engines, served.Swap(0), refused.Swap(0), failed.Swap(0))
 	var late, due atomic.Int64
 	var probing sync.WaitGroup
@@ -127,7 +117,7 @@
 				late.Add(1)
 			}
 		})
-		time.Sleep(100 * time.Millisecond)
+		pause(100 * time.Millisecond)
 	}
 	probing.Wait()
 	w.logDescriptors(started-engines, served.Load(), refused.Load(), failed.Load())
@@ -145,7 +135,7 @@
 			next, err := w.dial(fmt.Sprintf("caller-%d", i), r)
 			if err != nil {
 				failed.Add(1)
-				time.Sleep(time.Second)
+				pause(time.Second)
 				continue
 			}
 			c = next
@@ -157,10 +147,10 @@
 			served.Add(1)
 		case o.status == 503:
 			refused.Add(1)
-			time.Sleep(300 * time.Millisecond)
+			pause(300 * time.Millisecond)
 		default:
 			failed.Add(1)
-			time.Sleep(300 * time.Millisecond)
+			pause(300 * time.Millisecond)
 		}
 		if o.err != nil {
 			_ = c.conn.Close()
@@ -175,7 +165,7 @@
 // logDescriptors logs how many descriptors each router has open.
 func (w *world) logDescriptors(replaced int, served, refused, failed int64) {
 	for _, r := range w.routers {
-		open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid))
+		open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.pid))
 		w.logf("%s has %d descriptors open (error: %v); replaced so far: %d; requests since: %d served, %d refused (503), %d others", r.name, len(open), err, replaced, served, refused, failed)
 	}
 }
--- a/review/drive/engine_test.go
+++ b/review/platform/engine.go
@@ -1,6 +1,4 @@
-//go:build review
-
-package drive
+package main
 
 import (
 	"bufio"
@@ -10,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -40,7 +37,7 @@
 	down             time.Duration
 	pool, dataCentre string
 
-	mu       sync.Mutex
+	state    owner // of the fields below
 	listener net.Listener
 	conns    map[net.Conn]bool
 	active   int
@@ -66,7 +63,7 @@
 		return nil, err
 	}
 	none := func(int) time.Duration { return 0 }
-	e := &engine{w: w, id: id, address: l.Addr().String(), listener: l, conns: map[net.Conn]bool{}, slots: slots, began: time.Now().UnixMilli(), reading: make(chan struct{}, 1), events: 20, interval: 50 * time.Millisecond, firstEvent: none, preempt: none}
+	e := &engine{w: w, id: id, address: l.Addr().String(), listener: l, conns: map[net.Conn]bool{}, slots: slots, began: time.Now().UnixMilli(), reading: make(chan struct{}, 1), state: newOwner(), events: 20, interval: 50 * time.Millisecond, firstEvent: none, preempt: none}
 	go e.accept(l)
 	return e, nil
 }
@@ -77,31 +74,32 @@
 		if err != nil {
 			return
 		}
-		e.mu.Lock()
-		e.conns[c] = true
-		e.mu.Unlock()
+		e.state.do(func() { e.conns[c] = true })
 		go e.serve(c)
 	}
 }
 
-// crash ends the engine with all its connections and starts it again after e.down.
-func (e *engine) crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.crashes = append(e.crashes, time.Now())
+// end closes the listener and all connections. It runs on the goroutine of state.
+func (e *engine) end() {
 	_ = e.listener.Close()
 	for c := range e.conns {
 		_ = c.Close()
 	}
+}
+
+// crash ends the engine with all its connections and starts it again after e.down.
+func (e *engine) crash() {
+	e.state.do(func() {
+		e.crashes = append(e.crashes, time.Now())
+		e.end()
+	})
 	time.AfterFunc(e.down, func() {
 		l, err := net.Listen("tcp", e.address)
 		if err != nil {
 			e.w.logf("%s cannot start again: %v", e.id, err)
 			return
 		}
-		e.mu.Lock()
-		e.listener = l
-		e.mu.Unlock()
+		e.state.do(func() { e.listener = l })
 		e.w.register(e.id, e.address, e.pool, e.dataCentre, "ready", time.Now().UnixMilli())
 		e.w.logf("%s is back", e.id)
 		e.accept(l)
@@ -111,9 +109,7 @@
 func (e *engine) serve(c net.Conn) {
 	defer func() {
 		_ = c.Close()
-		e.mu.Lock()
-		delete(e.conns, c)
-		e.mu.Unlock()
+		e.state.do(func() { delete(e.conns, c) })
 	}()
 	r := bufio.NewReader(c)
 	for {
@@ -139,46 +135,60 @@
 		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\nX-Goldcrestturn-Instance-Id: "+e.id+"\r\n"+head+"\r\n")
 		return err == nil
 	}
-	e.mu.Lock()
-	if e.active >= e.slots && e.waiting < e.queue {
-		e.waiting++
-		for e.active >= e.slots {
-			e.mu.Unlock()
-			if !e.pause(c, r, 5*time.Millisecond) {
-				e.mu.Lock()
-				e.waiting--
-				e.mu.Unlock()
-				return false
+	run, n := e.admit(id)
+	if run == nil {
+		queued := false
+		e.state.do(func() {
+			if queued = e.waiting < e.queue; queued {
+				e.waiting++
 			}
-			e.mu.Lock()
+		})
+		open := true
+		for queued && open && run == nil {
+			if open = e.pause(c, r, 5*time.Millisecond); open {
+				run, n = e.admit(id)
+			}
+		}
+		if queued {
+			e.state.do(func() { e.waiting-- })
+		}
+		if !open {
+			return false
 		}
-		e.waiting--
 	}
-	if e.active >= e.slots {
-		e.mu.Unlock()
+	if run == nil {
 		e.w.logf("%s is full: request %s not executed", e.id, id)
 		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nX-Goldcrestturn-Not-Executed: 1\r\n"+head+"\r\n")
 		return err == nil
 	}
-	e.active++
-	n := len(e.runs)
-	run := &engineRun{id: id, engine: e.id, began: time.Now()}
-	e.runs = append(e.runs, run)
-	e.mu.Unlock()
 	e.logf("%s runs request %s, last event %q", e.id, id, req.Header.Get("Last-Event-Id"))
 	if e.deadly != "" && strings.Contains(","+req.Header.Get("X-Goldcrestturn-Prefix-Hash"), ","+e.deadly+":") {
 		e.w.logf("%s crashes at request %s", e.id, id)
 		e.crash()
 	}
 	open := e.stream(c, r, req, run, head, n)
-	e.mu.Lock()
-	e.active--
-	run.ended = time.Now()
-	e.mu.Unlock()
+	e.state.do(func() {
+		e.active--
+		run.ended = time.Now()
+	})
 	e.logf("%s ends request %s: complete=%v closed_by_router=%v", e.id, id, run.complete, run.closed)
 	return open
 }
 
+// admit gives a request a slot and returns its run and its number, or nil if there is none.
+func (e *engine) admit(id string) (run *engineRun, n int) {
+	e.state.do(func() {
+		if e.active >= e.slots {
+			return
+		}
+		e.active++
+		n = len(e.runs)
+		run = &engineRun{id: id, engine: e.id, began: time.Now()}
+		e.runs = append(e.runs, run)
+	})
+	return run, n
+}
+
 func (e *engine) stream(c net.Conn, r *bufio.Reader, req *http.Request, run *engineRun, head string, n int) bool {
 	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Goldcrestturn-Server-Signature: "+e.id+"."+run.id+"\r\n"+head+"\r\n"); err != nil {
 		run.closed = true
@@ -247,18 +257,12 @@
 // leave ends the engine once its requests have ended. Its entry goes first.
 func (e *engine) leave() {
 	e.w.store.Put("keyed.servers", e.id, nil)
-	for {
-		e.mu.Lock()
-		if e.active+e.waiting == 0 {
-			break
-		}
-		e.mu.Unlock()
-		time.Sleep(50 * time.Millisecond)
-	}
-	defer e.mu.Unlock()
-	_ = e.listener.Close()
-	for c := range e.conns {
-		_ = c.Close()
+	for ended := false; !ended; pause(50 * time.Millisecond) {
+		e.state.do(func() {
+			if ended = e.active+e.waiting == 0; ended {
+				e.end()
+			}
+		})
 	}
 }
 
@@ -266,11 +270,11 @@
 func runsOf(engines ...*engine) map[string][]engineRun {
 	out := map[string][]engineRun{}
 	for _, e := range engines {
-		e.mu.Lock()
-		for _, r := range e.runs {
-			out[r.id] = append(out[r.id], *r)
-		}
-		e.mu.Unlock()
+		e.state.do(func() {
+			for _, r := range e.runs {
+				out[r.id] = append(out[r.id], *r)
+			}
+		})
 	}
 	return out
 }
--- a/review/drive/evacuate_test.go
+++ b/review/platform/evacuate.go
@@ -1,6 +1,4 @@
-//go:build review
-
-package drive
+package main
 
 import (
 	"fmt"
@@ -39,18 +37,18 @@
 		list = append(list, e)
 	}
 	for i := range 2 {
-		if _, err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i)); err != nil {
+		if err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i)); err != nil {
 			return false, err
 		}
 	}
-	if err := w.awaitReady(); err != nil {
+	if err := w.startRouters(); err != nil {
 		return false, err
 	}
-	time.Sleep(3500 * time.Millisecond) // StableWindowMs
+	pause(3500 * time.Millisecond) // StableWindowMs
 	// Each caller keeps a connection and uses it again once its request has ended.
 	idle := [2]chan *caller{make(chan *caller, 1000), make(chan *caller, 1000)}
-	var mu sync.Mutex
-	var results []outcome
+	collect := newOwner()
+	var results []outcome       // of collect, as onKept
 	onKept := map[string]bool{} // requests that were not the first ones of their connections
 	var wg sync.WaitGroup
 	begin, evacuated := time.Now(), false
@@ -79,14 +77,14 @@
 			} else {
 				_ = c.conn.Close()
 			}
-			mu.Lock()
-			results = append(results, o)
-			if kept {
-				onKept[o.id] = true
-			}
-			mu.Unlock()
+			collect.do(func() {
+				results = append(results, o)
+				if kept {
+					onKept[o.id] = true
+				}
+			})
 		})
-		time.Sleep(every)
+		pause(every)
 	}
 	wg.Wait()
 	runs := runsOf(list...)
--- a/review/drive/harness_test.go
+++ b/review/platform/harness.go
@@ -1,27 +1,25 @@
-//go:build review
-
-// Package drive runs one case of the review. It is built as a test binary, drive, and called
-// with the name of the case and the path of the record. It starts routers as separate processes in
-// front of the project's stand-ins of the store and the endpoints, sends requests as
-// callers do, and judges what callers and endpoints saw.
-package drive
+// Command platform plays the platform's part in one case of the review: it is the store and
+// the endpoints, from the project's stand-ins and one of its own, and the callers, and judges
+// what callers and endpoints saw. The script that starts it also starts the routers.
+package main
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"sync"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
-	"testing"
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
@@ -42,9 +40,9 @@
 
 // world is the deployment of one case.
 type world struct {
-	dir     string // temporary
+	dir     string // of the settings, logs and process ids, made by the script
 	record  *os.File
-	mu      sync.Mutex
+	writer  owner // of record
 	begin   time.Time
 	trouble bool // false for the run without the disruption
 	store   *standin.Store
@@ -54,16 +52,14 @@
 
 // logf writes one line to record.txt.
 func (w *world) logf(format string, args ...any) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	fmt.Fprintf(w.record, "%8.3f "+format+"\n", append([]any{time.Since(w.begin).Seconds()}, args...)...)
+	at := time.Since(w.begin).Seconds()
+	w.writer.do(func() { fmt.Fprintf(w.record, "%8.3f "+format+"\n", append([]any{at}, args...)...) })
 }
 
 // router is a router process.
 type router struct {
 	name, listen, ready, settings string
-	cmd                           *exec.Cmd
-	exited                        chan struct{}
+	pid                           int // once it has started
 }
 
 // freeAddress returns a loopback address with a port that is free for TCP and UDP.
@@ -86,13 +82,13 @@
 }
 
 // addRouter writes the settings of a router, as deploy/router.ini.tmpl gives them for a
-// small site, and starts it.
-func (w *world) addRouter(name, dataCentre string) (*router, error) {
+// small site. startRouters has it started.
+func (w *world) addRouter(name, dataCentre string) error {
 	var at [4]string
 	for i := range at {
 		a, err := freeAddress()
 		if err != nil {
-			return nil, err
+			return err
 		}
 		at[i] = a
 	}
@@ -126,41 +122,44 @@
 dc-1 = r
 `, name, dataCentre, at[0], at[1], at[2], at[3], w.store.Address())
 	if err := os.WriteFile(r.settings, []byte(content), 0o600); err != nil {
-		return nil, err
+		return err
 	}
 	w.routers = append(w.routers, r)
-	return r, w.launch(r)
+	return nil
 }
 
-// launch starts the process of a router with the command of the deploy file.
-func (w *world) launch(r *router) error {
-	r.cmd = exec.Command("target/goldcrest-router", "-settings", r.settings, "-log-format", "json")
-	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	logFile, err := os.OpenFile(filepath.Join(w.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
+// startRouters has the script start the routers and waits until all are ready.
+func (w *world) startRouters() error {
+	names := ""
+	for _, r := range w.routers {
+		names += r.name + "\n"
+	}
+	// The script reads the file as soon as it is there.
+	if err := os.WriteFile(filepath.Join(w.dir, "start.new"), []byte(names), 0o600); err != nil {
 		return err
 	}
-	defer logFile.Close()
-	r.cmd.Stdout, r.cmd.Stderr = logFile, logFile
-	if err := r.cmd.Start(); err != nil {
+	if err := os.Rename(filepath.Join(w.dir, "start.new"), filepath.Join(w.dir, "start")); err != nil {
 		return err
 	}
-	r.exited = make(chan struct{})
-	go func(cmd *exec.Cmd, exited chan struct{}) {
-		err := cmd.Wait()
-		w.logf("%s ended: %v", r.name, err)
-		close(exited)
-	}(r.cmd, r.exited)
-	w.logf("%s started, pid %d", r.name, r.cmd.Process.Pid)
-	return nil
+	for _, r := range w.routers {
+		for end := time.Now().Add(10 * time.Second); r.pid == 0; pause(20 * time.Millisecond) {
+			if data, err := os.ReadFile(filepath.Join(w.dir, r.name+".pid")); err == nil {
+				r.pid, _ = strconv.Atoi(strings.TrimSpace(string(data)))
+			}
+			if time.Now().After(end) {
+				return fmt.Errorf("%w: %s was not started", errCannotRun, r.name)
+			}
+		}
+		w.logf("%s started, pid %d", r.name, r.pid)
+	}
+	return w.awaitReady()
 }
 
-// stop ends all processes that the case started.
+// stop ends the routers, also if the script that started them is gone.
 func (w *world) stop() {
 	for _, r := range w.routers {
-		if r.cmd != nil && r.cmd.Process != nil {
-			_ = r.cmd.Process.Kill()
-			<-r.exited
+		if r.pid != 0 {
+			_ = syscall.Kill(r.pid, syscall.SIGKILL)
 		}
 	}
 	w.store.Close()
@@ -169,7 +168,7 @@
 // awaitReady waits until all routers are ready.
 func (w *world) awaitReady() error {
 	client := http.Client{Timeout: time.Second}
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); pause(50 * time.Millisecond) {
 		ready := 0
 		for _, r := range w.routers {
 			if res, err := client.Get("http://" + r.ready + "/goldcrestturn/readyz"); err == nil {
@@ -269,19 +268,45 @@
 	return o.status == 0 && o.err != nil && !(errors.As(o.err, &ne) && ne.Timeout())
 }
 
+// owner runs functions one at a time on the goroutine that owns some state. The functions
+// must not call do of the same owner.
+type owner chan func()
+
+func newOwner() owner {
+	o := make(owner)
+	go func() {
+		for f := range o {
+			f()
+		}
+	}()
+	return o
+}
+
+// do runs f and waits until it returns.
+func (o owner) do(f func()) {
+	done := make(chan struct{})
+	o <- func() { f(); close(done) }
+	<-done
+}
+
+// pause waits for d.
+func pause(d time.Duration) { control.Pause(context.Background(), d) }
+
 // cases are the cases by name.
 var cases = map[string]func(*world) (bool, error){}
 
-// TestMain runs a case in place of tests.
-func TestMain(*testing.M) {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: drive CASE RECORD")
+// maxRun bounds the run of a case.
+const maxRun = 115 * time.Second
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: platform CASE RECORD DIRECTORY")
 		os.Exit(cannotRun)
 	}
-	os.Exit(run(os.Args[1], os.Args[2]))
+	os.Exit(run(os.Args[1], os.Args[2], os.Args[3]))
 }
 
-func run(name, recordPath string) int {
+func run(name, recordPath, dir string) int {
 	test := cases[name]
 	record, err := os.Create(recordPath)
 	if err != nil || test == nil {
@@ -289,23 +314,35 @@
 		return cannotRun
 	}
 	defer record.Close()
-	dir, err := os.MkdirTemp("", "review-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return cannotRun
+	w := &world{dir: dir, record: record, writer: newOwner(), begin: time.Now(), trouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore()}
+	type result struct {
+		held bool
+		err  error
 	}
-	w := &world{dir: dir, record: record, begin: time.Now(), trouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore()}
-	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
+	ended := make(chan result, 1)
+	go func() {
+		ok, err := test(w)
+		ended <- result{ok, err}
+	}()
+	var got result
+	parent := os.Getppid()
+	for waiting := true; waiting; {
+		select {
+		case got = <-ended:
+			waiting = false
+		case <-time.After(500 * time.Millisecond):
+			if os.Getppid() != parent || time.Since(w.begin) > maxRun {
+				got.err, waiting = fmt.Errorf("%w: the script has ended, or the case takes too long", errCannotRun), false
+			}
+		}
 	}
-	ok, err := test(w)
 	w.stop()
 	switch {
-	case err != nil:
-		w.logf("RESULT: the case could not run: %v", err)
-		fmt.Println("could not run:", err)
+	case got.err != nil:
+		w.logf("RESULT: the case could not run: %v", got.err)
+		fmt.Println("could not run:", got.err)
 		return cannotRun
-	case !ok:
+	case !got.held:
 		w.logf("RESULT: the rule was broken")
 		fmt.Println("broken")
 		return broken
--- a/review/drive/idle_test.go
+++ b/review/platform/idle.go
@@ -1,6 +1,4 @@
-//go:build review
-
-package drive
+package main
 
 import (
 	"fmt"
@@ -9,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
@@ -22,7 +18,6 @@
 func idleCallers(w *world) (bool, error) {
 	const (
 		routers  = 2
-		maxFds   = 4100
 		every    = time.Second / 128 // all requests of the site
 		length   = 80 * time.Second
 		idleTime = 15 * time.Second // IdleTimeoutMs
@@ -42,21 +37,16 @@
 		w.register(e.ID, e.Address(), "service", fmt.Sprintf("dc-%d", i%2), "ready", time.Now().UnixMilli())
 	}
 	for i := range routers {
-		r, err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i%2))
-		if err != nil {
+		if err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i%2)); err != nil {
 			return false, err
 		}
-		limit := unix.Rlimit{Cur: maxFds, Max: maxFds}
-		if err := unix.Prlimit(r.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
-			return false, fmt.Errorf("%w: %v", errCannotRun, err)
-		}
 	}
-	if err := w.awaitReady(); err != nil {
+	if err := w.startRouters(); err != nil {
 		return false, err
 	}
-	time.Sleep(3500 * time.Millisecond) // StableWindowMs
-	var mu sync.Mutex
-	var open []net.Conn
+	pause(3500 * time.Millisecond) // StableWindowMs
+	conns := newOwner()
+	var open []net.Conn // of conns
 	var wg sync.WaitGroup
 	var served, refused, failed, late, due atomic.Int64
 	begin := time.Now()
@@ -72,9 +62,7 @@
 				failed.Add(1)
 				return
 			}
-			mu.Lock()
-			open = append(open, c.conn)
-			mu.Unlock()
+			conns.do(func() { open = append(open, c.conn) })
 			c.quiet = true
 			o := c.do("POST", "/reserve/1", 4*time.Second)
 			switch {
@@ -96,7 +84,7 @@
 				time.AfterFunc(idleTime, func() { _ = c.conn.Close() })
 			}
 		})
-		time.Sleep(time.Until(begin.Add(time.Duration(n+1) * every)))
+		pause(time.Until(begin.Add(time.Duration(n+1) * every)))
 	}
 	wg.Wait()
 	w.logDescriptors(0, served.Load(), refused.Load(), failed.Load())
--- a/review/drive/memory_test.go
+++ b/review/platform/memory.go
@@ -1,6 +1,4 @@
-//go:build review
-
-package drive
+package main
 
 import (
 	"fmt"
@@ -10,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
@@ -19,7 +18,7 @@
 
 // longBodies sends bodies of the longest size that the configuration allows, while other
 // callers send short requests on kept connections. As the platform does, it kills a process
-// that exceeds its memory and starts it again.
+// that exceeds its memory.
 func longBodies(w *world) (bool, error) {
 	const (
 		memoryKB  = 284 << 10 // MemoryMb
@@ -48,14 +47,14 @@
 		services = append(services, e)
 	}
 	for i := range 2 {
-		if _, err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i)); err != nil {
+		if err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i)); err != nil {
 			return false, err
 		}
 	}
-	if err := w.awaitReady(); err != nil {
+	if err := w.startRouters(); err != nil {
 		return false, err
 	}
-	time.Sleep(3500 * time.Millisecond) // StableWindowMs
+	pause(3500 * time.Millisecond) // StableWindowMs
 	r := w.routers[0]
 	var stop, killed atomic.Bool
 	var watching sync.WaitGroup
@@ -78,7 +77,7 @@
 			}
 		})
 	}
-	time.Sleep(2 * time.Second)
+	pause(2 * time.Second)
 	size := maxBody
 	if !w.trouble {
 		size = usualBody
@@ -103,12 +102,11 @@
 	return lost.Load() <= tolerated, nil
 }
 
-// watchMemory kills the router once its memory, without that of files, exceeds limit, and
-// starts it again.
+// watchMemory kills the router once its memory, without that of files, exceeds limit.
 func (w *world) watchMemory(r *router, limit int64, stop, killed *atomic.Bool) {
 	peak := int64(0)
-	for ; !stop.Load(); time.Sleep(20 * time.Millisecond) {
-		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
+	for ; !stop.Load(); pause(20 * time.Millisecond) {
+		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.pid))
 		for line := range strings.Lines(string(status)) {
 			if v, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 				n, _ := strconv.ParseInt(strings.Fields(v)[0], 10, 64)
@@ -118,13 +116,8 @@
 		if peak > limit && !killed.Load() {
 			killed.Store(true)
 			w.logf("%s has %d kB of memory, more than %d kB: killed", r.name, peak, limit)
-			_ = r.cmd.Process.Kill()
-			<-r.exited
-			time.Sleep(500 * time.Millisecond)
-			if err := w.launch(r); err != nil {
-				w.logf("%s: %v", r.name, err)
-			}
-			peak = 0
+			_ = syscall.Kill(r.pid, syscall.SIGKILL)
+			return
 		}
 	}
 	w.logf("%s: peak of memory since its start: %d kB", r.name, peak)
@@ -140,7 +133,7 @@
 		fmt.Sprintf("\r\nX-Goldcrestturn-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", wait.Milliseconds(), testKey, len(body)))
 	for i := 0; i < steps && err == nil; i++ {
 		_, err = io.WriteString(c.conn, body[i*len(body)/steps:(i+1)*len(body)/steps])
-		time.Sleep(time.Until(sent.Add(time.Duration(i+1) * over / steps)))
+		pause(time.Until(sent.Add(time.Duration(i+1) * over / steps)))
 	}
 	o := outcome{id: id, err: err}
 	if err == nil {
--- a/review/drive/stop_test.go
+++ b/review/platform/stop.go
@@ -1,6 +1,4 @@
-//go:build review
-
-package drive
+package main
 
 import (
 	"fmt"
@@ -45,14 +43,14 @@
 		list = append(list, e)
 	}
 	for i := range 2 {
-		if _, err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i)); err != nil {
+		if err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i)); err != nil {
 			return false, err
 		}
 	}
-	if err := w.awaitReady(); err != nil {
+	if err := w.startRouters(); err != nil {
 		return false, err
 	}
-	time.Sleep(3500 * time.Millisecond) // StableWindowMs
+	pause(3500 * time.Millisecond) // StableWindowMs
 	results := make([]outcome, engines*(slots+queue))
 	var wg sync.WaitGroup
 	for i := range results {
@@ -65,13 +63,13 @@
 			defer c.conn.Close()
 			results[i] = c.do("POST", "/stream/lookup/1", 10*time.Second, streamHeaders(i)...)
 		})
-		time.Sleep(5 * time.Millisecond)
+		pause(5 * time.Millisecond)
 	}
-	time.Sleep(200 * time.Millisecond)
+	pause(200 * time.Millisecond)
 	term := time.Now()
 	if w.trouble {
 		w.logf("SIGTERM to %s", w.routers[0].name)
-		_ = w.routers[0].cmd.Process.Signal(syscall.SIGTERM)
+		_ = syscall.Kill(w.routers[0].pid, syscall.SIGTERM)
 	}
 	wg.Wait()
 	lost := 0
--- a/review/drive/timeout_test.go
+++ b/review/platform/timeout.go
@@ -1,6 +1,4 @@
-//go:build review
-
-package drive
+package main
 
 import (
 	"fmt"
@@ -51,14 +49,14 @@
 		list = append(list, e)
 	}
 	for i := range 2 {
-		if _, err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i)); err != nil {
+		if err := w.addRouter(fmt.Sprintf("router-%d", i), fmt.Sprintf("dc-%d", i)); err != nil {
 			return false, err
 		}
 	}
-	if err := w.awaitReady(); err != nil {
+	if err := w.startRouters(); err != nil {
 		return false, err
 	}
-	time.Sleep(3500 * time.Millisecond) // StableWindowMs
+	pause(3500 * time.Millisecond) // StableWindowMs
 	kept := make([]*caller, callers)
 	for i := range kept {
 		c, err := w.dial(fmt.Sprintf("caller-%d", i), w.routers[i%2])
@@ -75,7 +73,7 @@
 		timeout = 2 * time.Second
 		setConfig(2)
 	}
-	time.Sleep(apply + time.Second)
+	pause(apply + time.Second)
 	long.Store(true)
 	results := make([]outcome, callers)
 	var wg sync.WaitGroup
