router: logs and metrics that tell why a crash is not known elsewhere

Now 'endpoint crashed while it ran a request' has 'known', the crashes that the router knows of; goldcrest_router_crashes_total counts what it learned by source; 'announced routers not heard', goldcrest_router_peers_heard and goldcrest_router_peers_announced show a router without contact to its peers.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -164,7 +164,9 @@
 			return false
 		}
 		for _, c := range e.crashes {
-			s.causes.Add(now, suspect.CauseCrash{Key: c.Key, Endpoint: c.Endpoint, At: now.Add(-c.Age)})
+			if s.causes.Add(now, suspect.CauseCrash{Key: c.Key, Endpoint: c.Endpoint, At: now.Add(-c.Age)}) {
+				crashCounters[crashOfPeer].Inc()
+			}
 		}
 		f.clear(s, e.sound)
 		before := s.causeView
@@ -191,12 +193,17 @@
 // addCrash counts a crash for each property of the request that the endpoint ran.
 func (f judgeCauses) addCrash(s *State, now time.Time, failure suspect.Failure) {
 	var crashes []mesh.Crash
+	known := 0
 	for _, key := range failure.Causes {
-		s.causes.Add(now, suspect.CauseCrash{Key: key, Endpoint: place.EndpointHash(failure.Endpoint), At: failure.At})
+		if s.causes.Add(now, suspect.CauseCrash{Key: key, Endpoint: place.EndpointHash(failure.Endpoint), At: failure.At}) {
+			crashCounters[crashOwn].Inc()
+		}
+		known = max(known, len(s.causes.Crashes(key)))
 		// All crashes with the property, since peers may have missed a message.
 		crashes = append(crashes, agesOf(s.causes.Crashes(key), now)...)
 	}
-	f.log.Info("endpoint crashed while it ran a request", "endpoint", failure.Endpoint, "properties", len(failure.Causes), "ago_ms", now.Sub(failure.At).Milliseconds())
+	f.log.Info("endpoint crashed while it ran a request", "endpoint", failure.Endpoint, "properties", len(failure.Causes), "known", known,
+		"ago_ms", now.Sub(failure.At).Milliseconds())
 	f.broadcast(mesh.Message{Crashes: crashes})
 	f.publish(s, now)
 	f.saveRefused(s, failure.Causes)
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -92,6 +92,28 @@
 	"suspects":          metrics.NewCounter(`goldcrest_router_store_failures_total{read="suspects"}`),
 }
 
+// crashSource is how a router learned of a crash.
+type crashSource int
+
+const (
+	crashOwn    crashSource = iota // its own request ended with the endpoint
+	crashOfPeer                    // a datagram of a peer
+	crashStored                    // a record in the store
+)
+
+// crashCounters count the crashes that a router learned of, once for each property of the
+// requests that were met at one.
+var crashCounters = newCounters("goldcrest_router_crashes_total", "source", map[crashSource]string{
+	crashOwn: "own", crashOfPeer: "peer", crashStored: "store",
+})
+
+// peersHeard and peersAnnounced are the number of other routers that were heard recently,
+// and of those with a recent announcement in the store.
+var (
+	peersHeard     = metrics.NewGauge("goldcrest_router_peers_heard", nil)
+	peersAnnounced = metrics.NewGauge("goldcrest_router_peers_announced", nil)
+)
+
 // causesRefused counts the requests that were refused for a property that crashes
 // endpoints.
 var causesRefused = metrics.NewCounter("goldcrest_router_suspects_refused_total")
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -279,6 +279,7 @@
 	case storeReadersQuery:
 		e.Reply(f.readers(s, now))
 	case peerReportQuery:
+		f.watchPeers(s, now)
 		report := peerReport{loads: s.table.Loads(), holdersKnown: s.holdersKnown, cachesRead: slices.Collect(maps.Keys(s.cachesRead))}
 		if e.maxHolders > 0 {
 			report.holders = s.table.Holders(e.maxHolders)
@@ -307,6 +308,30 @@
 	return out
 }
 
+// peerWatchInterval is the shortest time between two log lines on the peers that are not
+// heard. Peers that start together hear each other earlier.
+const peerWatchInterval = 5 * time.Second
+
+// watchPeers logs which announced routers are not heard, when their number has changed. A
+// router that hears no peer learns nothing of what they know.
+func (f applyPeers) watchPeers(s *State, now time.Time) {
+	heard := s.table.LivePeers(now)
+	unheard := slices.DeleteFunc(slices.Clone(s.members), func(name model.InstanceID) bool {
+		return name == s.settings.Instance || slices.Contains(heard, name)
+	})
+	peersHeard.Set(float64(len(heard)))
+	peersAnnounced.Set(float64(len(s.members)))
+	if s.peersWatched.IsZero() {
+		s.peersWatched = now
+	}
+	if len(unheard) == s.peersUnheard || now.Sub(s.peersWatched) < peerWatchInterval {
+		return
+	}
+	s.peersWatched, s.peersUnheard = now, len(unheard)
+	slices.Sort(unheard)
+	f.log.Info("announced routers not heard", "count", len(unheard), "heard", len(heard), "first", unheard[:min(len(unheard), 5)])
+}
+
 // enginesToRead returns the engines whose caches no router has read yet.
 func enginesToRead(s *State) []place.Endpoint {
 	return slices.DeleteFunc(s.table.Engines(), func(e place.Endpoint) bool { return s.cachesRead[place.EndpointHash(e.ID)] })
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -44,7 +44,9 @@
 	history      place.History                        // the last changes of list
 	listSent     time.Duration                        // boot time at which the read of list was sent
 	addresses    map[model.InstanceID]exchangeAddress // of the peers
-	members      []model.InstanceID                   // routers whose announcements have not expired
+	members      []model.InstanceID                   // routers whose announcements have not expired, this one included
+	peersUnheard int                                  // announced routers that were not heard, as logged last
+	peersWatched time.Time                            // when that was logged, or first checked
 }
 
 // Snapshot is the part of the state that other goroutines read. It is immutable.
