--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -43,9 +44,47 @@
 	ended    chan error
 	logs     *syncBuffer
 	exchange string // address for peers
+	link     *peerLink
 	client   *http.Client
 }
 
+// peerLink is the connection of a router to its peers, which can be cut in either
+// direction. Calls of peers are cut with the datagrams that the router receives.
+type peerLink struct {
+	*net.UDPConn
+	deaf, mute atomic.Bool // drops what the router receives, or sends
+}
+
+func (l *peerLink) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+	for {
+		n, sender, err := l.UDPConn.ReadFromUDPAddrPort(b)
+		if err != nil || !l.deaf.Load() {
+			return n, sender, err
+		}
+	}
+}
+
+func (l *peerLink) WriteToUDPAddrPort(b []byte, receiver netip.AddrPort) (int, error) {
+	if l.mute.Load() {
+		return len(b), nil
+	}
+	return l.UDPConn.WriteToUDPAddrPort(b, receiver)
+}
+
+// cutListener closes the connections of peers while a router is deaf to them.
+type cutListener struct {
+	net.Listener
+	link *peerLink
+}
+
+func (l cutListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil && l.link.deaf.Load() {
+		_ = c.Close()
+	}
+	return c, err
+}
+
 // syncBuffer collects the log lines that several goroutines write.
 type syncBuffer struct {
 	lines     chan []byte
@@ -148,15 +187,16 @@
 	is.NoErr(err)
 	exchange, rpc := listenExchange(f.t, s.Exchange)
 	s.Exchange = exchange.LocalAddr().String()
+	link := &peerLink{UDPConn: exchange}
 	p := &process{fleet: f, url: "http://" + callers.Addr().String(), ready: "http://" + readiness.Addr().String() + "/ready",
-		ended: make(chan error, 1), logs: &syncBuffer{lines: make(chan []byte, 10_000)}, client: &http.Client{Transport: &http.Transport{}}, exchange: s.Exchange}
+		ended: make(chan error, 1), logs: &syncBuffer{lines: make(chan []byte, 10_000)}, client: &http.Client{Transport: &http.Transport{}}, exchange: s.Exchange, link: link}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	if s.Store == "" {
 		s.Store = f.store.Address()
 	}
-	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()}, exchange)
-	go func() { p.ended <- r.Serve(ctx, callers, readiness, rpc) }()
+	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()}, link)
+	go func() { p.ended <- r.Serve(ctx, callers, readiness, cutListener{rpc, link}) }()
 	f.t.Cleanup(stop)
 	return p
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,9 +49,17 @@
 // secret, since the platform gives its processes none to share.
 const exchangeKey = "goldcrest-router"
 
+// DatagramConn is the connection over which a router exchanges datagrams with its peers.
+// A net.UDPConn is one.
+type DatagramConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, sender netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, receiver netip.AddrPort) (int, error)
+	Close() error
+}
+
 // New returns a router that exchanges datagrams with its peers over the given
 // connection. Start starts it.
-func New(s Settings, deps Deps, datagrams *net.UDPConn) *Router {
+func New(s Settings, deps Deps, datagrams DatagramConn) *Router {
 	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64,
 		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -47,7 +46,7 @@
 // the fields after it.
 type peerLink struct {
 	r             *Router
-	conn          *net.UDPConn
+	conn          DatagramConn
 	received      chan datagram // messages that ask for nothing
 	wantHolders   chan datagram // messages of senders that started and ask for the holders
 	members       chan []Member
@@ -68,7 +67,7 @@
 	relay      []byte // to be forwarded to the peers in the home data centre; nil if not
 }
 
-func newPeerLink(r *Router, conn *net.UDPConn) *peerLink {
+func newPeerLink(r *Router, conn DatagramConn) *peerLink {
 	self, _ := netip.ParseAddrPort(r.settings.Exchange)
 	return &peerLink{r: r, conn: conn, self: self, received: make(chan datagram, receiveQueue), wantHolders: make(chan datagram, 16),
 		members: make(chan []Member, 1), newHolders: make(chan place.PartHolder, 256), messages: make(chan mesh.Message, 256), caches: make(chan cacheRead), peers: overlay.New(self, r.settings.DataCentre)}
