--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -11,7 +11,6 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/mesh"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
-	"github.com/goldcrestturn/goldcrestturn/internal/place"
 	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
@@ -120,6 +119,7 @@
 type judgeCauses struct {
 	broadcast func(mesh.Message)   // must not block
 	save      func(suspect.Record) // writes to the store; must not block
+	report    func(suspect.Report) // writes to the store; must not block
 	log       *slog.Logger
 }
 
@@ -142,17 +142,7 @@
 		}
 		return len(crashes) > 0
 	case causesSound:
-		sound := f.clear(s, e.causes)
-		if len(sound) == 0 {
-			return false
-		}
-		f.broadcast(mesh.Message{Sound: sound})
-		for _, key := range sound {
-			if s.causeView[key] {
-				f.save(s.causes.Record(key))
-			}
-		}
-		return f.publish(s, now)
+		return f.answered(s, now, e.causes)
 	case trialAsked:
 		var reply trialReply
 		if s.table.IsFirst(uint32(e.cause)) {
@@ -168,15 +158,16 @@
 				crashCounters[crashOfPeer].Inc()
 			}
 		}
-		f.clear(s, e.sound)
-		before := s.causeView
-		f.publish(s, now)
-		for key, refused := range s.causeView {
-			// The router that saw the last crash may not have known of the others.
-			if refused && !before[key] && s.table.IsFirst(uint32(key)) {
-				f.save(s.causes.Record(key))
-			}
+		for _, key := range e.sound {
+			s.causes.Clear(key, now)
 		}
+		f.publishHeard(s, now)
+		return true
+	case crashReportsRead:
+		for _, r := range e.reports {
+			f.applyReport(s, now, r, e.live)
+		}
+		f.publishHeard(s, now)
 		return true
 	case suspectsRead:
 		for _, r := range e.records {
@@ -193,10 +184,13 @@
 // addCrash counts a crash for each property of the request that the endpoint ran.
 func (f judgeCauses) addCrash(s *State, now time.Time, failure suspect.Failure) {
 	var crashes []mesh.Crash
-	known := 0
+	known, isNew := 0, false
 	for _, key := range failure.Causes {
-		if s.causes.Add(now, suspect.CauseCrash{Key: key, Endpoint: place.EndpointHash(failure.Endpoint), At: failure.At}) {
+		c := suspect.CauseCrash{Key: key, Endpoint: suspect.ProcessHash(failure.Endpoint, failure.Started), At: failure.At}
+		if s.causes.Add(now, c) {
 			crashCounters[crashOwn].Inc()
+			isNew = true
+			s.observed.AddCrash(c)
 		}
 		known = max(known, len(s.causes.Crashes(key)))
 		// All crashes with the property, since peers may have missed a message.
@@ -205,6 +199,9 @@
 	f.log.Info("endpoint crashed while it ran a request", "endpoint", failure.Endpoint, "properties", len(failure.Causes), "known", known,
 		"ago_ms", now.Sub(failure.At).Milliseconds())
 	f.broadcast(mesh.Message{Crashes: crashes})
+	if isNew {
+		f.saveReport(s, now)
+	}
 	f.publish(s, now)
 	f.saveRefused(s, failure.Causes)
 }
@@ -226,14 +223,78 @@
 	return out
 }
 
-// clear forgets the crashes of sound properties and returns those that had any.
-func (judgeCauses) clear(s *State, keys []uint64) (cleared []uint64) {
+// answered clears properties of a request that was answered, and notifies the peers and,
+// through the store, the routers that do not hear this one.
+func (f judgeCauses) answered(s *State, now time.Time, keys []uint64) bool {
+	var sound []uint64
+	tell := false
 	for _, key := range keys {
-		if s.causes.Clear(key) {
-			cleared = append(cleared, key)
+		near := s.causes.NearThreshold(key)
+		if s.causes.Clear(key, now) {
+			sound = append(sound, key)
+			tell = s.observed.AddSound(key, now, near) || tell
+		}
+	}
+	if len(sound) == 0 {
+		return false
+	}
+	f.broadcast(mesh.Message{Sound: sound})
+	f.saveRefused(s, sound)
+	if tell {
+		f.saveReport(s, now)
+	}
+	return f.publish(s, now)
+}
+
+// applyReport applies what another router reported of crashes. live says that the report
+// was read as it came; other times are those of the router's clock.
+func (f judgeCauses) applyReport(s *State, now time.Time, r suspect.Report, live bool) {
+	own := r.Router == s.settings.Instance
+	if own && live {
+		return
+	}
+	if live {
+		r = r.Shifted(now)
+	}
+	for _, c := range r.Crashes {
+		if c.At.After(now) {
+			c.At = now
+		}
+		if now.Sub(c.At) >= suspect.Lifetime {
+			continue
+		}
+		if !s.causes.Add(now, c) {
+			continue
+		}
+		crashCounters[crashStored].Inc()
+		if own { // from before the start of this process
+			s.observed.AddCrash(c)
+		}
+	}
+	for _, c := range r.Sound {
+		if !c.At.After(now) {
+			s.causes.Clear(c.Key, c.At)
+		}
+	}
+	f.log.Info("crashes reported by another router", "router", r.Router, "crashes", len(r.Crashes), "sound", len(r.Sound), "age_ms", now.Sub(r.Written).Milliseconds())
+}
+
+// saveReport writes what this router saw of crashes to the store.
+func (f judgeCauses) saveReport(s *State, now time.Time) {
+	f.report(s.observed.Report(now, s.settings.Instance, func(key uint64) int { return len(s.causes.Crashes(key)) }))
+}
+
+// publishHeard publishes what this router heard of others. The first router of a property
+// that is refused from now on stores its record, since the one that saw the last crash may
+// not have known of the others.
+func (f judgeCauses) publishHeard(s *State, now time.Time) {
+	before := s.causeView
+	f.publish(s, now)
+	for key, refused := range s.causeView {
+		if refused && !before[key] && s.table.IsFirst(uint32(key)) {
+			f.save(s.causes.Record(key))
 		}
 	}
-	return cleared
 }
 
 // publish updates the view of the table and logs what it refuses from now on.
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -71,6 +71,12 @@
 	causesSound struct{ causes []uint64 }
 	// suspectsRead carries the refused properties that the store holds.
 	suspectsRead struct{ records []suspect.Record }
+	// crashReportsRead carries reports of routers on crashes. live says that they were read
+	// as they came, rather than at the start or after a gap.
+	crashReportsRead struct {
+		reports []suspect.Report
+		live    bool
+	}
 	// trialAsked asks whether a request with a refused property is due to be sent.
 	trialAsked struct {
 		control.Question[trialReply]
@@ -133,6 +139,7 @@
 func (crashSeen) EventName() string         { return "crash_seen" }
 func (causesSound) EventName() string       { return "causes_sound" }
 func (suspectsRead) EventName() string      { return "suspects_read" }
+func (crashReportsRead) EventName() string  { return "crash_reports_read" }
 func (trialAsked) EventName() string        { return "trial_asked" }
 func (loadStated) EventName() string        { return "load_stated" }
 func (requestArrived) EventName() string    { return "request_came" }
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -52,6 +52,9 @@
 // read the full state instead.
 var ErrIncomplete = eris.New("router: changes are incomplete")
 
+// ErrConflict is returned if a record was not stored since another one was stored before.
+var ErrConflict = eris.New("router: another record was stored before")
+
 // Orders are the operators' orders: the configuration and the data centres that
 // are out of service. A nil field leaves that part as it is.
 type Orders struct {
@@ -101,14 +104,23 @@
 	// Announce publishes m. Members returns the published members.
 	Announce(ctx context.Context, m Member) error
 	Members(ctx context.Context) ([]Member, error)
-	// PutSuspect stores the record of a refused property in place of the one with the
-	// same key, or removes that one if it has no crashes. Suspects returns all records.
-	PutSuspect(ctx context.Context, r suspect.Record) error
-	Suspects(ctx context.Context) ([]suspect.Record, error)
+	// Suspects returns the records of all refused properties and the position after them.
+	// PutSuspect stores a record in place of the one with the same key, or removes that
+	// one if it has no crashes. It returns ErrConflict if one was stored after position.
+	Suspects(ctx context.Context) ([]suspect.Record, int64, error)
+	PutSuspect(ctx context.Context, r suspect.Record, position int64) error
 	// ClaimTrial stores a record with one more trial, unless the stored one has as many
 	// already, and returns the record that is stored then. It fails if another router
 	// stores a record at the same time.
 	ClaimTrial(ctx context.Context, r suspect.Record) (stored suspect.Record, claimed bool, err error)
+	// PutCrashReport stores what this router saw of crashes in place of its last report.
+	// CrashReports returns the reports of all routers and the position after them.
+	PutCrashReport(ctx context.Context, r suspect.Report) error
+	CrashReports(ctx context.Context) ([]suspect.Report, int64, error)
+	// CrashReportChanges returns the reports since a position and the position after
+	// them. It waits up to wait for the first one and returns ErrIncomplete if it cannot
+	// return all of them.
+	CrashReportChanges(ctx context.Context, from int64, wait time.Duration) ([]suspect.Report, int64, error)
 }
 
 // CacheReader asks engines which prompt parts they have cached.
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -89,6 +89,7 @@
 	"operators' orders": metrics.NewCounter(`goldcrest_router_store_failures_total{read="orders"}`),
 	"instance list":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="list"}`),
 	"router list":       metrics.NewCounter(`goldcrest_router_store_failures_total{read="routers"}`),
+	"crash reports":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="crash_reports"}`),
 	"suspects":          metrics.NewCounter(`goldcrest_router_store_failures_total{read="suspects"}`),
 }
 
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -36,7 +36,7 @@
 		applyList{r.log},
 		applyPeers{r.log},
 		placeRequests{broadcast: r.broadcast, log: r.log},
-		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, log: r.log},
+		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, report: r.suspects.saveReport, log: r.log},
 		budgetRetries{},
 		applySettings{r.log},
 		advanceStop{r.log},
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -41,8 +41,8 @@
 	membersReady, holdersReady chan struct{}
 	configReady, listReady     *startLatch
 	// suspectsReady is closed in the same way after the first read of the refused
-	// properties.
-	suspectsReady *startLatch
+	// properties, and crashesReady after that of the crash reports.
+	suspectsReady, crashesReady *startLatch
 }
 
 // exchangeKey distinguishes routers from processes of other programs. It is no
@@ -61,7 +61,7 @@
 // connection. Start starts it.
 func New(s Settings, deps Deps, datagrams DatagramConn) *Router {
 	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64,
-		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch()}
+		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.node = exchange.New(exchange.Config{Key: exchangeKey})
@@ -74,7 +74,7 @@
 // Start starts the control loop and its sources, which run until ctx ends.
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
 	for _, run := range []func(context.Context){
-		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run,
+		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run, r.followCrashReports,
 		r.queryStoreReaders, r.node.Run, r.meter.run, r.serveMetrics,
 	} {
 		g.Go(func() error { run(ctx); return nil })
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -104,6 +104,7 @@
 	await(ctx, r.configReady.closed, begin.Add(configTimeout))
 	await(ctx, r.listReady.closed, begin.Add(configTimeout))
 	await(ctx, r.suspectsReady.closed, begin.Add(configTimeout))
+	await(ctx, r.crashesReady.closed, begin.Add(configTimeout))
 }
 
 // await waits until done is closed, limit has passed or ctx ends.
--- a/internal/router/source_suspects.go
+++ b/internal/router/source_suspects.go
@@ -2,21 +2,40 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
-// suspectWriter keeps the refused properties in the store, so that they outlast the
-// routers that know them. Its goroutine owns the fields after queue.
+const (
+	// crashReportPause is the shortest time between two reports of this router, and
+	// between two reads of those of others while there are new ones. When a data centre
+	// loses power, all routers report at once.
+	crashReportPause = 250 * time.Millisecond
+	// crashFollowWait is how long a read waits for reports while a store reader supplies
+	// this router, which then hears of most crashes from its peers.
+	crashFollowWait = 10 * time.Second
+	// maxConflicts is the number of times that a record is written anew because another
+	// router wrote one meanwhile, before the store counts as failing.
+	maxConflicts = 4
+)
+
+// suspectWriter keeps in the store the refused properties, so that they outlast the
+// routers that know them, and the crashes that this router saw, so that they reach routers
+// that do not hear it. Its goroutine owns the fields after reports.
 type suspectWriter struct {
 	r       *Router
 	queue   chan suspect.Record
+	reports chan suspect.Report       // the latest one that was not taken yet
 	pending map[uint64]suspect.Record // by key; not written yet
+	report  *suspect.Report           // not written yet; nil if there is none
 	loaded  bool                      // the records of the store have been read
 }
 
 func newSuspectWriter(r *Router) *suspectWriter {
-	return &suspectWriter{r: r, queue: make(chan suspect.Record, 256), pending: map[uint64]suspect.Record{}}
+	return &suspectWriter{r: r, queue: make(chan suspect.Record, 256), reports: make(chan suspect.Report, 1), pending: map[uint64]suspect.Record{}}
 }
 
 // save queues a record, which replaces the one with the same key. If the queue is full
@@ -29,12 +48,22 @@
 	}
 }
 
-// run reads the records of the store once and then writes those that are queued, until
-// ctx ends.
+// saveReport hands over a report, which replaces one that is not written yet. Only the
+// control goroutine may call it.
+func (w *suspectWriter) saveReport(rep suspect.Report) {
+	select {
+	case <-w.reports:
+	default:
+	}
+	w.reports <- rep
+}
+
+// run reads the records of the store once and then writes what is queued, until ctx ends.
 func (w *suspectWriter) run(ctx context.Context) {
 	dep := &dependency{r: w.r, name: "suspects"}
 	for ctx.Err() == nil {
-		if err := w.sync(ctx); err != nil {
+		reported, err := w.sync(ctx)
+		if err != nil {
 			if !dep.failed(ctx, err) {
 				return
 			}
@@ -42,22 +71,29 @@
 			continue
 		}
 		dep.succeeded()
+		if reported {
+			control.Pause(ctx, crashReportPause)
+		}
 		select {
 		case rec := <-w.queue:
 			w.add(rec)
-			w.takeQueued()
+		case rep := <-w.reports:
+			w.report = &rep
 		case <-ctx.Done():
 			return
 		}
+		w.takeQueued()
 	}
 }
 
-// takeQueued moves the queued records to pending.
+// takeQueued takes over the queued records and the latest report.
 func (w *suspectWriter) takeQueued() {
 	for {
 		select {
 		case rec := <-w.queue:
 			w.add(rec)
+		case rep := <-w.reports:
+			w.report = &rep
 		default:
 			return
 		}
@@ -74,25 +110,102 @@
 	w.pending[rec.Key] = rec
 }
 
-// sync reads the records of the store, if that has not been done yet, and writes the
-// pending ones.
-func (w *suspectWriter) sync(ctx context.Context) error {
+// sync reads the records of the store, if that has not been done yet, and writes what is
+// pending. It reports whether that included a report.
+func (w *suspectWriter) sync(ctx context.Context) (reported bool, err error) {
 	if !w.loaded {
-		list, err := w.r.deps.Store.Suspects(ctx)
+		list, _, err := w.r.deps.Store.Suspects(ctx)
 		if err == nil {
 			w.loaded = true
 			_ = w.r.loop.Post(ctx, suspectsRead{list})
 		}
 		w.r.closeWhenApplied(ctx, w.r.suspectsReady) // callers do not wait for a store that fails
 		if err != nil {
-			return err
+			return false, err
+		}
+	}
+	if w.report != nil {
+		if err := w.r.deps.Store.PutCrashReport(ctx, *w.report); err != nil {
+			return false, err
 		}
+		w.report, reported = nil, true
 	}
 	for key, rec := range w.pending {
-		if err := w.r.deps.Store.PutSuspect(ctx, rec); err != nil {
-			return err
+		if err := w.put(ctx, rec); err != nil {
+			return reported, err
 		}
 		delete(w.pending, key)
 	}
-	return nil
+	return reported, nil
+}
+
+// put adds a record to what the store holds of its property. Routers that do not hear each
+// other store what they know of one property, and trials that were claimed must stay.
+func (w *suspectWriter) put(ctx context.Context, rec suspect.Record) error {
+	for conflicts := 0; ; conflicts++ {
+		list, position, err := w.r.deps.Store.Suspects(ctx)
+		if err != nil {
+			return err
+		}
+		stored := suspect.Record{Key: rec.Key}
+		for _, other := range list {
+			if other.Key == rec.Key {
+				stored = other
+			}
+		}
+		next, changed := stored.Update(rec)
+		if !changed {
+			return nil
+		}
+		err = w.r.deps.Store.PutSuspect(ctx, next, position)
+		if err == nil || !errors.Is(err, ErrConflict) || conflicts == maxConflicts {
+			return err
+		}
+	}
+}
+
+// followCrashReports reads what other routers reported of crashes until ctx ends: first
+// their newest reports, then the changes. It does not depend on the peers, since a router
+// that hears none is bound by what they know all the same.
+func (r *Router) followCrashReports(ctx context.Context) {
+	dep := &dependency{r: r, name: "crash reports"}
+	var position int64
+	known := false
+	for ctx.Err() == nil {
+		var reports []suspect.Report
+		var err error
+		live := known
+		if known {
+			reports, position, err = r.deps.Store.CrashReportChanges(ctx, position, r.crashWait())
+		} else {
+			reports, position, err = r.deps.Store.CrashReports(ctx)
+		}
+		if known = err == nil; known {
+			dep.succeeded()
+			if len(reports) > 0 {
+				_ = r.loop.Post(ctx, crashReportsRead{reports: reports, live: live})
+			}
+		}
+		r.closeWhenApplied(ctx, r.crashesReady)
+		switch {
+		case errors.Is(err, ErrIncomplete):
+			r.log.Info("changes of the crash reports are incomplete, reading the newest ones", "cause", err.Error())
+		case err != nil:
+			if !dep.failed(ctx, err) {
+				return
+			}
+		case len(reports) > 0:
+			control.Pause(ctx, crashReportPause)
+		}
+	}
+}
+
+// crashWait returns how long a read waits for crash reports. A connection may go silent
+// without a sign, so a router that reads the store for itself waits no longer than for
+// orders.
+func (r *Router) crashWait() time.Duration {
+	if r.gate.closed.Load() {
+		return crashFollowWait
+	}
+	return r.loop.Snapshot().Settings.FollowWait
 }
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -42,11 +42,20 @@
 func (startStore) Announce(context.Context, Member) error    { return nil }
 func (startStore) Members(context.Context) ([]Member, error) { return nil, nil }
 
-func (startStore) PutSuspect(context.Context, suspect.Record) error { return nil }
+func (startStore) PutSuspect(context.Context, suspect.Record, int64) error { return nil }
 func (startStore) ClaimTrial(_ context.Context, r suspect.Record) (suspect.Record, bool, error) {
 	return r, true, nil
 }
-func (startStore) Suspects(context.Context) ([]suspect.Record, error) { return nil, nil }
+func (startStore) Suspects(context.Context) ([]suspect.Record, int64, error) { return nil, 0, nil }
+func (startStore) PutCrashReport(context.Context, suspect.Report) error      { return nil }
+func (startStore) CrashReports(context.Context) ([]suspect.Report, int64, error) {
+	return nil, 0, nil
+}
+
+func (startStore) CrashReportChanges(ctx context.Context, _ int64, _ time.Duration) ([]suspect.Report, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
 
 // Guards against a starting router that serves callers when it has read the
 // configuration and the instance list but its control loop, which waits for the
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -35,6 +35,7 @@
 	causes       *suspect.Causes   // properties of requests that were met at crashes
 	causeView    suspect.CauseView // of causes
 	failures     suspect.Failures  // attempts at endpoints that may have crashed
+	observed     suspect.Observed  // what this router reports of crashes
 	retryWindows map[model.Pool]*retry.Window
 	position     int64                                // after the last order that was read
 	config       []byte                               // encoding of catalog
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -16,8 +16,8 @@
 	// centre loses power, all its endpoints end at the same moment, and requests that
 	// were in flight at several of them did not cause that.
 	MinCrashInterval = 300 * time.Millisecond
-	// sameCrash is the time within which reports on one endpoint are of one crash. An
-	// endpoint takes longer to start again.
+	// sameCrash is the time within which reports on one endpoint are of one crash, if the
+	// start of its process is not known. An endpoint takes longer to start again.
 	sameCrash = 2 * time.Second
 	// trialInterval is the time from the last crash to the first request that is let
 	// through again. It doubles with each one.
@@ -51,10 +51,15 @@
 // the request as a whole.
 type CauseCrash struct {
 	Key      uint64
-	Endpoint uint32 // hash of its id
+	Endpoint uint32 // ProcessHash of the endpoint
 	At       time.Time
 }
 
+// isReportOf reports whether c and o are the same crash: a process crashes once.
+func (c CauseCrash) isReportOf(o CauseCrash) bool {
+	return c.Endpoint == o.Endpoint && (c.Endpoint&processBit != 0 || c.At.Sub(o.At).Abs() < sameCrash)
+}
+
 // cause is what is known of one property.
 type cause struct {
 	key     uint64
@@ -66,14 +71,21 @@
 // Causes finds the properties of requests that crash each endpoint which runs them. A
 // property is cleared by a complete answer, without an error, to a request that has it.
 // Causes belongs to the control goroutine.
-type Causes struct{ byKey map[uint64]*cause }
+type Causes struct {
+	byKey map[uint64]*cause
+	// soundAt is when properties were answered last. A crash before that may be reported
+	// later, on another path.
+	soundAt map[uint64]time.Time
+}
 
 // NewCauses returns an empty table.
-func NewCauses() *Causes { return &Causes{byKey: map[uint64]*cause{}} }
+func NewCauses() *Causes {
+	return &Causes{byKey: map[uint64]*cause{}, soundAt: map[uint64]time.Time{}}
+}
 
 // Add records a crash and reports whether it is new.
 func (t *Causes) Add(now time.Time, c CauseCrash) bool {
-	if now.Sub(c.At) >= refusedLifetime {
+	if at, sound := t.soundAt[c.Key]; sound && !c.At.After(at) || now.Sub(c.At) >= refusedLifetime {
 		return false
 	}
 	s := t.byKey[c.Key]
@@ -84,7 +96,7 @@
 		s = &cause{key: c.Key}
 		t.byKey[c.Key] = s
 	}
-	if slices.ContainsFunc(s.crashes, func(o CauseCrash) bool { return o.Endpoint == c.Endpoint && c.At.Sub(o.At).Abs() < sameCrash }) {
+	if slices.ContainsFunc(s.crashes, c.isReportOf) {
 		return false
 	}
 	s.crashes = append(s.crashes, c)
@@ -147,12 +159,42 @@
 	return trialInterval << min(s.trials, 6)
 }
 
-// Clear records that a request with the property was answered, and reports whether
-// there were crashes to forget.
-func (t *Causes) Clear(key uint64) bool {
-	_, known := t.byKey[key]
-	delete(t.byKey, key)
-	return known
+// Clear records that a request with the property was answered at a time, and reports
+// whether there were crashes to forget.
+func (t *Causes) Clear(key uint64, at time.Time) bool {
+	if len(t.soundAt) >= MaxCauses {
+		t.evictSound()
+	}
+	if at.After(t.soundAt[key]) {
+		t.soundAt[key] = at
+	}
+	s := t.byKey[key]
+	if s == nil {
+		return false
+	}
+	before := len(s.crashes)
+	s.crashes = slices.DeleteFunc(s.crashes, func(c CauseCrash) bool { return !c.At.After(at) })
+	if len(s.crashes) == 0 {
+		delete(t.byKey, key)
+	}
+	return len(s.crashes) < before
+}
+
+// evictSound removes the eighth of the answered properties whose answers are the oldest.
+func (t *Causes) evictSound() {
+	keys := slices.SortedFunc(maps.Keys(t.soundAt), func(a, b uint64) int {
+		return cmp.Or(t.soundAt[a].Compare(t.soundAt[b]), cmp.Compare(a, b))
+	})
+	for _, k := range keys[:MaxCauses/8] {
+		delete(t.soundAt, k)
+	}
+}
+
+// NearThreshold reports whether a property is refused or would be after one more crash, so
+// that other routers need to know that it is sound.
+func (t *Causes) NearThreshold(key uint64) bool {
+	s := t.byKey[key]
+	return s != nil && (s.refused() || s.separateCrashes() >= CauseThreshold-1)
 }
 
 // Crashes returns the crashes of one property, or those of all if key is 0.
@@ -184,6 +226,35 @@
 	return out
 }
 
+// last returns the time of the last crash.
+func (r Record) last() (at time.Time) {
+	for _, c := range r.Crashes {
+		if c.At.After(at) {
+			at = c.At
+		}
+	}
+	return at
+}
+
+// Update returns the record to store in place of r for a router whose own record is
+// newer, and whether that differs from r in what other routers need. A record without
+// crashes, of a property that is no longer refused, replaces any.
+func (r Record) Update(newer Record) (Record, bool) {
+	if len(newer.Crashes) == 0 || len(r.Crashes) == 0 {
+		return newer, len(newer.Crashes) != len(r.Crashes)
+	}
+	out := Record{Key: r.Key, Crashes: slices.Clone(r.Crashes), Trials: max(r.Trials, newer.Trials)}
+	for _, c := range newer.Crashes {
+		if !slices.ContainsFunc(out.Crashes, c.isReportOf) {
+			out.Crashes = append(out.Crashes, c)
+		}
+	}
+	slices.SortStableFunc(out.Crashes, func(a, b CauseCrash) int { return a.At.Compare(b.At) })
+	out.Crashes = out.Crashes[max(0, len(out.Crashes)-MaxCauseCrashes):]
+	// Routers may differ a little on the time of one crash.
+	return out, out.Trials > r.Trials || out.last().Sub(r.last()) >= sameCrash
+}
+
 // Merge adds what another router recorded.
 func (t *Causes) Merge(now time.Time, r Record) {
 	for _, c := range r.Crashes {
@@ -223,6 +294,7 @@
 // refusedLifetime if they are refused, and reports whether there were any.
 func (t *Causes) Sweep(now time.Time) bool {
 	before := len(t.byKey)
+	maps.DeleteFunc(t.soundAt, func(_ uint64, at time.Time) bool { return now.Sub(at) >= Lifetime })
 	maps.DeleteFunc(t.byKey, func(_ uint64, s *cause) bool {
 		age := now.Sub(s.last())
 		return age >= refusedLifetime || age >= Lifetime && !s.refused()
--- a/internal/suspect/causes_test.go
+++ b/internal/suspect/causes_test.go
@@ -24,11 +24,11 @@
 			c.Add(now, CauseCrash{bystander, i, now})
 		}
 		is.True(!c.Add(now, CauseCrash{deadly, i, now.Add(time.Second)})) // another router's report of the same crash
-		c.Clear(first)
+		c.Clear(first, now)
 		now = now.Add(MinCrashInterval)
 	}
 	is.Equal(c.View(), CauseView{deadly: true, bystander: false})
-	is.True(c.Clear(deadly)) // an answer proves it sound
+	is.True(c.Clear(deadly, now)) // an answer proves it sound
 	is.True(!c.View()[deadly])
 }
 
--- /dev/null
+++ b/internal/suspect/report.go
@@ -0,0 +1,102 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+const (
+	// MaxReported is the maximum number of crashes in a report, and that of sound
+	// properties.
+	MaxReported = 128
+	// soundLifetime is how long a report names a property that was found sound. Routers
+	// that follow the reports have read it by then.
+	soundLifetime = 30 * time.Second
+	// processBit tells the hashes that cover the start of the process from those of
+	// endpoints whose start is not known.
+	processBit = 1 << 31
+)
+
+// ProcessHash returns the hash that stands for one process of an endpoint in reports of
+// crashes. Without the start of the process, in Unix ms, it stands for all processes that
+// the endpoint ever has.
+func ProcessHash(id model.EndpointID, started int64) uint32 {
+	if started == 0 {
+		return uint32(xxhash.Sum64String(string(id))) &^ processBit
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(string(id))
+	for i := range 8 {
+		_, _ = d.Write([]byte{byte(started >> (8 * i))})
+	}
+	return uint32(d.Sum64()) | processBit
+}
+
+// SoundCause is a property that was answered at a time, although it had been met at a
+// crash.
+type SoundCause struct {
+	Key uint64
+	At  time.Time
+}
+
+// Report is what a router tells the others through the store: the crashes that it saw
+// itself with properties that have not been answered since, and properties that have.
+type Report struct {
+	Router  model.InstanceID
+	Written time.Time // by the clock of the router
+	Crashes []CauseCrash
+	Sound   []SoundCause
+}
+
+// Shifted returns the report with all times moved, so that Written is the given time.
+func (r Report) Shifted(written time.Time) Report {
+	by := written.Sub(r.Written)
+	out := Report{Router: r.Router, Written: written}
+	for _, c := range r.Crashes {
+		c.At = c.At.Add(by)
+		out.Crashes = append(out.Crashes, c)
+	}
+	for _, c := range r.Sound {
+		out.Sound = append(out.Sound, SoundCause{c.Key, c.At.Add(by)})
+	}
+	return out
+}
+
+// Observed holds what a router reports. It belongs to the control goroutine.
+type Observed struct {
+	crashes []CauseCrash
+	sound   []SoundCause
+}
+
+// AddCrash adds a crash that this router saw.
+func (o *Observed) AddCrash(c CauseCrash) { o.crashes = append(o.crashes, c) }
+
+// AddSound records that a property was answered and reports whether there is something to
+// report: this router has reported crashes with it, or urgent is true.
+func (o *Observed) AddSound(key uint64, at time.Time, urgent bool) bool {
+	before := len(o.crashes)
+	o.crashes = slices.DeleteFunc(o.crashes, func(c CauseCrash) bool { return c.Key == key && !c.At.After(at) })
+	if len(o.crashes) == before && !urgent {
+		return false
+	}
+	o.sound = append(o.sound, SoundCause{key, at})
+	return true
+}
+
+// Report returns the report of a router. If there is more to report than fits, the crashes
+// with the properties of which crashes returns the most are kept, and the newest ones.
+func (o *Observed) Report(now time.Time, router model.InstanceID, crashes func(key uint64) int) Report {
+	o.crashes = slices.DeleteFunc(o.crashes, func(c CauseCrash) bool { return now.Sub(c.At) >= Lifetime })
+	o.sound = slices.DeleteFunc(o.sound, func(c SoundCause) bool { return now.Sub(c.At) >= soundLifetime })
+	slices.SortStableFunc(o.crashes, func(a, b CauseCrash) int {
+		return cmp.Or(cmp.Compare(crashes(b.Key), crashes(a.Key)), b.At.Compare(a.At))
+	})
+	o.crashes = o.crashes[:min(len(o.crashes), MaxReported)]
+	o.sound = o.sound[max(0, len(o.sound)-MaxReported):]
+	return Report{Router: router, Written: now, Crashes: slices.Clone(o.crashes), Sound: slices.Clone(o.sound)}
+}
