router: refusals of the router itself are not retried

Only reasons that another endpoint may change are retried now: overloaded, unreachable and failed endpoints.

--- a/internal/router/deadly_test.go
+++ b/internal/router/deadly_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -199,3 +200,23 @@
 		<-p.ended
 	}
 }
+
+// Guards against a request that is refused as suspect in the middle of its attempts and
+// takes all retries that its pool may make, at no endpoint: sound requests had none then.
+func TestRefusedSuspectsTakeNoRetries(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0, 8)
+	p := f.start(nil).await()
+	f.setFaults("", standin.EndpointFaults{DeadlyBody: deadlyBody, DownTime: 2 * time.Second})
+	p.sendDeadly("/read/x")      // crashes two endpoints
+	r := p.sendDeadly("/read/x") // crashes one more, and its second attempt is refused
+	is.New(t).Equal(len(f.received(r.id)), 1)
+	is.New(t).Equal(r.status, http.StatusBadGateway)
+	again := 0
+	for line := range strings.Lines(p.text()) {
+		if strings.Contains(line, r.id) && strings.Contains(line, "endpoints crashed at requests") && strings.Contains(line, `"again":true`) {
+			again++
+		}
+	}
+	is.New(t).Equal(again, 0)
+}
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -81,13 +81,13 @@
 		retry := *unsent <= maxUnsentAttempts
 		f.logAttempt(req, r.Detail, retry, deniedIf(!retry, deniedAttempts))
 		return retry
-	case r.Outcome == model.OutcomeNotRun && !retryableReason(r.Reason):
+	case r.Reason == model.ReasonDeadline && r.Outcome != model.OutcomeNotRun:
+		return false
+	case !retryableReason(r.Reason):
 		f.logAttempt(req, r.Detail, false, deniedNotRetryable)
 		return false
 	case r.Outcome == model.OutcomeNotRun:
 		return f.withinBudget(ctx, req, r.Detail, req.Sends < maxSentAttempts)
-	case r.Reason == model.ReasonDeadline:
-		return false
 	case !req.Route.Retryable():
 		f.logAttempt(req, r.Detail, false, deniedNotIdempotent)
 		return false
@@ -125,9 +125,10 @@
 }
 
 // retryableReason reports whether another endpoint may accept a request that was
-// refused for the given reason.
+// refused for the given reason. The other reasons are the router's own, whatever an
+// earlier attempt may have run.
 func retryableReason(reason model.Reason) bool {
-	return reason == model.ReasonOverloaded || reason == model.ReasonUnreachable
+	return reason == model.ReasonOverloaded || reason == model.ReasonUnreachable || reason == model.ReasonEndpointFailed
 }
 
 // logAttempt logs a failed attempt, whether a retry follows, and if not, why.
