router, memory: one budget for the bytes that all requests hold

Operators of similar systems saw a machine run out of memory, and the requests of its other callers end with it, since a faulty server sent bytes without end. It could happen here: heads, bodies and events were bounded each, their sum was not.

All that the requests of a router hold together is now a quarter of its memory: bodies of requests, heads and bodies of answers, and events. A body that does not fit is refused before it is read, as not run and with a time to come back; an answer that does not fit ends. Long ones leave a quarter of the budget to short ones. Buffers of known length are allocated once.

--- a/internal/model/refusal.go
+++ b/internal/model/refusal.go
@@ -47,8 +47,11 @@
 	// ran there.
 	ReasonCrashed     Reason = "endpoint_crashed"
 	ReasonUnreachable Reason = "unreachable"
-	ReasonCancelled   Reason = "cancelled"
-	ReasonInternal    Reason = "internal"
+	// ReasonMemory means that the process holds as many bytes of requests and answers as
+	// it may.
+	ReasonMemory    Reason = "memory_exhausted"
+	ReasonCancelled Reason = "cancelled"
+	ReasonInternal  Reason = "internal"
 )
 
 // Refusal is the error that ends a request without a complete answer.
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 )
 
 // Errors of Client.Do. ErrNotSent means that no byte of the request was sent.
@@ -70,6 +72,9 @@
 	// ResponseHeaderTimeout bounds the wait for the status line and the header of
 	// the answer; 0 means no bound.
 	ResponseHeaderTimeout time.Duration
+	// Memory holds the bytes of the head of the answer; nil means no bound beyond that of
+	// one head.
+	Memory *memory.Account
 }
 
 // Response is an answer whose body has not been read yet. Close or Release must be
@@ -78,6 +83,7 @@
 	Status     int
 	Header     http.Header
 	Body       io.Reader
+	Length     int64 // of the body; negative if it is not known
 	conn       *conn
 	client     *Client
 	stopCancel func() bool
@@ -110,8 +116,10 @@
 
 // limitedReader reads from a connection until left bytes have been read.
 type limitedReader struct {
-	r    io.Reader
-	left int64
+	r      io.Reader
+	left   int64
+	memory *memory.Account // holds what is read
+	held   int64           // by memory, for the heads that are read
 }
 
 func (l *limitedReader) Read(b []byte) (int, error) {
@@ -120,6 +128,12 @@
 	}
 	n, err := l.r.Read(b[:min(int64(len(b)), l.left)])
 	l.left -= int64(n)
+	if l.memory != nil && n > 0 {
+		if err := l.memory.Hold(int64(n)); err != nil {
+			return 0, err
+		}
+		l.held += int64(n)
+	}
 	return n, err
 }
 
@@ -235,12 +249,22 @@
 
 // receive reads answers until one belongs to req, and returns it once its head has
 // been read. The reader of its body sets its own limit.
-func (c *conn) receive(req *Request) (*Response, error) {
+func (c *conn) receive(req *Request) (res *Response, err error) {
 	sent := &http.Request{Method: req.Method}
-	c.limited.left = maxHeadBytes
-	defer func() { c.limited.left = math.MaxInt64 }()
+	c.limited.left, c.limited.held = maxHeadBytes, 0
+	defer func() {
+		c.limited.left = math.MaxInt64
+		if err != nil {
+			req.Memory.Drop(c.limited.held)
+		}
+	}()
 	for range maxStaleAnswers + 1 {
+		c.limited.memory = req.Memory
 		head, err := http.ReadResponse(c.r, sent)
+		c.limited.memory = nil
+		if errors.Is(err, memory.ErrExhausted) {
+			return nil, eris.Wrapf(err, "head of an answer from %s", c.address)
+		}
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				return nil, eris.Wrapf(ErrReadTimeout, "no answer from %s", c.address)
@@ -266,7 +290,11 @@
 			continue
 		}
 		c.keepAlive = keepAliveTimeout(head.Header)
-		return &Response{Status: head.StatusCode, Header: head.Header, Body: head.Body,
+		length := head.ContentLength
+		if head.Body == http.NoBody {
+			length = 0
+		}
+		return &Response{Status: head.StatusCode, Header: head.Header, Body: head.Body, Length: length,
 			unframed: !framed(head), closeAfter: head.Close}, nil
 	}
 	return nil, eris.Wrapf(ErrUnexpectedResponse, "answers from %s are to other requests", c.address)
--- a/internal/router/answer_test.go
+++ b/internal/router/answer_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 )
 
 // endless is a body that never ends.
@@ -26,15 +28,16 @@
 func TestAnswersAreReadWholeOrNotAtAll(t *testing.T) {
 	is := is.New(t)
 	whole := bytes.Repeat([]byte("x"), maxAnswerBytes)
-	body, err := readBody(bytes.NewReader(whole))
+	read := func(r io.Reader) ([]byte, error) { return memory.ReadAll(r, -1, maxAnswerBytes, nil, errAnswerTooLong) }
+	body, err := read(bytes.NewReader(whole))
 	is.NoErr(err)
 	is.Equal(len(body), maxAnswerBytes)
-	_, err = readBody(io.MultiReader(bytes.NewReader(whole), strings.NewReader("y")))
+	_, err = read(io.MultiReader(bytes.NewReader(whole), strings.NewReader("y")))
 	is.True(errors.Is(err, errAnswerTooLong))
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	_, err = readBody(endless{})
+	_, err = read(endless{})
 	runtime.ReadMemStats(&after)
 	is.True(errors.Is(err, errAnswerTooLong))
 	const most = 16 << 20 // of live memory: the last two buffers of io.ReadAll
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -119,6 +119,7 @@
 		m.workspace = req.Workspace.Name
 	}
 	defer func() { r.meter.record(m) }()
+	memoryHeld.Set(float64(r.memory.Held()))
 	version, age := r.configAge()
 	switch {
 	case answer == nil:
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -17,18 +19,32 @@
 
 // eventSplitter splits the body of an event stream into complete events. An
 // endpoint may fail in the middle of an event; callers get no part of that event.
-type eventSplitter struct{ r *bufio.Reader }
+type eventSplitter struct {
+	r      *bufio.Reader
+	memory *memory.Account
+	held   int64 // by memory, for the last event
+}
 
-func newEventSplitter(r io.Reader) *eventSplitter {
-	return &eventSplitter{bufio.NewReaderSize(r, 1024)}
+func newEventSplitter(r io.Reader, a *memory.Account) *eventSplitter {
+	return &eventSplitter{r: bufio.NewReaderSize(r, 1024), memory: a}
 }
 
-// next returns the next event, including the blank line that ends it.
+// next returns the next event, including the blank line that ends it. The event is valid
+// until the next call.
 func (s *eventSplitter) next() ([]byte, error) {
+	s.memory.Drop(s.held)
+	s.held = 0
 	var event []byte
 	for {
 		line, err := s.r.ReadSlice('\n')
+		before := cap(event)
 		event = append(event, line...)
+		if grown := int64(cap(event) - before); grown > 0 {
+			if err := s.memory.Hold(grown); err != nil {
+				return nil, err
+			}
+			s.held += grown
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case err != nil && len(event) > 0 && errors.Is(err, io.EOF):
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -115,6 +115,21 @@
 	peersAnnounced = metrics.NewGauge("goldcrest_router_peers_announced", nil)
 )
 
+// holder is what needed bytes that the memory of all requests had not.
+type holder int
+
+const (
+	heldByBody   holder = iota // body of a request
+	heldByAnswer               // head, body or event of an answer
+)
+
+var memoryRefusals = newCounters("goldcrest_router_memory_refused_total", "held_by", map[holder]string{
+	heldByBody: "request", heldByAnswer: "answer",
+})
+
+// memoryHeld is the number of bytes that requests held when that was recorded last.
+var memoryHeld = metrics.NewGauge("goldcrest_router_memory_held_bytes", nil)
+
 // causesRefused counts the requests that were refused for a property that crashes
 // endpoints.
 var causesRefused = metrics.NewCounter("goldcrest_router_suspects_refused_total")
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
@@ -31,6 +32,7 @@
 	Arrived   time.Time
 	Parts     []PromptPart // parts of the prompt, in order
 	LastEvent string       // id of the last event that the caller received
+	memory    *memory.Account
 
 	Route        *catalog.Route
 	Workspace    *catalog.Workspace // nil on public routes
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/origin"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
@@ -32,6 +33,7 @@
 	gate     *storeGate
 	suspects *suspectWriter
 	meter    *meter
+	memory   *memory.Budget
 	random   func() float64 // uniform in [0, 1)
 	// membersReady is closed once the list of routers has been read, configReady and
 	// listReady after the result of the first read of the operators' orders and of
@@ -64,6 +66,7 @@
 		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
+	r.memory = memory.NewBudget(int64(requestMemoryShare * float64(s.MemoryLimit)))
 	r.node = exchange.New(exchange.Config{Key: exchangeKey})
 	r.loop = control.New(control.Config[State, Snapshot]{
 		State: newState(s), Stages: r.controlPipeline(), Publish: publish,
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/origin"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
@@ -25,8 +26,7 @@
 	// maxIdleRetryable is the same bound for other requests.
 	maxIdleRetryable = 4 * time.Second
 	// maxAnswerBytes is the maximum size of the body of an answer that is not a
-	// stream. The body is held in memory, and a router may have 184 MB for all its
-	// requests.
+	// stream. The body is held in memory.
 	maxAnswerBytes = 4 << 20
 	// stallFactor times the latency target is how long a retryable request waits
 	// for a silent endpoint before it is retried at another one, but at least
@@ -68,6 +68,7 @@
 		Matches:               func(h http.Header) bool { return f.protocol.AnswerMatches(req, h) },
 		MaxIdle:               maxIdleAtMostOnce,
 		ResponseHeaderTimeout: stallTimeout(req),
+		Memory:                req.memory,
 	}
 	if req.Route.Retryable() {
 		out.MaxIdle = maxIdleRetryable
@@ -109,6 +110,10 @@
 	case ctx.Err() != nil:
 		f.recordResult(req.Endpoint.ID, place.Cancelled, 0)
 		return &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonCancelled, Detail: "the caller left"}
+	case errors.Is(err, memory.ErrExhausted):
+		f.recordResult(req.Endpoint.ID, place.Cancelled, 0)
+		memoryRefusals[heldByAnswer].Inc()
+		return &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonMemory, Detail: err.Error()}
 	}
 	f.recordCrash(ctx, req)
 	f.recordResult(req.Endpoint.ID, place.Failed, 0)
@@ -133,11 +138,11 @@
 	}
 	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, EndpointError: res.Status >= http.StatusInternalServerError}
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
-		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body), recordResult: f.recordResult,
+		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
 			recordCrash: f.recordCrash, recordSound: f.recordSound}
 		return answer, nil
 	}
-	body, err := readBody(res.Body)
+	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
 	res.Release(err == nil)
 	if err != nil {
 		return nil, f.refuseFailed(ctx, req, err)
@@ -156,20 +161,11 @@
 // errAnswerTooLong is returned for a body of more than maxAnswerBytes.
 var errAnswerTooLong = eris.Errorf("router: answer is longer than %d bytes", maxAnswerBytes)
 
-// readBody reads the body of an answer that is not a stream.
-func readBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		return nil, errAnswerTooLong
-	}
-	return body, err
-}
-
 // refuseNotRun handles an answer that says that the endpoint did not run the
 // request.
 func (f send) refuseNotRun(req *Request, res *origin.Response, class ResponseClass) *model.Refusal {
-	_, err := readBody(res.Body)
-	res.Release(err == nil)
+	_, err := io.CopyN(io.Discard, res.Body, maxAnswerBytes+1)
+	res.Release(errors.Is(err, io.EOF))
 	result, detail := place.Refused, "endpoint did not run the request"
 	if class.Misdirected {
 		result, detail = place.Misdirected, "another endpoint has the address"
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/program"
 )
@@ -166,7 +166,7 @@
 		}
 		return answeredRequest{req, answer}, nil
 	}
-	return httptransport.NewServer(endpoint, r.decode, r.encode, httptransport.ServerErrorEncoder(r.encodeRefusal))
+	return r.accountMemory(httptransport.NewServer(endpoint, r.decode, r.encode, httptransport.ServerErrorEncoder(r.encodeRefusal)))
 }
 
 // answeredRequest is a request together with its answer.
@@ -176,26 +176,31 @@
 }
 
 // decode reads a request including its body.
-func (r *Router) decode(_ context.Context, hr *http.Request) (any, error) {
+func (r *Router) decode(ctx context.Context, hr *http.Request) (any, error) {
 	arrived := time.Now()
 	req, err := r.deps.Protocol.Decode(hr)
 	if err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
 	}
-	req.Arrived = arrived
+	req.Arrived, req.memory = arrived, memoryOf(ctx)
 	limit := int64(defaultMaxBodyBytes)
 	if c := r.loop.Snapshot().Catalog; c != nil && c.MaxBody > 0 {
 		limit = c.MaxBody
 	}
-	req.Body, err = io.ReadAll(http.MaxBytesReader(nil, hr.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, model.Refuse(model.ReasonLimit, "the body is too large")
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	req.Body, err = memory.ReadAll(hr.Body, hr.ContentLength, limit, req.memory, errBodyTooLong)
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		return nil, model.Refuse(model.ReasonLimit, err.Error())
+	case errors.Is(err, memory.ErrExhausted):
+		memoryRefusals[heldByBody].Inc()
+		// Callers that were refused together do not come back together.
+		wait := memoryRetryAfter + time.Duration(r.random()*float64(memoryRetryAfter))
+		refusal := refuseWithRetryAfter(model.ReasonMemory, err.Error(), wait)
+		r.logOutcome(req, nil, refusal)
+		return nil, refusal
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, model.Refuse(model.ReasonDeadline, "the body arrives too slowly")
-	}
-	if err != nil {
+	case err != nil:
 		return nil, model.Refuse(model.ReasonBadRequest, "the body cannot be read")
 	}
 	return req, nil
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -44,6 +44,7 @@
 	binary     string
 	store      *standin.Store
 	storeProxy *proxy
+	memoryMB   int // setting of the routers; the default if 0
 	endpoints  []*fleetEndpoint
 	routers    []*process
 	mu         sync.Mutex
@@ -153,8 +154,12 @@
 func (f *fleet) addRouter(i int, out *os.File) {
 	p := &process{fleet: f, name: fmt.Sprintf("router-%d", i), callerAddress: freePort(f.t), readyAddress: freePort(f.t)}
 	p.settings = filepath.Join(f.dir, p.name+".ini")
-	content := fmt.Sprintf("[router]\ninstance = %s\ndata_centre = dc-%d\nlisten = %s\nready = %s\nready_path = /ready\nexchange = %s\nfirst_start = true\n[platform]\nstore = %s\n[regions]\ndata_centres = dc-0, dc-1\ndc-0 = r\ndc-1 = r\n",
-		p.name, i%2, p.callerAddress, p.readyAddress, freePort(f.t), f.storeProxy.address())
+	memory := ""
+	if f.memoryMB > 0 {
+		memory = fmt.Sprintf("memory_mb = %d\n", f.memoryMB)
+	}
+	content := fmt.Sprintf("[router]\ninstance = %s\ndata_centre = dc-%d\nlisten = %s\nready = %s\nready_path = /ready\nexchange = %s\nfirst_start = true\n%s[platform]\nstore = %s\n[regions]\ndata_centres = dc-0, dc-1\ndc-0 = r\ndc-1 = r\n",
+		p.name, i%2, p.callerAddress, p.readyAddress, freePort(f.t), memory, f.storeProxy.address())
 	if err := os.WriteFile(p.settings, []byte(content), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
