--- a/internal/router/unheard_test.go
+++ b/internal/router/unheard_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
 // Guards against a request that crashes endpoints and is sent on by routers that do not
@@ -55,3 +57,62 @@
 	})
 	is.New(t).True(!strings.Contains(fleet[1].text(), "announced routers not heard"))
 }
+
+// startUnheard starts routers that do not hear each other, but have at the start.
+func (f *fleet) startUnheard(n int) []*process {
+	fleet := f.startRouters(n)
+	for _, p := range fleet {
+		p.link.deaf.Store(true)
+		p.link.mute.Store(true)
+	}
+	time.Sleep(3 * time.Second) // until they have lost their peers
+	return fleet
+}
+
+// Guards against an endpoint that states a limit and gets more, since each of several
+// routers that do not hear each other takes itself for the only one.
+func TestStatedLimitsAtRoutersThatHearNoPeer(t *testing.T) {
+	t.Parallel()
+	const routers, limit, duration = 6, 5.0, 4 * time.Second
+	f := newFleet(t, 0, 1)
+	fleet := f.startUnheard(routers)
+	f.setFaults("", standin.EndpointFaults{Limit: "5.0"})
+	for _, p := range fleet {
+		p.post("/assign/x") // from its answer the router learns the limit
+	}
+	time.Sleep(500 * time.Millisecond)
+	begin := time.Now()
+	for i := 0; time.Since(begin) < duration; i++ {
+		fleet[i%routers].post("/assign/x")
+		time.Sleep(2 * time.Millisecond)
+	}
+	n := 0
+	for _, r := range f.endpoints[0].Received() {
+		if r.At.After(begin) && r.At.Before(begin.Add(duration)) {
+			n++
+		}
+	}
+	t.Logf("%d requests in %v", n, duration)
+	is.New(t).True(float64(n) <= 1.5*limit*duration.Seconds()+5)
+	is.New(t).True(n > 0)
+}
+
+// Guards against retries beyond the budget of the whole fleet by routers that do not hear
+// each other.
+func TestRetryBudgetOfRoutersThatHearNoPeer(t *testing.T) {
+	t.Parallel()
+	const routers, requests, ratio, burst = 6, 600, 0.2, 50
+	f := newFleet(t, 0, 4)
+	fleet := f.startUnheard(routers)
+	f.setFaults("", standin.EndpointFaults{Fail: true})
+	for i := range requests {
+		fleet[i%routers].get("/read/x")
+	}
+	arrivals := 0
+	for _, e := range f.endpoints {
+		arrivals += len(e.Received())
+	}
+	t.Logf("%d arrivals of %d requests", arrivals, requests)
+	is.New(t).True(float64(arrivals-requests) <= ratio*requests+burst)
+	is.New(t).True(arrivals > requests)
+}
