router: crashes after the caller has left count

Callers that give up early, and send again, saw a request that crashes endpoints sent on without end: an attempt whose caller had left, or whose deadline had passed, counted as cancelled, and nothing looked at its endpoint.

Such attempts are now kept like other failures of which it is not known whether the endpoint crashed, until the instance list shows its end. Requests that were cancelled before they were sent do not count.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -23,9 +24,11 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 )
 
-// Errors of Client.Do. ErrNotSent means that no byte of the request was sent.
+// Errors of Client.Do. ErrNotSent means that no byte of the request was sent, and
+// ErrCancelledUnsent the same for a request whose context had ended by then.
 var (
 	ErrNotSent            = eris.New("origin: request was not sent")
+	ErrCancelledUnsent    = eris.New("origin: request was cancelled before it was sent")
 	ErrConnectionFailed   = eris.New("origin: connection failed after the request was sent")
 	ErrUnexpectedResponse = eris.New("origin: endpoint sent something other than an answer to the request")
 	ErrReadTimeout        = eris.New("origin: endpoint was silent for too long")
@@ -196,7 +199,7 @@
 	nc, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		if ctx.Err() != nil {
-			return nil, eris.Wrap(ctx.Err(), "origin: request cancelled")
+			return nil, fmt.Errorf("%w: %w", ErrCancelledUnsent, ctx.Err())
 		}
 		c.idle.closeAll(address)
 		return nil, eris.Wrapf(ErrNotSent, "no connection to %s: %v", address, err)
--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -93,8 +93,19 @@
 // before its answer was complete, and whether it accepts a new one. If not, its process has
 // ended; otherwise it has lost the answer, or is back already, or cannot be reached.
 func (r *Router) recordCrash(ctx context.Context, req *Request) {
-	_ = r.loop.Post(context.WithoutCancel(ctx), crashSeen{certain: r.client.Refuses(ctx, req.Endpoint.Address),
-		failure: suspect.Failure{Endpoint: req.Endpoint.ID, Started: req.Endpoint.Started, Causes: req.causes()}})
+	_ = r.loop.Post(context.WithoutCancel(ctx), crashSeen{certain: r.client.Refuses(ctx, req.Endpoint.Address), failure: failureOf(req)})
+}
+
+// recordEnded reports the properties of a request whose caller left or whose deadline
+// passed while its endpoint ran it. The instance list shows later whether the endpoint has
+// crashed.
+func (r *Router) recordEnded(req *Request) {
+	_ = r.loop.Post(context.Background(), crashSeen{failure: failureOf(req)})
+}
+
+// failureOf returns the attempt of a request that got no complete answer.
+func failureOf(req *Request) suspect.Failure {
+	return suspect.Failure{Endpoint: req.Endpoint.ID, Started: req.Endpoint.Started, Causes: req.causes()}
 }
 
 // recordSound reports that an endpoint answered a request, if it has a property that was
--- a/internal/router/deadly_test.go
+++ b/internal/router/deadly_test.go
@@ -145,32 +145,67 @@
 	f.checkDeadlyRuns()
 }
 
+// listStart lists an endpoint with the present time as the start of its process.
+func (f *fleet) listStart(e *standin.Endpoint) {
+	pool := "service"
+	if strings.HasPrefix(e.ID, "engine") {
+		pool = "engines"
+	}
+	f.store.Put("keyed.servers", e.ID, map[string]any{"Service": pool, "Address": e.Address(), "Zone": "dc-a", "Version": "v1",
+		"Slots": 8, "State": "ready", "Sequence": 1, "born": time.Now().UnixMilli()})
+}
+
+// sendDeadlyAndRelist sends the deadly request through the routers in turn, and lists the
+// endpoints that crashed as started again after the given time.
+func (f *fleet) sendDeadlyAndRelist(routers []*process, sends int, after time.Duration, send func(p *process)) {
+	listed := map[string]int{} // crashes by endpoint, as the list shows them
+	for i := range sends {
+		send(routers[i%len(routers)])
+		time.Sleep(after)
+		for _, e := range f.endpoints {
+			if n := len(e.Received()); n > listed[e.ID] {
+				listed[e.ID] = n
+				f.listStart(e)
+			}
+		}
+	}
+}
+
 // Guards against a request that crashes endpoints which are back before the router has
 // looked whether they accept connections: the instance list shows that they started again.
 func TestDeadlyRequestsAtEndpointsThatAreBackAtOnce(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 0, 8)
-	list := func(e *standin.Endpoint) {
-		f.store.Put("keyed.servers", e.ID, map[string]any{"Service": "service", "Address": e.Address(), "Zone": "dc-a", "Version": "v1",
-			"Slots": 8, "State": "ready", "Sequence": 1, "born": time.Now().UnixMilli()})
-	}
 	for _, e := range f.endpoints {
-		list(e)
+		f.listStart(e)
 	}
 	routers := f.startRouters(2)
 	f.setFaults("", standin.EndpointFaults{DeadlyBody: deadlyBody})
-	listed := map[string]int{} // crashes by endpoint, as the list shows them
-	for i := range 40 {
-		routers[i%2].sendDeadly("/assign/x")
-		time.Sleep(200 * time.Millisecond)
-		for _, e := range f.endpoints {
-			if n := len(e.Received()); n > listed[e.ID] {
-				listed[e.ID] = n
-				list(e)
+	f.sendDeadlyAndRelist(routers, 40, 200*time.Millisecond, func(p *process) { p.sendDeadly("/assign/x") })
+	f.checkDeadlyRuns()
+}
+
+// Guards against a request that crashes endpoints after its caller has given up: the
+// attempt counted as cancelled, and nothing looked at the endpoint.
+func TestDeadlyRequestsWhoseCallersLeave(t *testing.T) {
+	t.Parallel()
+	for name, path := range map[string]string{"at most once": "/assign/x", "idempotent": "/read/x", "stream": "/stream/brief/x"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 8, 8)
+			for _, e := range f.endpoints {
+				f.listStart(e)
 			}
-		}
+			routers := f.startRouters(2)
+			f.setFaults("", standin.EndpointFaults{DeadlyBody: deadlyBody, DeadlyAfter: 120 * time.Millisecond, DownTime: 50 * time.Millisecond})
+			f.sendDeadlyAndRelist(routers, 30, 300*time.Millisecond, func(p *process) {
+				ctx, leave := context.WithTimeout(context.Background(), 40*time.Millisecond)
+				defer leave()
+				p.call(ctx, http.MethodPost, path, deadlyBody, nil)
+			})
+			f.checkDeadlyRuns()
+		})
 	}
-	f.checkDeadlyRuns()
 }
 
 // Guards against a request that crashes three more endpoints whenever all routers have
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -46,6 +46,7 @@
 	recordResult func(endpoint model.EndpointID, result place.Result, pendingPart uint64)
 	recordNotice func(endpoint model.EndpointID, class ResponseClass)
 	recordCrash  func(context.Context, *Request)
+	recordEnded  func(*Request)
 	recordSound  func(*Request)
 	checkKey     func(*Request) *model.Refusal
 	log          *slog.Logger
@@ -98,6 +99,9 @@
 // refuseFailed records the result of a failed attempt and returns the refusal for
 // it.
 func (f send) refuseFailed(ctx context.Context, req *Request, err error) *model.Refusal {
+	if ctx.Err() != nil && !errors.Is(err, origin.ErrCancelledUnsent) && !errors.Is(err, origin.ErrNotSent) {
+		f.recordEnded(req)
+	}
 	switch {
 	case errors.Is(err, origin.ErrNotSent):
 		req.Sends--
@@ -139,7 +143,7 @@
 	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, EndpointError: res.Status >= http.StatusInternalServerError}
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
 		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
-			recordCrash: f.recordCrash, recordSound: f.recordSound}
+			recordCrash: f.recordCrash, recordEnded: f.recordEnded, recordSound: f.recordSound}
 		return answer, nil
 	}
 	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
@@ -185,6 +189,7 @@
 	events       *eventSplitter
 	recordResult func(model.EndpointID, place.Result, uint64)
 	recordCrash  func(context.Context, *Request)
+	recordEnded  func(*Request)
 	recordSound  func(*Request)
 	begun        bool // an event has arrived
 	waiting      bool // the read timeout of the next event runs
@@ -239,6 +244,9 @@
 		return
 	}
 	s.finished = true
+	if result == place.Cancelled {
+		s.recordEnded(s.req)
+	}
 	s.res.Release(complete)
 	s.recordResult(s.req.Endpoint.ID, result, 0)
 }
