soak: routers that do not hear each other

Neither the stand-in nor the soak had a router that reaches the store and the endpoints but not its peers.

--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -50,7 +51,7 @@
 }
 
 // Guards against a request that crashes the endpoints that run it and is sent on by some
-// router, while routers are killed, stopped and frozen, alone and all together, endpoints
+// router, while routers do not hear each other or are killed, stopped and frozen, alone and all together, endpoints
 // fail requests, and the store rejects calls. Endpoints are reached without proxies, which
 // would accept connections for one that has crashed.
 func TestDeadlyRequestSoak(t *testing.T) {
@@ -78,6 +79,11 @@
 		f.endpoints = append(f.endpoints, &fleetEndpoint{endpoint: e, pool: "service", dc: fmt.Sprint("dc-", i%2)})
 		f.store.Register(e, "service", fmt.Sprint("dc-", i%2), "ready")
 	}
+	if rng.IntN(2) == 0 && hasIPv6() {
+		apart := rng.Perm(*routerCount)[:rng.IntN(*routerCount+1)]
+		f.separated = func(router int) bool { return slices.Contains(apart, router) }
+		t.Logf("routers %v do not hear the others", apart)
+	}
 	for i := range *routerCount {
 		f.addRouter(i, nil)
 	}
@@ -106,6 +112,15 @@
 	f.report(seed)
 }
 
+// hasIPv6 reports whether the loopback interface has an address of IPv6.
+func hasIPv6() bool {
+	l, err := net.Listen("tcp", "[::1]:0")
+	if err == nil {
+		_ = l.Close()
+	}
+	return err == nil
+}
+
 // sendDeadly sends the deadly request, at times in several copies together, until ctx
 // ends.
 func (f *fleet) sendDeadly(ctx context.Context, rng *rand.Rand, sentBy *sync.Map) {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -45,10 +45,13 @@
 	store      *standin.Store
 	storeProxy *proxy
 	memoryMB   int // setting of the routers; the default if 0
-	endpoints  []*fleetEndpoint
-	routers    []*process
-	mu         sync.Mutex
-	failures   []string
+	// separated says of each router whether it exchanges messages over IPv6, so that it
+	// does not hear those over IPv4; nil if none does.
+	separated func(router int) bool
+	endpoints []*fleetEndpoint
+	routers   []*process
+	mu        sync.Mutex
+	failures  []string
 }
 
 // fail records a failure of the run.
@@ -64,9 +67,12 @@
 
 // freePort returns a loopback address whose port is free for TCP and UDP. It returns none
 // twice.
-func freePort(t *testing.T) string {
+func freePort(t *testing.T) string { return freePortAt(t, "127.0.0.1:0") }
+
+// freePortAt returns the same of the host of an address.
+func freePortAt(t *testing.T, host string) string {
 	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -154,12 +160,16 @@
 func (f *fleet) addRouter(i int, out *os.File) {
 	p := &process{fleet: f, name: fmt.Sprintf("router-%d", i), callerAddress: freePort(f.t), readyAddress: freePort(f.t)}
 	p.settings = filepath.Join(f.dir, p.name+".ini")
+	exchange := "127.0.0.1:0"
+	if f.separated != nil && f.separated(i) {
+		exchange = "[::1]:0"
+	}
 	memory := ""
 	if f.memoryMB > 0 {
 		memory = fmt.Sprintf("memory_mb = %d\n", f.memoryMB)
 	}
 	content := fmt.Sprintf("[router]\ninstance = %s\ndata_centre = dc-%d\nlisten = %s\nready = %s\nready_path = /ready\nexchange = %s\nfirst_start = true\n%s[platform]\nstore = %s\n[regions]\ndata_centres = dc-0, dc-1\ndc-0 = r\ndc-1 = r\n",
-		p.name, i%2, p.callerAddress, p.readyAddress, freePort(f.t), memory, f.storeProxy.address())
+		p.name, i%2, p.callerAddress, p.readyAddress, freePortAt(f.t, exchange), memory, f.storeProxy.address())
 	if err := os.WriteFile(p.settings, []byte(content), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
