origin: idle connections close though nothing more is sent

Cause: an idle connection was closed only when another one to the same address was taken or given back, so up to 16 to each endpoint that had left stayed open.

--- a/internal/origin/idle.go
+++ b/internal/origin/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -20,6 +21,12 @@
 	// maxIdlePerEndpoint bounds the idle connections to one endpoint, which has to
 	// share its connections among all routers.
 	maxIdlePerEndpoint = 16
+	// maxKeepAlive bounds the idle time that endpoints may allow. Requests reuse no
+	// connection that has been idle for longer.
+	maxKeepAlive = 10 * time.Second
+	// sweepInterval is how often connections that have been idle for too long are closed.
+	// Nothing else closes those to an endpoint that gets no more requests.
+	sweepInterval = time.Second
 )
 
 // idlePool keeps idle connections by address. One goroutine owns them and runs the
@@ -36,8 +43,38 @@
 
 func (p *idlePool) run() {
 	conns := map[string][]*conn{}
-	for do := range p.commands {
-		do(conns)
+	sweep := time.NewTimer(sweepInterval)
+	swept := true // no sweep is due while there is no connection
+	sweep.Stop()
+	for {
+		select {
+		case do := <-p.commands:
+			do(conns)
+		case <-sweep.C:
+			closeExpired(conns, time.Now())
+			swept = true
+		}
+		if swept && len(conns) > 0 {
+			sweep.Reset(sweepInterval)
+			swept = false
+		}
+	}
+}
+
+// closeExpired closes the connections that have been idle for longer than their endpoints
+// allow.
+func closeExpired(conns map[string][]*conn, now time.Time) {
+	for address, list := range conns {
+		list = slices.DeleteFunc(list, func(c *conn) bool {
+			expired := now.Sub(c.idleSince) > c.keepAlive
+			if expired {
+				_ = c.Close()
+			}
+			return expired
+		})
+		if conns[address] = list; len(list) == 0 {
+			delete(conns, address)
+		}
 	}
 }
 
@@ -58,7 +95,9 @@
 			}
 			use = c
 		}
-		conns[address] = list
+		if conns[address] = list; len(list) == 0 {
+			delete(conns, address)
+		}
 		found <- use
 	}
 	c := <-found
@@ -135,7 +174,7 @@
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
 			if n, err := strconv.Atoi(v); err == nil {
-				return time.Duration(n) * time.Second
+				return min(time.Duration(n)*time.Second, maxKeepAlive)
 			}
 		}
 	}
