--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -96,10 +96,10 @@
 	_ = r.loop.Post(context.WithoutCancel(ctx), crashSeen{certain: r.client.Refuses(ctx, req.Endpoint.Address), failure: failureOf(req)})
 }
 
-// recordEnded reports the properties of a request whose caller left or whose deadline
+// recordAbandoned reports the properties of a request whose caller left or whose deadline
 // passed while its endpoint ran it. The instance list shows later whether the endpoint has
 // crashed.
-func (r *Router) recordEnded(req *Request) {
+func (r *Router) recordAbandoned(req *Request) {
 	_ = r.loop.Post(context.Background(), crashSeen{failure: failureOf(req)})
 }
 
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -44,18 +44,18 @@
 	ended    chan error
 	logs     *syncBuffer
 	exchange string // address for peers
-	link     *peerLink
+	link     *cutLink
 	client   *http.Client
 }
 
-// peerLink is the connection of a router to its peers, which can be cut in either
+// cutLink is the connection of a router to its peers, which can be cut in either
 // direction. Calls of peers are cut with the datagrams that the router receives.
-type peerLink struct {
+type cutLink struct {
 	*net.UDPConn
 	deaf, mute atomic.Bool // drops what the router receives, or sends
 }
 
-func (l *peerLink) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+func (l *cutLink) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
 	for {
 		n, sender, err := l.UDPConn.ReadFromUDPAddrPort(b)
 		if err != nil || !l.deaf.Load() {
@@ -64,7 +64,7 @@
 	}
 }
 
-func (l *peerLink) WriteToUDPAddrPort(b []byte, receiver netip.AddrPort) (int, error) {
+func (l *cutLink) WriteToUDPAddrPort(b []byte, receiver netip.AddrPort) (int, error) {
 	if l.mute.Load() {
 		return len(b), nil
 	}
@@ -74,7 +74,7 @@
 // cutListener closes the connections of peers while a router is deaf to them.
 type cutListener struct {
 	net.Listener
-	link *peerLink
+	link *cutLink
 }
 
 func (l cutListener) Accept() (net.Conn, error) {
@@ -187,7 +187,7 @@
 	is.NoErr(err)
 	exchange, rpc := listenExchange(f.t, s.Exchange)
 	s.Exchange = exchange.LocalAddr().String()
-	link := &peerLink{UDPConn: exchange}
+	link := &cutLink{UDPConn: exchange}
 	p := &process{fleet: f, url: "http://" + callers.Addr().String(), ready: "http://" + readiness.Addr().String() + "/ready",
 		ended: make(chan error, 1), logs: &syncBuffer{lines: make(chan []byte, 10_000)}, client: &http.Client{Transport: &http.Transport{}}, exchange: s.Exchange, link: link}
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -115,15 +115,15 @@
 	peersAnnounced = metrics.NewGauge("goldcrest_router_peers_announced", nil)
 )
 
-// holder is what needed bytes that the memory of all requests had not.
-type holder int
+// memoryUse is what needed bytes that the memory of all requests had not.
+type memoryUse int
 
 const (
-	heldByBody   holder = iota // body of a request
-	heldByAnswer               // head, body or event of an answer
+	heldByBody   memoryUse = iota // body of a request
+	heldByAnswer                  // head, body or event of an answer
 )
 
-var memoryRefusals = newCounters("goldcrest_router_memory_refused_total", "held_by", map[holder]string{
+var memoryRefusals = newCounters("goldcrest_router_memory_refused_total", "held_by", map[memoryUse]string{
 	heldByBody: "request", heldByAnswer: "answer",
 })
 
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -41,15 +41,15 @@
 // send is the last filter. It sends a request to its endpoint and reads the
 // answer, or its head if the answer is a stream.
 type send struct {
-	client       *origin.Client
-	protocol     Protocol
-	recordResult func(endpoint model.EndpointID, result place.Result, pendingPart uint64)
-	recordNotice func(endpoint model.EndpointID, class ResponseClass)
-	recordCrash  func(context.Context, *Request)
-	recordEnded  func(*Request)
-	recordSound  func(*Request)
-	checkKey     func(*Request) *model.Refusal
-	log          *slog.Logger
+	client          *origin.Client
+	protocol        Protocol
+	recordResult    func(endpoint model.EndpointID, result place.Result, pendingPart uint64)
+	recordNotice    func(endpoint model.EndpointID, class ResponseClass)
+	recordCrash     func(context.Context, *Request)
+	recordAbandoned func(*Request)
+	recordSound     func(*Request)
+	checkKey        func(*Request) *model.Refusal
+	log             *slog.Logger
 }
 
 func (send) Name() string { return "send" }
@@ -100,7 +100,7 @@
 // it.
 func (f send) refuseFailed(ctx context.Context, req *Request, err error) *model.Refusal {
 	if ctx.Err() != nil && !errors.Is(err, origin.ErrCancelledUnsent) && !errors.Is(err, origin.ErrNotSent) {
-		f.recordEnded(req)
+		f.recordAbandoned(req)
 	}
 	switch {
 	case errors.Is(err, origin.ErrNotSent):
@@ -143,7 +143,7 @@
 	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, EndpointError: res.Status >= http.StatusInternalServerError}
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
 		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
-			recordCrash: f.recordCrash, recordEnded: f.recordEnded, recordSound: f.recordSound}
+			recordCrash: f.recordCrash, recordAbandoned: f.recordAbandoned, recordSound: f.recordSound}
 		return answer, nil
 	}
 	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
@@ -183,17 +183,17 @@
 
 // stream reads the events of the answer of one endpoint.
 type stream struct {
-	req          *Request
-	res          *origin.Response
-	ctx          context.Context
-	events       *eventSplitter
-	recordResult func(model.EndpointID, place.Result, uint64)
-	recordCrash  func(context.Context, *Request)
-	recordEnded  func(*Request)
-	recordSound  func(*Request)
-	begun        bool // an event has arrived
-	waiting      bool // the read timeout of the next event runs
-	finished     bool
+	req             *Request
+	res             *origin.Response
+	ctx             context.Context
+	events          *eventSplitter
+	recordResult    func(model.EndpointID, place.Result, uint64)
+	recordCrash     func(context.Context, *Request)
+	recordAbandoned func(*Request)
+	recordSound     func(*Request)
+	begun           bool // an event has arrived
+	waiting         bool // the read timeout of the next event runs
+	finished        bool
 }
 
 func (s *stream) Next() ([]byte, error) {
@@ -245,7 +245,7 @@
 	}
 	s.finished = true
 	if result == place.Cancelled {
-		s.recordEnded(s.req)
+		s.recordAbandoned(s.req)
 	}
 	s.res.Release(complete)
 	s.recordResult(s.req.Endpoint.ID, result, 0)
