--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -53,17 +53,24 @@
 type cutLink struct {
 	*net.UDPConn
 	deaf, mute atomic.Bool // drops what the router receives, or sends
+	lossy      atomic.Bool // drops half of the datagrams that the router receives, by their number
+	received   atomic.Int64
 }
 
 func (l *cutLink) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
 	for {
 		n, sender, err := l.UDPConn.ReadFromUDPAddrPort(b)
-		if err != nil || !l.deaf.Load() {
+		if err != nil || !l.drops() {
 			return n, sender, err
 		}
 	}
 }
 
+// drops reports whether the datagram that was received is lost.
+func (l *cutLink) drops() bool {
+	return l.deaf.Load() || l.lossy.Load() && l.received.Add(1)%2 == 0
+}
+
 func (l *cutLink) WriteToUDPAddrPort(b []byte, receiver netip.AddrPort) (int, error) {
 	if l.mute.Load() {
 		return len(b), nil
--- a/internal/router/unheard_test.go
+++ b/internal/router/unheard_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/router"
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
@@ -58,6 +59,43 @@
 	is.New(t).True(!strings.Contains(fleet[1].text(), "announced routers not heard"))
 }
 
+// Guards against a crash that some routers never learn of, since the datagram that tells it
+// is lost and is not sent again.
+func TestDeadlyRequestsWhileDatagramsAreLost(t *testing.T) {
+	t.Parallel()
+	const routers, sends = 6, 24
+	f := newFleet(t, 0, 8)
+	fleet := f.startRouters(routers)
+	for _, p := range fleet {
+		p.link.lossy.Store(true)
+	}
+	f.setFaults("", deadlyEndpoints)
+	for i := range sends {
+		fleet[i%routers].sendDeadly("/assign/x")
+		time.Sleep(650 * time.Millisecond)
+	}
+	f.checkDeadlyRuns()
+}
+
+// Guards against a router that starts while it hears no peer and knows nothing of the
+// crashes before, of which there are too few for the property to be refused.
+func TestStartingRoutersKnowOfCrashes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0, 8)
+	fleet := f.startUnheard(2)
+	f.setFaults("", deadlyEndpoints)
+	for _, p := range fleet {
+		p.sendDeadly("/assign/x")
+	}
+	late := f.start(func(s *router.Settings) { s.Instance = "late" }).await()
+	for range 3 {
+		late.sendDeadly("/assign/x")
+		time.Sleep(100 * time.Millisecond)
+	}
+	crashes, _ := f.deadlyRuns()
+	is.New(t).Equal(crashes, 3)
+}
+
 // startUnheard starts routers that do not hear each other, but have at the start.
 func (f *fleet) startUnheard(n int) []*process {
 	fleet := f.startRouters(n)
