--- a/internal/router/unheard_test.go
+++ b/internal/router/unheard_test.go
@@ -11,11 +11,20 @@
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
+// sendDeadlyInTurn sends the deadly request to the routers in turn, long enough for a trial
+// of it after it is refused.
+func sendDeadlyInTurn(fleet []*process, path string) {
+	for i := range 24 {
+		fleet[i%len(fleet)].sendDeadly(path)
+		time.Sleep(650 * time.Millisecond)
+	}
+}
+
 // Guards against a request that crashes endpoints and is sent on by routers that do not
 // hear each other, in one direction or in both, while they reach the store and the
 // endpoints: each of them counted its own crashes only.
 func TestDeadlyRequestsAtRoutersThatHearNoPeer(t *testing.T) {
-	const routers, sends = 6, 24
+	const routers = 6
 	for name, c := range map[string]struct {
 		path       string
 		deaf, mute int // numbers of routers
@@ -37,10 +46,7 @@
 				p.link.mute.Store(i < c.mute)
 			}
 			f.setFaults("", deadlyEndpoints)
-			for i := range sends {
-				fleet[i%routers].sendDeadly(c.path)
-				time.Sleep(650 * time.Millisecond)
-			}
+			sendDeadlyInTurn(fleet, c.path)
 			f.checkDeadlyRuns()
 		})
 	}
@@ -63,17 +69,13 @@
 // is lost and is not sent again.
 func TestDeadlyRequestsWhileDatagramsAreLost(t *testing.T) {
 	t.Parallel()
-	const routers, sends = 6, 24
 	f := newFleet(t, 0, 8)
-	fleet := f.startRouters(routers)
+	fleet := f.startRouters(6)
 	for _, p := range fleet {
 		p.link.lossy.Store(true)
 	}
 	f.setFaults("", deadlyEndpoints)
-	for i := range sends {
-		fleet[i%routers].sendDeadly("/assign/x")
-		time.Sleep(650 * time.Millisecond)
-	}
+	sendDeadlyInTurn(fleet, "/assign/x")
 	f.checkDeadlyRuns()
 }
 
