router: the log of unheard routers does not depend on the order of starts

The routers that it knows by their messages count now too. The line is for operators; no decision rests on it.

--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -316,7 +316,8 @@
 // router that hears no peer learns nothing of what they know.
 func (f applyPeers) watchPeers(s *State, now time.Time) {
 	heard := s.table.LivePeers(now)
-	unheard := slices.DeleteFunc(slices.Clone(s.members), func(name model.InstanceID) bool {
+	// The list of announcements is read rarely, so it may lack routers that were heard since.
+	unheard := slices.DeleteFunc(slices.Collect(maps.Keys(s.addresses)), func(name model.InstanceID) bool {
 		return name == s.settings.Instance || slices.Contains(heard, name)
 	})
 	peersHeard.Set(float64(len(heard)))
--- a/internal/router/unheard_test.go
+++ b/internal/router/unheard_test.go
@@ -58,6 +58,9 @@
 	t.Parallel()
 	f := newFleet(t, 0, 1)
 	fleet := f.startRouters(2)
+	eventually(t, "the routers hear each other", func() bool {
+		return strings.Contains(fleet[0].text(), "router heard") && strings.Contains(fleet[1].text(), "router heard")
+	})
 	fleet[0].link.deaf.Store(true)
 	eventually(t, "the deaf router logs that it hears nobody", func() bool {
 		return strings.Contains(fleet[0].text(), `"msg":"announced routers not heard","count":1,"heard":0,"first":["router-1"]`)
