soak: the seeds of the deadly requests draw the faults that they drew

The grouping of routers that do not hear each other took its numbers from the generator of the faults, so that each seed played other faults than before, the one listed in KNOWN-RED.txt included. It has a generator of its own now.

--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -79,8 +79,9 @@
 		f.endpoints = append(f.endpoints, &fleetEndpoint{endpoint: e, pool: "service", dc: fmt.Sprint("dc-", i%2)})
 		f.store.Register(e, "service", fmt.Sprint("dc-", i%2), "ready")
 	}
-	if rng.IntN(2) == 0 && hasIPv6() {
-		apart := rng.Perm(*routerCount)[:rng.IntN(*routerCount+1)]
+	// A generator of its own, so that the faults of a seed stay what they were.
+	if contact := rand.New(rand.NewPCG(seed, 31)); contact.IntN(2) == 0 && hasIPv6() {
+		apart := contact.Perm(*routerCount)[:contact.IntN(*routerCount+1)]
 		f.separated = func(router int) bool { return slices.Contains(apart, router) }
 		t.Logf("routers %v do not hear the others", apart)
 	}
