--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -78,6 +79,16 @@
 	// Memory holds the bytes of the head of the answer; nil means no bound beyond that of
 	// one head.
 	Memory *memory.Account
+	// Trace, if not nil, is filled in by Client.Do, also when it fails.
+	Trace *Trace
+}
+
+// Trace describes over which connection a request was sent and what arrived there.
+type Trace struct {
+	Connection uint64 // number of the connection at its client, from 1; 0 if there was none
+	Reused     bool   // the connection had carried other requests
+	Skipped    int    // answers to other requests that arrived first
+	Status     int    // of the answer; 0 if none arrived
 }
 
 // Response is an answer whose body has not been read yet. Close or Release must be
@@ -100,6 +111,7 @@
 type Client struct {
 	idle   *idlePool
 	dialer net.Dialer
+	dialed atomic.Uint64 // connections so far
 }
 
 // NewClient returns a client that has no connections yet.
@@ -146,6 +158,7 @@
 	limited   *limitedReader
 	r         *bufio.Reader // reads from limited
 	address   string
+	number    uint64 // at its client, from 1
 	idleSince time.Time
 	keepAlive time.Duration // idle time that the endpoint allows
 	reused    bool
@@ -158,6 +171,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.Trace != nil {
+		*req.Trace = Trace{Connection: cn.number, Reused: cn.reused}
+	}
 	cn.setReadTimeout(req.ResponseHeaderTimeout)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	sent := cn.startSend(req)
@@ -204,7 +220,9 @@
 		c.idle.closeAll(address)
 		return nil, eris.Wrapf(ErrNotSent, "no connection to %s: %v", address, err)
 	}
-	return newConn(nc, address), nil
+	cn := newConn(nc, address)
+	cn.number = c.dialed.Add(1)
+	return cn, nil
 }
 
 func newConn(nc net.Conn, address string) *conn {
@@ -281,6 +299,9 @@
 			continue
 		}
 		if !req.Matches(head.Header) {
+			if req.Trace != nil {
+				req.Trace.Skipped++
+			}
 			if !framed(head) { // the answer to this request cannot follow it
 				return nil, eris.Wrapf(ErrUnexpectedResponse, "answer from %s is to another request", c.address)
 			}
@@ -292,6 +313,9 @@
 			c.limited.left = left
 			continue
 		}
+		if req.Trace != nil {
+			req.Trace.Status = head.StatusCode
+		}
 		c.keepAlive = keepAliveTimeout(head.Header)
 		length := head.ContentLength
 		if head.Body == http.NoBody {
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -138,6 +138,10 @@
 // the store, since too many waited.
 var suspectRecordsDropped = metrics.NewCounter("goldcrest_router_suspect_records_dropped_total")
 
+// answersSkipped counts the answers to other requests that arrived before the answer to a
+// request.
+var answersSkipped = metrics.NewCounter("goldcrest_router_answers_skipped_total")
+
 var malformedDatagrams = metrics.NewCounter("goldcrest_router_datagrams_malformed_total")
 
 // serveMetrics serves the admin paths, /metrics among them, on the metrics
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -7,6 +7,7 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/origin"
 )
 
 const (
@@ -35,6 +36,7 @@
 func (f retryRequest) Handle(ctx context.Context, req *Request, next handler) (*Answer, error) {
 	var failed *Answer // the endpoint's error answer, returned unless a retry succeeds
 	for unsent := 0; ; {
+		req.trace = origin.Trace{}
 		answer, err := next(ctx, req)
 		retry := false
 		switch {
@@ -133,6 +135,7 @@
 
 // logAttempt logs a failed attempt, whether a retry follows, and if not, why.
 func (f retryRequest) logAttempt(req *Request, cause string, retry bool, denied string) {
-	f.log.Info("attempt failed", "request", req.ID, "endpoint", req.Endpoint.ID, "cause", cause,
+	f.log.Info("attempt failed", "request", req.ID, "endpoint", req.Endpoint.ID, "address", req.Endpoint.Address, "cause", cause,
+		"status", req.trace.Status, "connection", req.trace.Connection, "reused", req.trace.Reused, "skipped", req.trace.Skipped,
 		"sends", req.Sends, "runs", req.Runs, "again", retry, "denied", denied)
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -7,6 +7,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
 	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/origin"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
 
@@ -45,6 +46,7 @@
 	Excluded     []model.EndpointID // endpoints picked for this and earlier attempts
 	Sends        int                // attempts that may have reached an endpoint
 	Runs         int                // attempts that an endpoint may have run
+	trace        origin.Trace       // of the latest attempt
 	// FirstEvent is the time from the arrival to the first event of a stream.
 	FirstEvent time.Duration
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -100,6 +100,35 @@
 	}
 }
 
+// Guards against a log from which nobody can tell which answer ended an attempt, and
+// over which connection it came: the record of issue 39 could not be explained by it.
+func TestFailedAttemptsAreLoggedWithTheirConnection(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 1)
+	p := f.start(nil).await()
+	is.Equal(p.post("/assign/x").status, http.StatusOK)
+	f.setFaults("", standin.EndpointFaults{RefuseAll: true})
+	r := p.post("/assign/x")
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	var line struct {
+		Request, Address          string
+		Status, Connection, Sends int
+		Reused                    bool
+	}
+	for text := range strings.Lines(p.text()) {
+		if strings.Contains(text, `"attempt failed"`) && strings.Contains(text, `"`+r.id+`"`) {
+			is.NoErr(json.Unmarshal([]byte(text), &line))
+			break
+		}
+	}
+	is.Equal(line.Request, r.id)
+	is.Equal(line.Address, f.endpoints[0].Address())
+	is.Equal(line.Status, http.StatusServiceUnavailable)
+	is.Equal(line.Connection, 1)
+	is.True(line.Reused)
+	is.Equal(line.Sends, 1)
+}
+
 // Guards against reads that fail with their endpoint although they are idempotent,
 // and against more retries than the budget allows.
 func TestReadsAreRepeatedWithinTheBudget(t *testing.T) {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -70,6 +70,7 @@
 		MaxIdle:               maxIdleAtMostOnce,
 		ResponseHeaderTimeout: stallTimeout(req),
 		Memory:                req.memory,
+		Trace:                 &req.trace,
 	}
 	if req.Route.Retryable() {
 		out.MaxIdle = maxIdleRetryable
@@ -77,6 +78,7 @@
 	req.Sends++
 	req.Runs++
 	res, err := f.client.Do(ctx, req.Endpoint.Address, out)
+	answersSkipped.Add(req.trace.Skipped)
 	if err != nil {
 		return nil, f.refuseFailed(ctx, req, err)
 	}
