--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -81,6 +81,10 @@
 	Memory *memory.Account
 	// Trace, if not nil, is filled in by Client.Do, also when it fails.
 	Trace *Trace
+	// Avoid lists the connections that carried earlier attempts of the same request, by
+	// Trace.Connection. All attempts match the same answers, so on such a connection a
+	// second copy of an earlier answer would be taken for the answer to this attempt.
+	Avoid []uint64
 }
 
 // Trace describes over which connection a request was sent and what arrived there.
@@ -167,7 +171,7 @@
 // Do sends req to address and waits for the head of the answer. If ctx ends before
 // the body has been read, the connection is closed.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Response, error) {
-	cn, err := c.connect(ctx, address, req.MaxIdle)
+	cn, err := c.connect(ctx, address, req)
 	if err != nil {
 		return nil, err
 	}
@@ -206,9 +210,9 @@
 }
 
 // connect returns an idle connection to address if one may be reused, or a new one.
-func (c *Client) connect(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
-	if maxIdle > 0 {
-		if cn := c.idle.get(address, maxIdle); cn != nil {
+func (c *Client) connect(ctx context.Context, address string, req *Request) (*conn, error) {
+	if req.MaxIdle > 0 {
+		if cn := c.idle.get(address, req.MaxIdle, req.Avoid); cn != nil {
 			return cn, nil
 		}
 	}
--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -294,7 +294,7 @@
 	body, err := do(c, "e", request("a", nil))
 	is.NoErr(err)
 	is.Equal(body, "a")
-	is.True(c.idle.get("e", time.Minute) != nil)
+	is.True(c.idle.get("e", time.Minute, nil) != nil)
 }
 
 // Guards against an answer whose head is cut off, at any byte, and that counts as an
--- a/internal/origin/idle.go
+++ b/internal/origin/idle.go
@@ -78,17 +78,20 @@
 	}
 }
 
-// get returns the most recently used connection to address that is usable and has
-// been idle for at most maxIdle, or nil if there is none. It closes the connections
-// that it rejects.
-func (p *idlePool) get(address string, maxIdle time.Duration) *conn {
+// get returns the most recently used connection to address that is usable, has been
+// idle for at most maxIdle and is not one of avoid, or nil if there is none. It closes
+// the connections that it finds unusable.
+func (p *idlePool) get(address string, maxIdle time.Duration, avoid []uint64) *conn {
 	found := make(chan *conn, 1)
 	p.commands <- func(conns map[string][]*conn) {
 		list, now := conns[address], time.Now()
 		var use *conn
-		for len(list) > 0 && use == nil {
-			c := list[len(list)-1]
-			list = list[:len(list)-1]
+		for i := len(list) - 1; i >= 0 && use == nil; i-- {
+			c := list[i]
+			if slices.Contains(avoid, c.number) {
+				continue
+			}
+			list = slices.Delete(list, i, i+1)
 			if idle := now.Sub(c.idleSince); idle > maxIdle || idle > c.keepAlive-keepAliveMargin || !c.usable() {
 				_ = c.Close()
 				continue
--- a/internal/origin/late_copy_test.go
+++ b/internal/origin/late_copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -100,3 +101,39 @@
 		}
 	}
 }
+
+// Guards against the second copy of the answer to an attempt that is taken for the answer
+// to the next attempt of the same request: the endpoint refuses the first one and runs the
+// second one, so the request would be taken as not run. Other requests use the connection
+// on.
+func TestCopiesAnswerNoLaterAttempt(t *testing.T) {
+	is := is.New(t)
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" + idHeader + ": a\r\n\r\n"
+	var refused net.Conn // which gets the copy with its next request
+	address, accepted := serve(t, func(c net.Conn, id string) bool {
+		if c == refused {
+			_, _ = io.WriteString(c, refusal)
+		}
+		if refused == nil {
+			refused = c
+			_, err := io.WriteString(c, refusal)
+			return err == nil
+		}
+		return answerPlain(c, id)
+	})
+	c := NewClient()
+	var first, second, other Trace
+	res, err := c.Do(context.Background(), address, request("a", func(r *Request) { r.Trace = &first }))
+	is.NoErr(err)
+	is.Equal(res.Status, http.StatusServiceUnavailable)
+	res.Release(true)
+	res, err = c.Do(context.Background(), address, request("a", func(r *Request) { r.Trace, r.Avoid = &second, []uint64{first.Connection} }))
+	is.NoErr(err)
+	is.Equal(res.Status, http.StatusOK) // of the attempt that ran
+	res.Close()
+	body, err := do(c, address, request("b", func(r *Request) { r.Trace = &other }))
+	is.NoErr(err)
+	is.Equal(body, "b")
+	is.Equal(other, Trace{Connection: first.Connection, Reused: true, Skipped: 1, Status: http.StatusOK})
+	is.Equal(len(accepted), 2)
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -47,6 +47,7 @@
 	Sends        int                // attempts that may have reached an endpoint
 	Runs         int                // attempts that an endpoint may have run
 	trace        origin.Trace       // of the latest attempt
+	connections  []uint64           // that carried attempts, by their numbers
 	// FirstEvent is the time from the arrival to the first event of a stream.
 	FirstEvent time.Duration
 }
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -71,6 +71,7 @@
 		ResponseHeaderTimeout: stallTimeout(req),
 		Memory:                req.memory,
 		Trace:                 &req.trace,
+		Avoid:                 req.connections,
 	}
 	if req.Route.Retryable() {
 		out.MaxIdle = maxIdleRetryable
@@ -79,6 +80,7 @@
 	req.Runs++
 	res, err := f.client.Do(ctx, req.Endpoint.Address, out)
 	answersSkipped.Add(req.trace.Skipped)
+	req.connections = append(req.connections, req.trace.Connection)
 	if err != nil {
 		return nil, f.refuseFailed(ctx, req, err)
 	}
