--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -112,6 +112,10 @@
 		if refusal.Request != req.ID {
 			return nil, eris.Errorf("entry: refusal belongs to request %s, not %s", refusal.Request, req.ID)
 		}
+		// Sides of earlier versions, and refusals to resume, name no attempt.
+		if refusal.AttemptID != "" && refusal.AttemptID != req.AttemptID {
+			return nil, eris.Errorf("entry: refusal belongs to another attempt of request %s", req.ID)
+		}
 		return nil, refusal.Model()
 	default:
 		resp.Body.Close()
--- a/internal/side/codec.go
+++ b/internal/side/codec.go
@@ -9,18 +9,24 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/wire"
 )
 
-// requestIDKey is the context key of a *model.RequestID.
-type requestIDKey struct{}
+// requestIDsKey is the context key of a *requestIDs.
+type requestIDsKey struct{}
 
-// withRequestID adds a variable for the id of the request to ctx. The decoder sets
-// it, and a refusal names it.
-func withRequestID(ctx context.Context, _ *http.Request) context.Context {
-	return context.WithValue(ctx, requestIDKey{}, new(model.RequestID))
+// requestIDs are the ids that a refusal names.
+type requestIDs struct {
+	request model.RequestID
+	attempt string // empty if the attempt has no id
 }
 
-func setRequestID(ctx context.Context, id model.RequestID) {
-	if p, ok := ctx.Value(requestIDKey{}).(*model.RequestID); ok {
-		*p = id
+// withRequestIDs adds a variable for the ids of the request to ctx. The decoder sets
+// it, and a refusal names them.
+func withRequestIDs(ctx context.Context, _ *http.Request) context.Context {
+	return context.WithValue(ctx, requestIDsKey{}, new(requestIDs))
+}
+
+func setRequestIDs(ctx context.Context, ids requestIDs) {
+	if p, ok := ctx.Value(requestIDsKey{}).(*requestIDs); ok {
+		*p = ids
 	}
 }
 
@@ -29,7 +35,7 @@
 	if err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
 	}
-	setRequestID(ctx, w.ID)
+	setRequestIDs(ctx, requestIDs{w.ID, w.AttemptID})
 	return w.Model(time.Now()), nil
 }
 
@@ -38,7 +44,7 @@
 	if err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
 	}
-	setRequestID(ctx, req.ID)
+	setRequestIDs(ctx, requestIDs{request: req.ID})
 	return req, nil
 }
 
@@ -54,9 +60,9 @@
 }
 
 func encodeError(ctx context.Context, err error, w http.ResponseWriter) {
-	id, _ := ctx.Value(requestIDKey{}).(*model.RequestID)
-	if id == nil {
-		id = new(model.RequestID)
+	ids, _ := ctx.Value(requestIDsKey{}).(*requestIDs)
+	if ids == nil {
+		ids = new(requestIDs)
 	}
-	wire.WriteRefusal(w, *id, model.AsRefusal(err))
+	wire.WriteRefusal(w, ids.request, ids.attempt, model.AsRefusal(err))
 }
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -136,7 +136,7 @@
 func (p *Side) Handler() http.Handler {
 	run := pipe.Endpoint(p.trafficPipeline())
 	options := []httptransport.ServerOption{
-		httptransport.ServerBefore(withRequestID), httptransport.ServerErrorEncoder(encodeError),
+		httptransport.ServerBefore(withRequestIDs), httptransport.ServerErrorEncoder(encodeError),
 	}
 	server := httptransport.NewServer(run, decodeRun, encodeRun, options...)
 	mux := http.NewServeMux()
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -13,14 +13,14 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
-// Guards against a refusal that does not name its request: the entry could apply
-// the outcome "not run" of another request to this one.
+// Guards against a refusal that does not name its request and attempt: the entry could
+// apply the outcome "not run" of another request, or of an earlier attempt, to this one.
 func TestRefusalNamesItsRequest(t *testing.T) {
 	w := httptest.NewRecorder()
-	WriteRefusal(w, "r1", model.Refuse(model.ReasonDraining, ""))
+	WriteRefusal(w, "r1", "a1", model.Refuse(model.ReasonDraining, ""))
 	var got Refusal
-	if err := json.NewDecoder(w.Body).Decode(&got); err != nil || got.Request != "r1" {
-		t.Fatalf("refusal names %q: %v", got.Request, err)
+	if err := json.NewDecoder(w.Body).Decode(&got); err != nil || got.Request != "r1" || got.AttemptID != "a1" {
+		t.Fatalf("refusal names %q, attempt %q: %v", got.Request, got.AttemptID, err)
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -107,7 +107,8 @@
 
 // Refusal is the encoded form of model.Refusal.
 type Refusal struct {
-	Request      model.RequestID  `json:"request"` // the refused request; a refusal can arrive on the connection of another request
+	Request      model.RequestID  `json:"request"`             // the refused request; a refusal can arrive on the connection of another request
+	AttemptID    string           `json:"hand_over,omitempty"` // the refused attempt; empty if the attempt has no id
 	Outcome      model.Outcome    `json:"outcome"`
 	Reason       model.Reason     `json:"reason"`
 	Detail       string           `json:"detail,omitempty"`
@@ -117,7 +118,8 @@
 	Crash        string           `json:"crash,omitempty"`
 }
 
-// FromRefusal returns the encoded form of the refusal r of request id.
+// FromRefusal returns the encoded form of the refusal r of request id, for any of its
+// attempts.
 func FromRefusal(id model.RequestID, r *model.Refusal) Refusal {
 	return Refusal{
 		Request: id,
@@ -146,11 +148,13 @@
 	return w, nil
 }
 
-// WriteRefusal writes the refusal of request id as the response. The status is
-// 409 whatever the reason, so that the status of an intermediary cannot be taken
-// for a refusal.
-func WriteRefusal(w http.ResponseWriter, id model.RequestID, r *model.Refusal) {
+// WriteRefusal writes the refusal of an attempt of request id as the response. The
+// status is 409 whatever the reason, so that the status of an intermediary cannot be
+// taken for a refusal.
+func WriteRefusal(w http.ResponseWriter, id model.RequestID, attemptID string, r *model.Refusal) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusConflict)
-	_ = json.NewEncoder(w).Encode(FromRefusal(id, r))
+	out := FromRefusal(id, r)
+	out.AttemptID = attemptID
+	_ = json.NewEncoder(w).Encode(out)
 }
