--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -151,7 +151,13 @@
 // putEndpoint writes the record of an endpoint, with the address of its proxy, to
 // the store.
 func (f *fleet) putEndpoint(e *fleetEndpoint, state string) {
-	f.store.Put("keyed.servers", e.endpoint.ID, map[string]any{
+	f.putEndpointAs(e.endpoint.ID, e, state)
+}
+
+// putEndpointAs writes the record of an endpoint under another id, like that of an earlier
+// process at its address.
+func (f *fleet) putEndpointAs(id string, e *fleetEndpoint, state string) {
+	f.store.Put("keyed.servers", id, map[string]any{
 		"Service": e.pool, "Address": e.proxy.address(), "Zone": e.dc, "Version": "v1", "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1,
 	})
 }
