--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -33,6 +33,7 @@
 // ResponseClass is what the head of an endpoint's answer says about the request.
 type ResponseClass struct {
 	NotRun      bool // the endpoint did not run the request and will not run it
+	Promise     bool // callers take the status as a promise that the request did not run
 	Misdirected bool // the address now belongs to another endpoint
 	Signed      bool // the answer carries the endpoint's signature
 	Leaving     bool // the endpoint leaves and is to get no new requests
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -81,6 +81,26 @@
 	}
 }
 
+// Guards against a status that callers take as a promise that nothing ran and that is
+// passed on from an endpoint that ran the request: the caller would send it again.
+func TestStatusesOfEndpointsThatRanPromiseNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, 2)
+	p := f.start(nil).await()
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		f.setFaults("", standin.EndpointFaults{Fail: true, FailStatus: status})
+		for _, path := range []string{"/assign/x", "/stream/brief/x"} {
+			r := p.post(path)
+			is.Equal(r.status, http.StatusBadGateway)
+			is.Equal(r.header.Get("X-Goldcrestturn-Server-Signature"), "")
+			got := f.received(r.id)
+			is.Equal(len(got), 1)
+			is.True(got[0].Ran)
+		}
+		is.Equal(p.get("/read/x").status, status) // may run again
+	}
+}
+
 // Guards against a request that fails because one endpoint refused it although
 // another has capacity, and against a refusal without Retry-After.
 func TestRefusalsGoOn(t *testing.T) {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -144,6 +144,12 @@
 		f.recordResult(req.Endpoint.ID, place.Failed, 0)
 		return nil, &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonEndpointFailed, Detail: "answer has no signature"}
 	}
+	if class.Promise && !req.Route.Retryable() {
+		// The endpoint may have run the request, so the caller must not send it again.
+		res.Close()
+		f.recordResult(req.Endpoint.ID, place.EndpointError, 0)
+		return nil, &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonEndpointFailed, Detail: "endpoint answered with a status that promises what it does not state"}
+	}
 	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, EndpointError: res.Status >= http.StatusInternalServerError}
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
 		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
