--- a/internal/place/peers.go
+++ b/internal/place/peers.go
@@ -114,6 +114,9 @@
 	return max(len(t.announced), 1+len(t.peers))
 }
 
+// Rank returns the position of this router, from 0, in the rendezvous order for a key.
+func (t *Table) Rank(key uint32) int { return t.rank(key) }
+
 // IsFirst reports whether this router is the first one in the rendezvous order for a key.
 func (t *Table) IsFirst(key uint32) bool { return t.rank(key) == 0 }
 
--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,7 +48,7 @@
 // guardEndpoints refuses requests with a property that crashes endpoints.
 type guardEndpoints struct {
 	snapshot   func() *Snapshot
-	allowTrial func(ctx context.Context, cause uint64) bool
+	allowTrial func(ctx context.Context, causes []uint64) bool
 }
 
 func (guardEndpoints) Name() string { return "guard" }
@@ -57,34 +58,33 @@
 	if len(view) == 0 {
 		return next(ctx, req)
 	}
-	for _, key := range req.causes() {
-		if view[key] && !f.allowTrial(ctx, key) {
-			causesRefused.Inc()
-			return nil, unknownIfRun(req, refuseWithRetryAfter(model.ReasonSuspect, "endpoints crashed at requests with the property "+suspect.Name(key), suspectRetryAfter))
-		}
+	refused := slices.DeleteFunc(req.causes(), func(key uint64) bool { return !view[key] })
+	if len(refused) == 0 || f.allowTrial(ctx, refused) {
+		return next(ctx, req)
 	}
-	return next(ctx, req)
+	causesRefused.Inc()
+	return nil, unknownIfRun(req, refuseWithRetryAfter(model.ReasonSuspect, "endpoints crashed at requests with the property "+suspect.Name(refused[0]), suspectRetryAfter))
 }
 
 // suspectRetryAfter is when a caller whose request crashes endpoints may send it again.
 // It is longer than any deadline, since the request would be refused before.
 const suspectRetryAfter = 30 * time.Second
 
-// allowTrial reports whether a refused request may be sent. If its trial is due, it claims
-// it in the store, which the routers that take themselves for the first one share.
-func (r *Router) allowTrial(ctx context.Context, cause uint64) bool {
-	trial, err := control.Ask(ctx, r.loop, trialAsked{Question: control.NewQuestion[trialReply](), cause: cause})
+// allowTrial reports whether a request with refused properties may be sent. If its trial
+// is due, it claims it in the store, which all routers share.
+func (r *Router) allowTrial(ctx context.Context, causes []uint64) bool {
+	trial, err := control.Ask(ctx, r.loop, trialAsked{Question: control.NewQuestion[trialReply](), causes: causes})
 	if err != nil || !trial.due {
 		return false
 	}
-	stored, claimed, err := r.deps.Store.ClaimTrial(ctx, trial.record)
+	stored, claimed, err := r.deps.Store.ClaimTrial(ctx, trial.records)
 	if err != nil {
-		r.log.Info("trial of a refused property not claimed", "property", suspect.Name(cause), "error", err.Error())
+		r.log.Info("trial of a refused property not claimed", "property", suspect.Name(causes[0]), "properties", len(causes), "error", err.Error())
 		return false
 	}
-	_ = r.loop.Post(ctx, suspectsRead{[]suspect.Record{stored}})
+	_ = r.loop.Post(ctx, suspectsRead{stored})
 	if claimed {
-		r.log.Info("refused property tried again", "property", suspect.Name(cause), "trial", stored.Trials)
+		r.log.Info("refused property tried again", "property", suspect.Name(causes[0]), "properties", len(causes), "trial", trial.records[0].Trials)
 	}
 	return claimed
 }
@@ -156,9 +156,7 @@
 		return f.answered(s, now, e.causes)
 	case trialAsked:
 		var reply trialReply
-		if s.table.IsFirst(uint32(e.cause)) {
-			reply.record, reply.due = s.causes.DueTrial(now, e.cause)
-		}
+		reply.records, reply.due = s.causes.DueTrial(now, e.causes, s.table.Rank(uint32(e.causes[0])))
 		e.Reply(reply)
 	case peerMessage:
 		if len(e.crashes)+len(e.sound) == 0 {
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -77,10 +77,10 @@
 		reports []suspect.Report
 		live    bool
 	}
-	// trialAsked asks whether a request with a refused property is due to be sent.
+	// trialAsked asks whether a request with refused properties is due to be sent.
 	trialAsked struct {
 		control.Question[trialReply]
-		cause uint64
+		causes []uint64
 	}
 	// requestArrived counts a request towards the retry budget of a pool.
 	requestArrived struct{ pool model.Pool }
@@ -161,10 +161,10 @@
 	dataCentre model.DataCentre
 }
 
-// trialReply is the reply to trialAsked: the record with which to claim the trial.
+// trialReply is the reply to trialAsked: the records with which to claim the trial.
 type trialReply struct {
-	record suspect.Record
-	due    bool
+	records []suspect.Record
+	due     bool
 }
 
 // pickReply is the reply to pickEndpoint.
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -110,10 +110,10 @@
 	// one if it has no crashes. It returns ErrConflict if one was stored after position.
 	Suspects(ctx context.Context) ([]suspect.Record, int64, error)
 	PutSuspect(ctx context.Context, r suspect.Record, position int64) error
-	// ClaimTrial stores a record with one more trial, unless the stored one has as many
-	// already, and returns the record that is stored then. It fails if another router
-	// stores a record at the same time.
-	ClaimTrial(ctx context.Context, r suspect.Record) (stored suspect.Record, claimed bool, err error)
+	// ClaimTrial stores records with one more trial each, all or none: none if a stored
+	// one has as many already. It returns the records that are stored then. It fails if
+	// another router stores a record at the same time.
+	ClaimTrial(ctx context.Context, records []suspect.Record) (stored []suspect.Record, claimed bool, err error)
 	// PutCrashReport stores what this router saw of crashes in place of its last report.
 	// CrashReports returns the reports of all routers and the position after them.
 	PutCrashReport(ctx context.Context, r suspect.Report) error
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -30,6 +30,15 @@
 	// runs of a request that crashed three endpoints; one is left for a request that was
 	// already on its way.
 	maxTrials = 2
+	// severalTrialFactor is the factor on the wait for a trial of a request with several
+	// refused properties.
+	severalTrialFactor = 2
+	// trialStep is how much later each router may send a trial than the one before it in
+	// the order for its property, up to maxTrialDelay. The first one may get no request
+	// with the property for long, and each claim that comes too late costs a read of the
+	// store.
+	trialStep     = 200 * time.Millisecond
+	maxTrialDelay = 5 * time.Second
 	// refusedLifetime is how long a property stays refused after its last crash.
 	refusedLifetime = 24 * time.Hour
 	// MaxCauses is the maximum number of causes in a table, and MaxCauseCrashes that of
@@ -268,26 +277,39 @@
 	}
 }
 
-// DueTrial reports whether one request with a refused property is due to be sent, which
-// shows whether endpoints still crash. The record counts it. Since several routers may
-// take a trial for due, each must claim it by storing the record before it sends, and
-// Merge the record then.
-func (t *Causes) DueTrial(now time.Time, key uint64) (Record, bool) {
-	s := t.byKey[key]
-	if s == nil || s.trials >= maxTrials {
-		return Record{}, false
+// DueTrial reports whether one request with these refused properties is due to be sent,
+// which shows whether endpoints still crash. All of them must be due, and several at once
+// only after severalTrialFactor times the wait: a request with one of them alone tells
+// more, and deadly requests must not use up the trials of a property that sound requests
+// share. rank is the position of this router in the order in which routers may send the
+// trial. The records count it. Since several routers may take a trial for due, each must
+// claim it by storing the records before it sends, and Merge the records then.
+func (t *Causes) DueTrial(now time.Time, keys []uint64, rank int) ([]Record, bool) {
+	factor := time.Duration(1)
+	if len(keys) > 1 {
+		factor = severalTrialFactor
 	}
-	since := s.last()
-	if s.tried.After(since) {
-		since = s.tried
+	for _, key := range keys {
+		s := t.byKey[key]
+		if s == nil || s.trials >= maxTrials {
+			return nil, false
+		}
+		since := s.last()
+		if s.tried.After(since) {
+			since = s.tried
+		}
+		if now.Sub(since) < factor*s.trialWait()+min(time.Duration(rank)*trialStep, maxTrialDelay) {
+			return nil, false
+		}
 	}
-	if now.Sub(since) < s.trialWait() {
-		return Record{}, false
+	var out []Record
+	for _, key := range keys {
+		t.byKey[key].tried = now
+		r := t.Record(key)
+		r.Trials++
+		out = append(out, r)
 	}
-	s.tried = now
-	r := t.Record(key)
-	r.Trials++
-	return r, true
+	return out, true
 }
 
 // Sweep removes the properties whose last crash is older than Lifetime, or
