--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -24,9 +24,7 @@
 	readHeaderTimeout = 5 * time.Second
 	readBodyTimeout   = 10 * time.Second
 	// writeTimeout bounds each write to a caller that reads slowly.
-	writeTimeout = 10 * time.Second
-	// idleTimeout is longer than any idle time that operators grant callers.
-	idleTimeout         = 5 * time.Minute
+	writeTimeout        = 10 * time.Second
 	maxHeaderBytes      = 64 << 10
 	defaultMaxBodyBytes = 8 << 20
 )
@@ -66,7 +64,7 @@
 	go func() { failed <- readinessSrv.Serve(readiness) }()
 	go func() {
 		r.awaitStartState(background)
-		failed <- srv.Serve(callers)
+		failed <- srv.Serve(idleListener{callers, r.idleLimit})
 	}()
 	r.log.Info("started", "instance", r.settings.Instance, "data_centre", r.settings.DataCentre,
 		"listen", callers.Addr().String(), "version", program.Version)
