--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,6 +42,42 @@
 	return a, b, pipes, cancel
 }
 
+// failingListener fails to accept a few times, like one of a process that has no
+// descriptor left.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a node that accepts no peer any more after its process was out of
+// descriptors for a moment.
+func TestNodesAcceptAgainAfterErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		pipes := NewPipeNet("a", "b")
+		a := New(Config{Key: "k", Budget: 100_000, Dial: pipes.Dialer("a")})
+		b := New(Config{Key: "k", Budget: 100_000, Dial: pipes.Dialer("b")})
+		is.NoErr(b.Register("Echo", &echoService{}))
+		go a.Run(ctx)
+		l := &failingListener{Listener: pipes.Listen("b"), failures: 5}
+		go func() { _ = b.Serve(ctx, l) }()
+		time.Sleep(time.Second) // longer than the waits after five errors
+		var reply EchoArgs
+		is.NoErr(a.Call(t.Context(), "b", "Echo.Say", EchoArgs{"hello"}, &reply))
+		is.Equal(reply.Text, "hello")
+	})
+}
+
 // Guards against a call that does not reach the peer, a second connection to
 // the same peer, and byte counts that differ between the two ends.
 func TestCallsShareOneConnectionAndAreCounted(t *testing.T) {
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
 )
 
 // Dialer opens a connection to the control address of a peer.
@@ -38,6 +41,10 @@
 	// CallTimeout bounds one call. The data centres of a region are milliseconds
 	// apart, so a second without a reply means that the peer is down.
 	CallTimeout = time.Second
+	// minAcceptBackoff is the wait after a failed accept, which doubles with each further
+	// one up to maxAcceptBackoff.
+	minAcceptBackoff = 5 * time.Millisecond
+	maxAcceptBackoff = time.Second
 )
 
 // Node is the server and the client of the control exchange in one process.
@@ -78,11 +85,13 @@
 // Meter returns the meter of the node's connections.
 func (n *Node) Meter() *Meter { return n.meter }
 
-// Serve accepts connections from peers until ctx ends.
+// Serve accepts connections from peers until ctx ends or l is closed. Other errors of l,
+// as when the process has no descriptor left, may pass, so it tries again.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
 	slots := make(chan struct{}, maxPeers)
+	backoff := minAcceptBackoff
 	for {
 		conn, err := l.Accept()
 		if ctx.Err() != nil {
@@ -91,9 +100,15 @@
 			}
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return eris.Wrap(err, "exchange: connections cannot be accepted")
 		}
+		if err != nil {
+			control.Pause(ctx, backoff)
+			backoff = min(2*backoff, maxAcceptBackoff)
+			continue
+		}
+		backoff = minAcceptBackoff
 		select {
 		case slots <- struct{}{}:
 			go func() {
