--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -20,6 +20,9 @@
 	Key    string // shared key of the fleet
 	Budget int64  // bytes a second, both directions together
 	Dial   Dialer // nil means TCP
+	// AcceptFailed is called with each error of the listener that Serve passes over; nil
+	// means nothing is done.
+	AcceptFailed func(error)
 }
 
 // Limits and timeouts of a node.
@@ -67,6 +70,9 @@
 			return d.DialContext(ctx, "tcp", address)
 		}
 	}
+	if cfg.AcceptFailed == nil {
+		cfg.AcceptFailed = func(error) {}
+	}
 	n := &Node{
 		cfg: cfg, rpc: rpc.NewServer(), meter: NewMeter(cfg.Budget),
 		requests: make(chan peerRequest), broken: make(chan brokenConn), dialled: make(chan dialResult),
@@ -104,6 +110,7 @@
 			return eris.Wrap(err, "exchange: connections cannot be accepted")
 		}
 		if err != nil {
+			n.cfg.AcceptFailed(err)
 			control.Pause(ctx, backoff)
 			backoff = min(2*backoff, maxAcceptBackoff)
 			continue
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -175,13 +176,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if req.Trace != nil {
-		*req.Trace = Trace{Connection: cn.number, Reused: cn.reused}
-	}
+	trace := cmp.Or(req.Trace, new(Trace))
+	*trace = Trace{Connection: cn.number, Reused: cn.reused}
 	cn.setReadTimeout(req.ResponseHeaderTimeout)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	sent := cn.startSend(req)
-	res, err := cn.receive(req)
+	res, err := cn.receive(req, trace)
 	if err != nil {
 		stop()
 		_ = cn.Close()
@@ -273,8 +273,8 @@
 }
 
 // receive reads answers until one belongs to req, and returns it once its head has
-// been read. The reader of its body sets its own limit.
-func (c *conn) receive(req *Request) (res *Response, err error) {
+// been read. The reader of its body sets its own limit. trace counts what was skipped.
+func (c *conn) receive(req *Request, trace *Trace) (res *Response, err error) {
 	sent := &http.Request{Method: req.Method}
 	c.limited.left, c.limited.held = maxHeadBytes, 0
 	defer func() {
@@ -303,9 +303,7 @@
 			continue
 		}
 		if !req.Matches(head.Header) {
-			if req.Trace != nil {
-				req.Trace.Skipped++
-			}
+			trace.Skipped++
 			if !framed(head) { // the answer to this request cannot follow it
 				return nil, eris.Wrapf(ErrUnexpectedResponse, "answer from %s is to another request", c.address)
 			}
@@ -317,9 +315,7 @@
 			c.limited.left = left
 			continue
 		}
-		if req.Trace != nil {
-			req.Trace.Status = head.StatusCode
-		}
+		trace.Status = head.StatusCode
 		c.keepAlive = keepAliveTimeout(head.Header)
 		length := head.ContentLength
 		if head.Body == http.NoBody {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,7 +67,9 @@
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.memory = memory.NewBudget(int64(requestMemoryShare * float64(s.MemoryLimit)))
-	r.node = exchange.New(exchange.Config{Key: exchangeKey})
+	r.node = exchange.New(exchange.Config{Key: exchangeKey, AcceptFailed: func(err error) {
+		r.log.Warn("connections of peers cannot be accepted", "error", err.Error())
+	}})
 	r.loop = control.New(control.Config[State, Snapshot]{
 		State: newState(s), Stages: r.controlPipeline(), Publish: publish,
 	})
