--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -55,16 +55,7 @@
 // fail requests, and the store rejects calls. Endpoints are reached without proxies, which
 // would accept connections for one that has crashed.
 func TestDeadlyRequestSoak(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	binary := buildRouter(t)
-	for _, seed := range soakSeeds(t) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			runDeadlySeed(t, binary, seed)
-		})
-	}
+	runSeeds(t, runDeadlySeed)
 }
 
 func runDeadlySeed(t *testing.T, binary string, seed uint64) {
--- a/internal/soak/restart_test.go
+++ b/internal/soak/restart_test.go
@@ -18,16 +18,7 @@
 // connections are reset, cut in one direction or slow. TestSoak has neither late copies
 // nor a list that lags behind, and missed such requests.
 func TestRestartSoak(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	binary := buildRouter(t)
-	for _, seed := range soakSeeds(t) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			runRestartSeed(t, binary, seed)
-		})
-	}
+	runSeeds(t, runRestartSeed)
 }
 
 func runRestartSeed(t *testing.T, binary string, seed uint64) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// runSeeds calls run with the router program for each seed, in parallel.
+func runSeeds(t *testing.T, run func(t *testing.T, binary string, seed uint64)) {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	binary := buildRouter(t)
+	for _, seed := range soakSeeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			run(t, binary, seed)
+		})
+	}
+}
+
 // soakSeeds returns the seeds to run: those of the -soak flag, or ciSeeds without it.
 func soakSeeds(t *testing.T) []uint64 {
 	t.Helper()
