exchange: a failed call returns no reply

Router.callReader read the reply of a query that had timed out, and returned it, while the client's goroutine of net/rpc could still decode into it. The caller of CallWithin had to know not to do that.

Call and CallWithin now return the reply themselves and the zero value on failure, so no caller holds a reply that may still change. All other callers looked at the error first.

Ruled out: a change of the timeout, since any timeout can pass while a reply is decoded; a copy under a lock, since net/rpc holds none while it decodes.

--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -35,8 +35,8 @@
 
 // Fetch implements Peers.
 func (p ExchangePeers) Fetch(ctx context.Context, address string, req config.FetchRequest) (config.FetchReply, int, error) {
-	var reply exchange.FetchReply
-	if err := p.Node.Call(ctx, address, exchange.MethodFetch, exchange.FromFetchRequest(req, p.Address), &reply); err != nil {
+	reply, err := exchange.Call[exchange.FetchReply](ctx, p.Node, address, exchange.MethodFetch, exchange.FromFetchRequest(req, p.Address))
+	if err != nil {
 		return config.FetchReply{}, 0, err
 	}
 	m, err := reply.Model(time.Now())
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -183,8 +183,8 @@
 func (e *Entry) sendGroupSums(ctx context.Context, m groupSumsMessage) {
 	args := exchange.FromSums(m.key, m.sums)
 	args.News = encodeGossip(m.gossip)
-	var reply exchange.GroupsReply
-	if err := e.node.Call(ctx, m.address, exchange.MethodGroups, args, &reply); err != nil {
+	reply, err := exchange.Call[exchange.GroupsReply](ctx, e.node, m.address, exchange.MethodGroups, args)
+	if err != nil {
 		reportFailures.Inc()
 		return
 	}
@@ -232,8 +232,7 @@
 		return false
 	}
 	address := peers.Address(others[turn%len(others)])
-	var reply exchange.News
-	err := e.node.Call(ctx, address, exchange.MethodCrashes, exchange.CrashesArgs{WithinMS: within.Milliseconds()}, &reply)
+	reply, err := exchange.Call[exchange.News](ctx, e.node, address, exchange.MethodCrashes, exchange.CrashesArgs{WithinMS: within.Milliseconds()})
 	return err == nil && e.receiveGossip(reply) == nil
 }
 
--- a/internal/entry/limit.go
+++ b/internal/entry/limit.go
@@ -54,8 +54,7 @@
 	for _, l := range decision.leaseRequests {
 		args.Wishes = append(args.Wishes, exchange.Wish{Workspace: string(l.workspace), Want: l.want, Need: l.need})
 	}
-	var reply exchange.BorrowReply
-	err := f.entry.node.Call(ctx, decision.address, exchange.MethodBorrow, args, &reply)
+	reply, err := exchange.Call[exchange.BorrowReply](ctx, f.entry.node, decision.address, exchange.MethodBorrow, args)
 	if err != nil || len(reply.Grants) != len(decision.leaseRequests) {
 		homeUnreachable.Inc()
 		return control.Ask(ctx, f.entry.loop, result)
--- a/internal/entry/source_rollout.go
+++ b/internal/entry/source_rollout.go
@@ -55,8 +55,7 @@
 	for _, m := range messages {
 		args := exchange.FromEvidence(m.key, m.source, true, m.rollout, m.total)
 		args.News = encodeGossip(m.gossip)
-		var reply exchange.News
-		if e.node.Call(ctx, m.address, exchange.MethodEvidence, args, &reply) == nil {
+		if reply, err := exchange.Call[exchange.News](ctx, e.node, m.address, exchange.MethodEvidence, args); err == nil {
 			_ = e.receiveGossip(reply)
 		}
 	}
--- a/internal/exchange/capacity_test.go
+++ b/internal/exchange/capacity_test.go
@@ -38,7 +38,7 @@
 
 // benchmarkCall reports the bytes on the wire and the processor time of one call
 // for both ends together.
-func benchmarkCall(b *testing.B, method string, args any, reply func() any) {
+func benchmarkCall[R any](b *testing.B, method string, args any) {
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
 	pipes := NewPipeNet("a", "b")
@@ -48,13 +48,13 @@
 	}
 	go client.Run(ctx)
 	go func() { _ = server.Serve(ctx, pipes.Listen("b")) }()
-	if err := client.Call(ctx, "b", method, args, reply()); err != nil {
+	if _, err := Call[R](ctx, client, "b", method, args); err != nil {
 		b.Fatal(err)
 	}
 	before := client.Meter().Usage()
 	b.ResetTimer()
 	for range b.N {
-		if err := client.Call(ctx, "b", method, args, reply()); err != nil {
+		if _, err := Call[R](ctx, client, "b", method, args); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -65,7 +65,7 @@
 
 func BenchmarkCapacityReport(b *testing.B) {
 	args := FromReport(summary.Report{Endpoint: "engine-0123", Key: summary.Key{Pool: "chat-large", Region: "ph-luzon"}, Group: 6, Load: 48_000, Running: 12})
-	benchmarkCall(b, MethodReport, args, func() any { return &ReportReply{} })
+	benchmarkCall[ReportReply](b, MethodReport, args)
 }
 
 func BenchmarkCapacityGroupReport(b *testing.B) {
@@ -75,7 +75,7 @@
 			for g := range groups {
 				sums = append(sums, summary.GroupSum{Group: g, Sum: summary.Sum{Load: 576_000, Endpoints: 12, Age: time.Second}})
 			}
-			benchmarkCall(b, MethodGroups, FromSums(summary.Key{Pool: "chat-large", Region: "ph-luzon"}, sums), func() any { return &GroupsReply{} })
+			benchmarkCall[GroupsReply](b, MethodGroups, FromSums(summary.Key{Pool: "chat-large", Region: "ph-luzon"}, sums))
 		})
 	}
 }
@@ -87,7 +87,7 @@
 			for i := range workspaces {
 				args.Wishes = append(args.Wishes, Wish{Workspace: fmt.Sprint("workspace-", 10_000+i), Want: 1500, Need: 700})
 			}
-			benchmarkCall(b, MethodBorrow, args, func() any { return &BorrowReply{} })
+			benchmarkCall[BorrowReply](b, MethodBorrow, args)
 		})
 	}
 }
@@ -97,5 +97,5 @@
 	for i := range 12 {
 		args.Crash.Fingerprints = append(args.Crash.Fingerprints, 0x9e3779b97f4a7c15*uint64(i+1))
 	}
-	benchmarkCall(b, MethodCrash, args, func() any { return &Ack{} })
+	benchmarkCall[Ack](b, MethodCrash, args)
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -72,8 +72,8 @@
 		l := &failingListener{Listener: pipes.Listen("b"), failures: 5}
 		go func() { _ = b.Serve(ctx, l) }()
 		time.Sleep(time.Second) // longer than the waits after five errors
-		var reply EchoArgs
-		is.NoErr(a.Call(t.Context(), "b", "Echo.Say", EchoArgs{"hello"}, &reply))
+		reply, err := Call[EchoArgs](t.Context(), a, "b", "Echo.Say", EchoArgs{"hello"})
+		is.NoErr(err)
 		is.Equal(reply.Text, "hello")
 	})
 }
@@ -88,8 +88,8 @@
 		var sizes []int64
 		for range 3 {
 			before := a.Meter().Usage()
-			var reply EchoArgs
-			is.NoErr(a.Call(t.Context(), "b", "Echo.Say", EchoArgs{"hello"}, &reply))
+			reply, err := Call[EchoArgs](t.Context(), a, "b", "Echo.Say", EchoArgs{"hello"})
+			is.NoErr(err)
 			is.Equal(reply.Text, "hello")
 			synctest.Wait()
 			sizes = append(sizes, a.Meter().Usage().Total()-before.Total())
@@ -108,7 +108,7 @@
 		is := is.New(t)
 		a, _, pipes, cancel := startPair(t, 0, "wrong", "k")
 		defer cancel()
-		err := a.Call(t.Context(), "b", "Echo.Say", EchoArgs{"hello"}, &EchoArgs{})
+		_, err := Call[EchoArgs](t.Context(), a, "b", "Echo.Say", EchoArgs{"hello"})
 		is.True(err != nil && strings.Contains(err.Error(), "shared key"))
 
 		conn, err := pipes.Dialer("x")(t.Context(), "b")
@@ -142,9 +142,11 @@
 		is := is.New(t)
 		a, _, _, cancel := startPair(t, time.Minute, "k", "k")
 		start := time.Now()
-		is.True(a.Call(t.Context(), "b", "Echo.Say", EchoArgs{"x"}, &EchoArgs{}) != nil)
+		_, err := Call[EchoArgs](t.Context(), a, "b", "Echo.Say", EchoArgs{"x"})
+		is.True(err != nil)
 		is.Equal(time.Since(start), CallTimeout)
-		is.True(a.Call(t.Context(), "nobody", "Echo.Say", EchoArgs{"x"}, &EchoArgs{}) != nil)
+		_, err = Call[EchoArgs](t.Context(), a, "nobody", "Echo.Say", EchoArgs{"x"})
+		is.True(err != nil)
 		time.Sleep(2 * time.Minute) // the handler ends
 		cancel()
 	})
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -134,13 +134,26 @@
 	n.rpc.ServeCodec(newServerCodec(&countedConn{Conn: conn, meter: n.meter}, n.cfg.Key))
 }
 
-// Call calls method at the peer and waits up to CallTimeout for the reply.
-func (n *Node) Call(ctx context.Context, address, method string, args, reply any) error {
-	return n.CallWithin(ctx, CallTimeout, address, method, args, reply)
+// Call calls method at the peer and returns its reply, for which it waits up to
+// CallTimeout.
+func Call[R any](ctx context.Context, n *Node, address, method string, args any) (R, error) {
+	return CallWithin[R](ctx, n, CallTimeout, address, method, args)
 }
 
-// CallWithin is Call with another bound, for replies that take long to transfer.
-func (n *Node) CallWithin(ctx context.Context, timeout time.Duration, address, method string, args, reply any) error {
+// CallWithin is Call with another bound, for replies that take long to transfer. A call
+// that fails returns the zero R: the client's goroutine may still decode a reply that
+// arrives after the timeout, so nobody else may hold it.
+func CallWithin[R any](ctx context.Context, n *Node, timeout time.Duration, address, method string, args any) (R, error) {
+	reply := new(R)
+	if err := n.call(ctx, timeout, address, method, args, reply); err != nil {
+		var none R
+		return none, err
+	}
+	return *reply, nil
+}
+
+// call calls method at the peer. If it fails, reply must not be read.
+func (n *Node) call(ctx context.Context, timeout time.Duration, address, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	client, err := n.client(ctx, address)
@@ -155,9 +168,7 @@
 		}
 		return eris.Wrapf(call.Error, "exchange: call %s", method)
 	case <-ctx.Done():
-		// The client's goroutine may still write reply, so the connection is
-		// closed and the caller must not read reply.
-		n.drop(address, client)
+		n.drop(address, client) // a later reply would be decoded for nothing
 		return eris.Wrapf(ctx.Err(), "exchange: call %s", method)
 	}
 }
--- a/internal/exchange/spread.go
+++ b/internal/exchange/spread.go
@@ -14,7 +14,7 @@
 	done := make(chan struct{}, len(hops))
 	for _, h := range hops {
 		go func() {
-			if n.Call(ctx, h.To, method, args, &Ack{}) != nil {
+			if _, err := Call[Ack](ctx, n, h.To, method, args); err != nil {
 				n.callAll(ctx, h.Children, method, args)
 			}
 			done <- struct{}{}
@@ -40,7 +40,7 @@
 	done := make(chan struct{}, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			_ = n.Call(ctx, address, method, args, &Ack{})
+			_, _ = Call[Ack](ctx, n, address, method, args)
 			done <- struct{}{}
 		}()
 	}
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -7,6 +7,7 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -165,12 +166,14 @@
 
 // callReader queries the reader at address for a router with the given snapshot.
 func (r *Router) callReader(ctx context.Context, address string, snap *Snapshot) (StateReply, error) {
-	var reply StateReply
 	args := StateArgs{List: snap.List.Hash, Position: snap.Position, Config: snap.configHash}
-	err := r.node.CallWithin(ctx, queryTimeout, address, storeMethod, args, &reply)
+	reply, err := exchange.CallWithin[StateReply](ctx, r.node, queryTimeout, address, storeMethod, args)
+	if err != nil {
+		return StateReply{}, err
+	}
 	args.WholeConfig = r.gate.ordersUnread.Load() && reply.Position > args.Position && reply.Config != args.Config && len(reply.Deltas) == 0
-	if err != nil || !reply.Unknown && !args.WholeConfig {
-		return reply, err
+	if !reply.Unknown && !args.WholeConfig {
+		return reply, nil
 	}
 	timeout := listTimeout
 	if !snap.Listed {
@@ -179,7 +182,5 @@
 	if reply.Unknown {
 		args.Buckets = snap.List.Buckets()
 	}
-	reply = StateReply{}
-	err = r.node.CallWithin(ctx, timeout, address, storeMethod, args, &reply)
-	return reply, err
+	return exchange.CallWithin[StateReply](ctx, r.node, timeout, address, storeMethod, args)
 }
--- a/internal/side/exchange.go
+++ b/internal/side/exchange.go
@@ -130,8 +130,8 @@
 	args := exchange.FromReport(message.report)
 	args.News.Crashes = exchange.FromCrashes(message.crashes, time.Now())
 	sentAt := time.Now()
-	var reply exchange.ReportReply
-	if err := p.node.Call(ctx, address, exchange.MethodReport, args, &reply); err != nil {
+	reply, err := exchange.Call[exchange.ReportReply](ctx, p.node, address, exchange.MethodReport, args)
+	if err != nil {
 		return 0, err
 	}
 	p.configs.NotifyOffset(address, reply.News.ConfigOffset)
@@ -157,9 +157,9 @@
 // pullCrashes pulls all crashes that have not expired from an entry. Replies to load
 // reports carry only the recent ones, and the log may be down when a side starts.
 func (p *Side) pullCrashes(ctx context.Context, address string) bool {
-	var reply exchange.News
 	args := exchange.CrashesArgs{WithinMS: suspect.Lifetime.Milliseconds()}
-	if err := p.node.Call(ctx, address, exchange.MethodCrashes, args, &reply); err != nil {
+	reply, err := exchange.Call[exchange.News](ctx, p.node, address, exchange.MethodCrashes, args)
+	if err != nil {
 		return false
 	}
 	crashes, err := reply.Model(time.Now())
--- a/internal/side/source_evidence.go
+++ b/internal/side/source_evidence.go
@@ -55,8 +55,8 @@
 
 func (p *Side) sendEvidence(ctx context.Context, address string, message evidenceMessage) bool {
 	args := exchange.FromEvidence(message.key, string(p.settings.Instance), false, message.rollout, message.total)
-	var reply exchange.News
-	if p.node.Call(ctx, address, exchange.MethodEvidence, args, &reply) != nil {
+	reply, err := exchange.Call[exchange.News](ctx, p.node, address, exchange.MethodEvidence, args)
+	if err != nil {
 		return false
 	}
 	if crashes, err := reply.Model(time.Now()); err == nil {
--- a/internal/side/times.go
+++ b/internal/side/times.go
@@ -61,7 +61,7 @@
 		}
 		args := exchange.FromTimes(p.settings.EndpointID(), p.settings.Pool, message.sums)
 		for _, address := range message.aggregators {
-			if p.node.Call(ctx, address, exchange.MethodTimes, args, &exchange.Ack{}) == nil {
+			if _, err := exchange.Call[exchange.Ack](ctx, p.node, address, exchange.MethodTimes, args); err == nil {
 				break
 			}
 		}
