place, platform: the whole stated load, slots of endpoints, contracts

The load that endpoints state was decoded to one number, so nothing could decide by waiting work, slots or the work time of a machine (the fourth figure, which the new customers' endpoints state). ResponseClass.Load is place.StatedLoad now, the table keeps the last one of each endpoint with its time, and place.Endpoint has the slots of the instance list. The hash of the list does not cover them, so routers of two versions agree on it during a roll-out.

The contracts of a deployment reach the router as [platform] contracts; platform.Features names the parts that they call for. Nothing reads them yet, so all deployments are served as before.

--- a/cmd/goldcrest-router/main.go
+++ b/cmd/goldcrest-router/main.go
@@ -17,5 +17,5 @@
 }
 
 func run(ctx context.Context, log *slog.Logger, s router.Settings) error {
-	return router.Run(ctx, s, router.Deps{Log: log, Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()})
+	return router.Run(ctx, s, router.Deps{Log: log, Features: platform.Features(s.Contracts), Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()})
 }
--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -130,7 +130,7 @@
 			}
 			after(start, func() {
 				n := inFlight[id]
-				if h, atBound := tables[i].RecordStatedLoad(clock(), id, n); atBound {
+				if h, atBound := tables[i].RecordStatedLoad(clock(), id, StatedLoad{Running: n, Known: true}); atBound {
 					result.notices++
 					toPeers(i, func(t *Table) { t.ApplyStatedLoad(clock(), h, n) })
 				}
--- a/internal/place/list.go
+++ b/internal/place/list.go
@@ -95,8 +95,9 @@
 
 func compareID(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) }
 
-// hash returns a hash of all fields that affect routing. The region is left out
-// because the data centre determines it.
+// hash returns a hash of all fields that affect routing and may change while the process
+// of the endpoint runs. The region is left out because the data centre determines it, the
+// slots because they change only with the process.
 func (e Endpoint) hash() uint64 {
 	state := uint64(e.Started) << 2
 	if e.Draining {
--- a/internal/place/stated.go
+++ b/internal/place/stated.go
@@ -6,6 +6,19 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
+// StatedLoad is the load that an endpoint stated in the head of an answer.
+type StatedLoad struct {
+	Running, Waiting int // requests, the answered one included
+	Slots            int // requests that the endpoint runs at once
+	// WorkTime is how long work takes on the machine of the endpoint, relative to its
+	// usual time; 0 if not stated. It changes many times a second.
+	WorkTime float64
+	Known    bool // the endpoint stated its load
+}
+
+// Requests returns the requests that the endpoint runs or has waiting.
+func (l StatedLoad) Requests() int { return l.Running + l.Waiting }
+
 // statedLoad is the load that an endpoint stated in an answer to this router or to a
 // peer. Unlike the load reports of the peers, it counts the requests of all routers at
 // one moment.
@@ -34,12 +47,13 @@
 // RecordStatedLoad applies the load that an endpoint stated in an answer to this
 // router, and returns the hash of the endpoint. atBound reports that the endpoint is at
 // its load bound and that this was not known, so that the peers should be notified.
-func (t *Table) RecordStatedLoad(now time.Time, id model.EndpointID, load int) (endpoint uint32, atBound bool) {
+func (t *Table) RecordStatedLoad(now time.Time, id model.EndpointID, stated StatedLoad) (endpoint uint32, atBound bool) {
 	s := t.endpoints[id]
 	if s == nil {
 		return 0, false
 	}
-	known := t.load(now, s)
+	known, load := t.load(now, s), stated.Requests()
+	s.lastStated, s.lastStatedAt = stated, now
 	s.stated = statedLoad{load: load, at: now, inFlight: s.inFlight}
 	if float64(load) < known+statedLoadMargin {
 		return s.hash, false
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -22,6 +22,7 @@
 	Version    model.Version
 	Draining   bool
 	ColdLeft   time.Duration // remaining time as a cold endpoint
+	Slots      int           // requests that it runs at once; 0 if unknown
 	Started    int64         // start time of its process, Unix ms; 0 if unknown
 }
 
@@ -39,6 +40,8 @@
 	coldUntil       time.Time
 	coldStarts      slidingWindow // requests sent while cold
 	stated          statedLoad
+	lastStated      StatedLoad // in an answer to this router
+	lastStatedAt    time.Time
 	limit           *statedLimit // nil if it stated none
 	leaving         bool         // it said so in an answer since its start
 	turnedAwayUntil time.Time    // until then it wants no requests of this router
@@ -122,6 +125,7 @@
 		case e.Started != s.Started && s.Started != 0 && e.Started != 0:
 			t.holders.removeEndpoint(s.hash) // the restarted process has an empty cache
 			s.stated, s.limit, s.leaving, s.turnedAwayUntil = statedLoad{}, nil, false, time.Time{}
+			s.lastStated, s.lastStatedAt = StatedLoad{}, time.Time{}
 			s.coldUntil = now.Add(t.pools[e.Pool].ColdTime)
 		}
 		if !s.listed {
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -47,12 +47,11 @@
 		result      place.Result
 		pendingPart uint64
 	}
-	// loadStated carries the load and the limit that an endpoint stated in an answer;
-	// either is negative if the endpoint stated none.
+	// loadStated carries the load and the limit that an endpoint stated in an answer.
 	loadStated struct {
 		endpoint model.EndpointID
-		load     int
-		limit    float64 // requests a second of all routers
+		load     place.StatedLoad
+		limit    float64 // requests a second of all routers; negative if not stated
 	}
 	// noticeSeen says that an endpoint stated in an answer that it leaves, or that it
 	// wants no requests of this router for the time turnAway.
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -40,9 +40,7 @@
 	// TurnAway is how long an endpoint that refused the request wants no others from
 	// this router; 0 if it does not say.
 	TurnAway time.Duration
-	// Load is the number of requests that the endpoint says it is running or has
-	// waiting, this one included; negative if it says nothing.
-	Load int
+	Load     place.StatedLoad
 	// Limit is the number of requests a second that the endpoint says it takes from all
 	// routers together; negative if it says nothing.
 	Limit float64
@@ -130,9 +128,18 @@
 	CachedParts(ctx context.Context, address string) ([]uint64, error)
 }
 
+// Features are the parts of a router that the platform's terms for a deployment call for.
+type Features struct {
+	Admission bool // requests are refused early and by urgency while a pool is overloaded
+	Slots     bool // the slots of small pools are granted to one router at a time
+	Duties    bool // one router at a time reports usage and orders endpoints
+	Rollouts  bool // versions are rolled out as operators order
+}
+
 // Deps are the external dependencies of a router.
 type Deps struct {
 	Log      *slog.Logger
+	Features Features
 	Protocol Protocol
 	Store    Store
 	Caches   CacheReader
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -187,10 +187,10 @@
 // applyStated applies what an endpoint stated about its load and its limit, and notifies
 // the peers of what they may not know.
 func (f placeRequests) applyStated(s *State, now time.Time, e loadStated) {
-	if e.load >= 0 {
+	if e.load.Known {
 		if hash, atBound := s.table.RecordStatedLoad(now, e.endpoint, e.load); atBound {
-			f.log.Info("endpoint at its load bound", "endpoint", e.endpoint, "load", e.load)
-			f.broadcast(mesh.Message{StatedLoads: map[uint32]int{hash: e.load}})
+			f.log.Info("endpoint at its load bound", "endpoint", e.endpoint, "load", e.load.Requests())
+			f.broadcast(mesh.Message{StatedLoads: map[uint32]int{hash: e.load.Requests()}})
 		}
 	}
 	hash, changed, tell := s.table.RecordStatedLimit(now, e.endpoint, e.limit)
