router: a silent stream is left only if another endpoint can take it over

A read timeout asks the control goroutine now whether another endpoint within the load bound and with a free slot could take over; if not, the wait goes on. The check sits below the body reader, since a chunked reader cannot continue after an error. The head of a stream is written with its first event, so a stream that fails before gets 504 or 502.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -77,6 +77,9 @@
 	// ResponseHeaderTimeout bounds the wait for the status line and the header of
 	// the answer; 0 means no bound.
 	ResponseHeaderTimeout time.Duration
+	// ExtendWait, if not nil, is called when that time has passed and returns how much
+	// longer to wait, or 0 to give up.
+	ExtendWait func() time.Duration
 	// Memory holds the bytes of the head of the answer; nil means no bound beyond that of
 	// one head.
 	Memory *memory.Account
@@ -136,17 +139,21 @@
 
 // limitedReader reads from a connection until left bytes have been read.
 type limitedReader struct {
-	r      io.Reader
+	r      net.Conn
 	left   int64
 	memory *memory.Account // holds what is read
 	held   int64           // by memory, for the heads that are read
+	// extend is called when the read timeout has passed and returns by how much to extend
+	// it, or 0 to fail; nil means never. Readers above this one, such as that of a chunked
+	// body, cannot continue after an error.
+	extend func() time.Duration
 }
 
 func (l *limitedReader) Read(b []byte) (int, error) {
 	if l.left <= 0 {
 		return 0, errTooLong
 	}
-	n, err := l.r.Read(b[:min(int64(len(b)), l.left)])
+	n, err := l.readExtended(b[:min(int64(len(b)), l.left)])
 	l.left -= int64(n)
 	if l.memory != nil && n > 0 {
 		if err := l.memory.Hold(int64(n)); err != nil {
@@ -157,6 +164,20 @@
 	return n, err
 }
 
+// readExtended reads and extends the read timeout as extend says.
+func (l *limitedReader) readExtended(b []byte) (int, error) {
+	for {
+		n, err := l.r.Read(b)
+		if n > 0 || l.extend == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		d := l.extend()
+		if d <= 0 || l.r.SetReadDeadline(time.Now().Add(d)) != nil {
+			return n, err
+		}
+	}
+}
+
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
@@ -178,7 +199,7 @@
 	}
 	trace := cmp.Or(req.Trace, new(Trace))
 	*trace = Trace{Connection: cn.number, Reused: cn.reused}
-	cn.setReadTimeout(req.ResponseHeaderTimeout)
+	cn.setReadTimeout(req.ResponseHeaderTimeout, req.ExtendWait)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	sent := cn.startSend(req)
 	res, err := cn.receive(req, trace)
@@ -192,7 +213,7 @@
 		c.idle.closeAll(address)
 		return nil, err
 	}
-	cn.setReadTimeout(0) // the timeout is for the head only, and the connection may be reused
+	cn.setReadTimeout(0, nil) // the timeout is for the head only, and the connection may be reused
 	res.conn, res.client, res.stopCancel, res.sent = cn, c, stop, sent
 	return res, nil
 }
@@ -345,10 +366,14 @@
 func (r *Response) Framed() bool { return !r.unframed }
 
 // SetReadTimeout bounds the wait for the next bytes of the body, starting now; 0
-// means no bound.
-func (r *Response) SetReadTimeout(d time.Duration) { r.conn.setReadTimeout(d) }
+// means no bound. extend, if not nil, is called by the reader when that time has passed
+// and returns how much longer to wait, or 0 to give up.
+func (r *Response) SetReadTimeout(d time.Duration, extend func() time.Duration) {
+	r.conn.setReadTimeout(d, extend)
+}
 
-func (c *conn) setReadTimeout(d time.Duration) {
+func (c *conn) setReadTimeout(d time.Duration, extend func() time.Duration) {
+	c.limited.extend = extend
 	if d == 0 {
 		_ = c.SetReadDeadline(time.Time{})
 		return
@@ -365,7 +390,7 @@
 	}
 	r.released = true
 	alive := r.stopCancel()
-	r.conn.setReadTimeout(0)
+	r.conn.setReadTimeout(0, nil)
 	if complete && alive && !r.unframed && !r.closeAfter && r.conn.r.Buffered() == 0 && r.fullySent() {
 		r.client.idle.put(r.conn)
 		return
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -27,15 +27,20 @@
 // AllowRetry reports whether one more retry is within ratio retries per request
 // plus this router's share of burst, and counts it if so.
 func (w *Window) AllowRetry(now time.Time, ratio, burst float64, routers int) bool {
-	w.trim(now)
-	limit := ratioShare*ratio*float64(len(w.requests)) + burst/float64(max(routers, 1)+1)
-	if float64(len(w.retries)+1) > limit {
+	if !w.HasRetry(now, ratio, burst, routers) {
 		return false
 	}
 	w.retries = append(w.retries, now)
 	return true
 }
 
+// HasRetry reports whether AllowRetry would allow a retry, and counts none.
+func (w *Window) HasRetry(now time.Time, ratio, burst float64, routers int) bool {
+	w.trim(now)
+	limit := ratioShare*ratio*float64(len(w.requests)) + burst/float64(max(routers, 1)+1)
+	return float64(len(w.retries)+1) <= limit
+}
+
 func (w *Window) trim(now time.Time) {
 	w.requests = dropBefore(w.requests, now.Add(-w.duration))
 	w.retries = dropBefore(w.retries, now.Add(-w.duration))
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -41,6 +41,12 @@
 		control.Question[pickReply]
 		query place.Query
 	}
+	// alternativeQuery asks whether another endpoint may take over a request, and whether
+	// the retry budget would allow that.
+	alternativeQuery struct {
+		control.Question[bool]
+		query place.Query
+	}
 	// requestEnded reports the result of a placed request.
 	requestEnded struct {
 		endpoint    model.EndpointID
@@ -133,6 +139,7 @@
 func (settingsRead) EventName() string      { return "settings_read" }
 func (phaseChanged) EventName() string      { return "phase_changed" }
 func (pickEndpoint) EventName() string      { return "pick_endpoint" }
+func (alternativeQuery) EventName() string  { return "alternative_asked" }
 func (requestEnded) EventName() string      { return "request_ended" }
 func (noticeSeen) EventName() string        { return "notice_seen" }
 func (crashSeen) EventName() string         { return "crash_seen" }
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -33,22 +33,41 @@
 // the connection so that the caller does not take the answer for complete.
 func (r *Router) encode(_ context.Context, w http.ResponseWriter, response any) error {
 	s := response.(answeredRequest)
-	h := w.Header()
-	for name, values := range s.answer.Header {
+	if s.answer.Events != nil {
+		return r.encodeStream(w, s)
+	}
+	r.copyHeader(w.Header(), s.answer)
+	w.Header().Set("Content-Length", strconv.Itoa(len(s.answer.Body)))
+	w.WriteHeader(s.answer.Status)
+	_, err := w.Write(s.answer.Body)
+	r.logOutcome(s.req, s.answer, err)
+	return nil
+}
+
+// copyHeader sets the header of an answer for the caller.
+func (r *Router) copyHeader(h http.Header, answer *Answer) {
+	for name, values := range answer.Header {
 		if !IsHopByHop(name) {
 			h[name] = values
 		}
 	}
 	r.closeIfStopping(h)
-	if s.answer.Events == nil {
-		h.Set("Content-Length", strconv.Itoa(len(s.answer.Body)))
-		w.WriteHeader(s.answer.Status)
-		_, err := w.Write(s.answer.Body)
-		r.logOutcome(s.req, s.answer, err)
-		return nil
-	}
+}
+
+// encodeStream writes the events of a stream to the caller as they arrive. It writes the
+// head with the first event: an endpoint may send its own long before, and a stream that
+// fails until then gets an answer that says so.
+func (r *Router) encodeStream(w http.ResponseWriter, s answeredRequest) error {
 	defer s.answer.Events.Close()
-	err := r.relayEvents(w, s)
+	event, err := s.answer.Events.Next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		refusal := refuseWithoutEvents(s.req, err)
+		r.logOutcome(s.req, nil, refusal)
+		return refusal
+	}
+	r.copyHeader(w.Header(), s.answer)
+	w.WriteHeader(s.answer.Status)
+	err = r.relayEvents(w, s, event, err)
 	r.logOutcome(s.req, s.answer, err)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -56,18 +75,22 @@
 	return nil
 }
 
-// relayEvents writes the events of a stream to the caller as they arrive.
-func (r *Router) relayEvents(w http.ResponseWriter, s answeredRequest) error {
+// refuseWithoutEvents returns the refusal for a stream that ended in err before its first
+// event. Its endpoint may have run the request.
+func refuseWithoutEvents(req *Request, err error) *model.Refusal {
+	switch {
+	case errors.Is(err, context.Canceled):
+		return &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonCancelled, Detail: "the caller left"}
+	case errors.Is(err, context.DeadlineExceeded):
+		return refuseTimedOut(req)
+	}
+	return &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonEndpointFailed, Detail: err.Error()}
+}
+
+// relayEvents writes event and those that follow it, unless err is set.
+func (r *Router) relayEvents(w http.ResponseWriter, s answeredRequest, event []byte, err error) error {
 	rc := http.NewResponseController(w)
-	w.WriteHeader(s.answer.Status)
-	for {
-		event, err := s.answer.Events.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+	for ; err == nil; event, err = s.answer.Events.Next() {
 		if s.req.FirstEvent == 0 {
 			s.req.FirstEvent = time.Since(s.req.Arrived)
 		}
@@ -79,6 +102,10 @@
 			return err
 		}
 	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
 }
 
 // encodeRefusal writes the answer to a refused request.
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -138,6 +138,10 @@
 // the store, since too many waited.
 var suspectRecordsDropped = metrics.NewCounter("goldcrest_router_suspect_records_dropped_total")
 
+// waitsExtended counts the times that a request went on waiting for a silent endpoint since
+// no other one could take it over.
+var waitsExtended = metrics.NewCounter("goldcrest_router_waits_extended_total")
+
 // answersSkipped counts the answers to other requests that arrived before the answer to a
 // request.
 var answersSkipped = metrics.NewCounter("goldcrest_router_answers_skipped_total")
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -30,14 +30,7 @@
 func (placeRequest) Name() string { return "place" }
 
 func (f placeRequest) Handle(ctx context.Context, req *Request, next handler) (*Answer, error) {
-	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Key: xxhash.Sum64String(string(req.ID))}
-	if req.Workspace != nil && len(req.Workspace.Regions) > 0 {
-		q.Regions = intersect(q.Regions, req.Workspace.Regions)
-	}
-	if req.Route.Generation {
-		q.Base = req.basePart()
-		q.Part, q.Tokens = req.sharedPart(), req.sharedTokens()
-	}
+	q := placeQuery(req)
 	p, err := f.pick(ctx, q)
 	if err != nil {
 		return nil, refuseTimedOut(req)
@@ -66,6 +59,25 @@
 	return next(ctx, req)
 }
 
+// placeQuery describes req for the selection of its endpoint.
+func placeQuery(req *Request) place.Query {
+	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Key: xxhash.Sum64String(string(req.ID))}
+	if req.Workspace != nil && len(req.Workspace.Regions) > 0 {
+		q.Regions = intersect(q.Regions, req.Workspace.Regions)
+	}
+	if req.Route.Generation {
+		q.Base = req.basePart()
+		q.Part, q.Tokens = req.sharedPart(), req.sharedTokens()
+	}
+	return q
+}
+
+// hasAlternative asks the control goroutine whether another endpoint may take over req.
+func (r *Router) hasAlternative(req *Request) bool {
+	ok, err := control.Ask(context.Background(), r.loop, alternativeQuery{Question: control.NewQuestion[bool](), query: placeQuery(req)})
+	return ok && err == nil
+}
+
 // intersect returns the regions that both lists allow. An empty list allows all
 // regions; if nothing is common, the result allows none.
 func intersect(a, b []model.Region) []model.Region {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -49,6 +49,7 @@
 	recordAbandoned func(*Request)
 	recordSound     func(*Request)
 	checkKey        func(*Request) *model.Refusal
+	hasAlternative  func(*Request) bool // another endpoint may take over the request
 	log             *slog.Logger
 }
 
@@ -63,12 +64,14 @@
 		}
 		return nil, unknownIfRun(req, r)
 	}
+	stall := stallTimeout(req)
 	out := &origin.Request{
 		Method: req.Method, Target: req.Target, Host: req.Host, Body: req.Body,
 		Header:                f.protocol.OutboundHeader(req, left),
 		Matches:               func(h http.Header) bool { return f.protocol.AnswerMatches(req, h) },
 		MaxIdle:               maxIdleAtMostOnce,
-		ResponseHeaderTimeout: stallTimeout(req),
+		ResponseHeaderTimeout: stall,
+		ExtendWait:            func() time.Duration { return f.extendWait(req, stall) },
 		Memory:                req.memory,
 		Trace:                 &req.trace,
 		Avoid:                 req.connections,
@@ -87,6 +90,17 @@
 	return f.readAnswer(ctx, req, res)
 }
 
+// extendWait returns how much longer req waits for an endpoint that has been silent for a
+// stall timeout: 0 if another endpoint may take over the request. Otherwise the work of
+// the silent one would be lost for nothing.
+func (f send) extendWait(req *Request, timeout time.Duration) time.Duration {
+	if f.hasAlternative(req) {
+		return 0
+	}
+	waitsExtended.Inc()
+	return timeout
+}
+
 // stallTimeout returns how long req, which is about to be sent, waits for the head of
 // the answer, or 0 for no bound but the deadline. Only a request that can still be
 // retried abandons a silent endpoint.
@@ -152,7 +166,7 @@
 	}
 	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, EndpointError: res.Status >= http.StatusInternalServerError}
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
-		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
+		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), extendWait: f.extendWait, recordResult: f.recordResult,
 			recordCrash: f.recordCrash, recordAbandoned: f.recordAbandoned, recordSound: f.recordSound}
 		return answer, nil
 	}
@@ -197,6 +211,7 @@
 	res             *origin.Response
 	ctx             context.Context
 	events          *eventSplitter
+	extendWait      func(*Request, time.Duration) time.Duration
 	recordResult    func(model.EndpointID, place.Result, uint64)
 	recordCrash     func(context.Context, *Request)
 	recordAbandoned func(*Request)
@@ -208,7 +223,8 @@
 
 func (s *stream) Next() ([]byte, error) {
 	if !s.waiting {
-		s.res.SetReadTimeout(s.readTimeout())
+		timeout := s.readTimeout()
+		s.res.SetReadTimeout(timeout, func() time.Duration { return s.extendWait(s.req, timeout) })
 	}
 	event, err := s.events.next()
 	if err == nil {
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -166,6 +166,9 @@
 			reply.turnedAway = s.table.TurnedAway(now, e.query.Pool)
 		}
 		e.Reply(reply)
+	case alternativeQuery:
+		budget := retryWindow(s, e.query.Pool).HasRetry(now, s.settings.RetryRatio, s.settings.RetryBurst, s.table.Routers(now))
+		e.Reply(budget && s.table.HasAlternative(now, e.query))
 	case noticeSeen:
 		if e.leaving && s.table.RecordLeaving(e.endpoint) {
 			f.log.Info("endpoint says that it leaves", "endpoint", e.endpoint)
