origin, router: a response that ends with its connection counts only if the connection ended in order

An endpoint that answered a long upload at once without a length and broke off the connection had its part of a body delivered as a complete response. The kernel reports a reset once: if the goroutine that writes the request got the report, the one that read the response got the end of the stream. The end now counts only if the connection is in CLOSE_WAIT, everything written to it is acknowledged, the request was written to its end, and the endpoint, unless it said that it leaves, still accepts connections.

A status outside 100 to 599, or 101, is no response. Statuses below 100 counted as informational. A stream to a caller of HTTP/1.0 is collected and gets a length, since its end would be that of the connection.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -107,7 +107,7 @@
 	client     *Client
 	stopCancel func() bool
 	released   bool
-	unframed   bool         // the body ends with the connection
+	unframed   bool         // the body ends with the connection, as closeDelimited checks
 	sent       <-chan error // result of sending the request
 	closeAfter bool         // the endpoint closes the connection after the answer
 }
@@ -120,8 +120,12 @@
 }
 
 // NewClient returns a client that has no connections yet.
-func NewClient() *Client {
-	return &Client{idle: newIdlePool(), dialer: net.Dialer{
+func NewClient() *Client { return NewClientWithIdle(maxIdlePerEndpoint) }
+
+// NewClientWithIdle returns a client that keeps at most maxIdle idle connections to each
+// endpoint.
+func NewClientWithIdle(maxIdle int) *Client {
+	return &Client{idle: newIdlePool(maxIdle), dialer: net.Dialer{
 		Timeout:   dialTimeout,
 		Control:   TCPUserTimeout(tcpUserTimeout),
 		KeepAlive: -1,
@@ -194,6 +198,9 @@
 	}
 	cn.setReadTimeout(0) // the timeout is for the head only, and the connection may be reused
 	res.conn, res.client, res.stopCancel, res.sent = cn, c, stop, sent
+	if res.unframed {
+		res.Body = &closeDelimited{body: res.Body, res: res}
+	}
 	return res, nil
 }
 
@@ -299,6 +306,10 @@
 			}
 			return nil, eris.Wrapf(ErrConnectionFailed, "no answer from %s: %v", c.address, err)
 		}
+		// No request asks to switch protocols.
+		if !ValidStatus(head.StatusCode) || head.StatusCode == http.StatusSwitchingProtocols {
+			return nil, eris.Wrapf(ErrUnexpectedResponse, "answer from %s has the status %q", c.address, head.Status)
+		}
 		if head.StatusCode < http.StatusOK {
 			continue
 		}
@@ -327,6 +338,10 @@
 	return nil, eris.Wrapf(ErrUnexpectedResponse, "answers from %s are to other requests", c.address)
 }
 
+// ValidStatus reports whether a status is one of HTTP. net/http accepts any three digits, also
+// with a sign.
+func ValidStatus(status int) bool { return status >= 100 && status <= 599 }
+
 // isMalformed reports whether err of http.ReadResponse means that the bytes are
 // not a valid answer, rather than that the connection failed.
 func isMalformed(err error) bool {
--- a/internal/origin/idle.go
+++ b/internal/origin/idle.go
@@ -18,8 +18,8 @@
 	// keepAliveMargin is subtracted from the Keep-Alive timeout, so that a request
 	// is not sent while the endpoint closes the connection.
 	keepAliveMargin = 500 * time.Millisecond
-	// maxIdlePerEndpoint bounds the idle connections to one endpoint, which has to
-	// share its connections among all routers.
+	// maxIdlePerEndpoint bounds the idle connections of a router to one endpoint, which has
+	// to share its connections among all routers.
 	maxIdlePerEndpoint = 16
 	// maxKeepAlive bounds the idle time that endpoints may allow. Requests reuse no
 	// connection that has been idle for longer.
@@ -32,11 +32,12 @@
 // idlePool keeps idle connections by address. One goroutine owns them and runs the
 // queued commands, so traffic needs no lock.
 type idlePool struct {
-	commands chan func(map[string][]*conn)
+	commands       chan func(map[string][]*conn)
+	maxPerEndpoint int
 }
 
-func newIdlePool() *idlePool {
-	p := &idlePool{commands: make(chan func(map[string][]*conn), 64)}
+func newIdlePool(maxPerEndpoint int) *idlePool {
+	p := &idlePool{commands: make(chan func(map[string][]*conn), 64), maxPerEndpoint: maxPerEndpoint}
 	go p.run()
 	return p
 }
@@ -116,7 +117,7 @@
 	p.commands <- func(conns map[string][]*conn) {
 		c.idleSince = time.Now()
 		list := conns[c.address]
-		for len(list) > 0 && (len(list) >= maxIdlePerEndpoint || c.idleSince.Sub(list[0].idleSince) > list[0].keepAlive) {
+		for len(list) > 0 && (len(list) >= p.maxPerEndpoint || c.idleSince.Sub(list[0].idleSince) > list[0].keepAlive) {
 			_ = list[0].Close()
 			list = list[1:]
 		}
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -33,6 +33,12 @@
 // the connection so that the caller does not take the answer for complete.
 func (r *Router) encode(_ context.Context, w http.ResponseWriter, response any) error {
 	s := response.(answeredRequest)
+	if s.answer.Events != nil && s.req.noChunks {
+		if err := collectEvents(&s); err != nil {
+			r.logOutcome(s.req, nil, err)
+			return err
+		}
+	}
 	h := w.Header()
 	for name, values := range s.answer.Header {
 		if !IsHopByHop(name) {
@@ -56,6 +62,31 @@
 	return nil
 }
 
+// collectEvents reads a stream to its end into the body of its answer, for a caller that would
+// take the end of the connection for the end of a stream that was broken off.
+func collectEvents(s *answeredRequest) error {
+	defer s.answer.Events.Close()
+	whole := *s.answer
+	whole.Events = nil
+	for {
+		event, err := s.answer.Events.Next()
+		if errors.Is(err, io.EOF) {
+			s.answer = &whole
+			return nil
+		}
+		if err == nil && len(whole.Body)+len(event) > maxAnswerBytes {
+			err = errAnswerTooLong
+		}
+		if err == nil {
+			err = s.req.memory.Hold(int64(len(event)))
+		}
+		if err != nil {
+			return &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonEndpointFailed, Detail: err.Error()}
+		}
+		whole.Body = append(whole.Body, event...)
+	}
+}
+
 // relayEvents writes the events of a stream to the caller as they arrive.
 func (r *Router) relayEvents(w http.ResponseWriter, s answeredRequest) error {
 	rc := http.NewResponseController(w)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -34,6 +34,7 @@
 	Parts     []PromptPart // parts of the prompt, in order
 	LastEvent string       // id of the last event that the caller received
 	memory    *memory.Account
+	noChunks  bool // the caller knows the end of an answer by its length or the end of the connection only
 
 	Route        *catalog.Route
 	Workspace    *catalog.Workspace // nil on public routes
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -151,13 +151,18 @@
 		return nil, &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonEndpointFailed, Detail: "endpoint answered with a status that promises what it does not state"}
 	}
 	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, EndpointError: res.Status >= http.StatusInternalServerError}
+	// An endpoint that leaves may refuse connections while it completes its answers.
+	mayBeKilled := !res.Framed() && !class.Leaving
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
-		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
+		answer.Events = &stream{req: req, res: res, ctx: ctx, mayBeKilled: mayBeKilled, client: f.client, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
 			recordCrash: f.recordCrash, recordAbandoned: f.recordAbandoned, recordSound: f.recordSound}
 		return answer, nil
 	}
 	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
 	res.Release(err == nil)
+	if err == nil && mayBeKilled && f.client.Refuses(ctx, req.Endpoint.Address) {
+		err = errKilled
+	}
 	if err != nil {
 		return nil, f.refuseFailed(ctx, req, err)
 	}
@@ -188,6 +193,11 @@
 	return unknownIfRun(req, refuseWithRetryAfter(model.ReasonOverloaded, detail, defaultRetryAfter))
 }
 
+// errKilled is returned for an answer without a length whose endpoint accepts no connections
+// at its end. The kernel of the endpoint's machine ends the connections of a killed process in
+// order if it had read all that it received.
+var errKilled = eris.New("router: connection ended and the endpoint accepts no other")
+
 // errNoEvent is returned for a stream without a length that ends before its first event.
 var errNoEvent = eris.New("router: connection ended before the first event")
 
@@ -201,6 +211,8 @@
 	recordCrash     func(context.Context, *Request)
 	recordAbandoned func(*Request)
 	recordSound     func(*Request)
+	client          *origin.Client
+	mayBeKilled     bool // the end of the connection may be that of the endpoint's process
 	begun           bool // an event has arrived
 	waiting         bool // the read timeout of the next event runs
 	finished        bool
@@ -220,6 +232,9 @@
 	if errors.Is(err, io.EOF) && !s.begun && !s.res.Framed() {
 		err = errNoEvent
 	}
+	if errors.Is(err, io.EOF) && s.mayBeKilled && s.client.Refuses(s.ctx, s.req.Endpoint.Address) {
+		err = errKilled
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		s.recordSound(s.req) // not earlier, since an endpoint may crash after its first events
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
 	}
-	req.Arrived, req.memory = arrived, memoryOf(ctx)
+	req.Arrived, req.memory, req.noChunks = arrived, memoryOf(ctx), !hr.ProtoAtLeast(1, 1)
 	limit := int64(defaultMaxBodyBytes)
 	if c := r.loop.Snapshot().Catalog; c != nil && c.MaxBody > 0 {
 		limit = c.MaxBody
