--- a/internal/endpointapi/client.go
+++ b/internal/endpointapi/client.go
@@ -13,7 +13,7 @@
 // idleConnTimeout closes idle connections before the endpoint does.
 const idleConnTimeout = time.Minute
 
-// newClient returns an HTTP client for the calls of a side to its endpoint.
+// newClient returns an HTTP client for the calls of a side to its engine.
 func newClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout},
--- a/internal/endpointapi/fuzz_test.go
+++ b/internal/endpointapi/fuzz_test.go
@@ -71,8 +71,9 @@
 func FuzzServiceAnswer(f *testing.F) {
 	f.Add(200, []byte(`{"run":1}`))
 	f.Add(500, []byte{})
+	service := NewService("http://127.0.0.1:1", "service")
 	f.Fuzz(func(t *testing.T, status int, body []byte) {
-		s := &Service{base: "http://127.0.0.1:1", http: &http.Client{Transport: fixedResponse{status, body}}}
+		s := service.WithTransport(fixedResponse{status, body})
 		if a, err := s.Run(context.Background(), &model.Request{ID: "r", Route: "tracker/assign"}); err == nil {
 			checkFrames(t, a, 0, 1)
 		}
