soak: endpoints break off answers and send invalid statuses

The proxy passes a reset on as a reset, and a tenth of the callers send 60 KB, so that a response can be broken off while a request is being written. A status outside 100 to 599 fails the run.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/origin"
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
@@ -33,6 +34,13 @@
 	group sync.WaitGroup
 }
 
+// Bodies of longBodyBytes, within the limit of the configuration, are being sent when an
+// endpoint breaks off its answer.
+const (
+	longBodyEvery = 10
+	longBodyBytes = 60 << 10
+)
+
 // kinds are the paths of the routes, without the slashes at the ends.
 var kinds = []string{"assign", "read", "stream/chat", "stream/brief"}
 
@@ -71,7 +79,11 @@
 	if r.kind == "read" {
 		method = http.MethodGet
 	}
-	req, _ := http.NewRequestWithContext(ctx, method, "http://"+p.callerAddress+"/"+r.kind+"/x", strings.NewReader("body"))
+	body := "body"
+	if rng.IntN(longBodyEvery) == 0 {
+		body = strings.Repeat("x", longBodyBytes)
+	}
+	req, _ := http.NewRequestWithContext(ctx, method, "http://"+p.callerAddress+"/"+r.kind+"/x", strings.NewReader(body))
 	if method == http.MethodGet {
 		req.Body, req.ContentLength = nil, 0
 	}
@@ -136,6 +148,9 @@
 		if atMostOnce && (c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests) && c.err == nil && runs > 0 {
 			f.fail("%s (%s) was refused as not run with status %d, but ran", c.id, c.kind, c.status)
 		}
+		if c.status != 0 && !origin.ValidStatus(c.status) {
+			f.fail("%s (%s) was answered with status %d", c.id, c.kind, c.status)
+		}
 		if c.status == http.StatusOK && c.err == nil {
 			f.checkAnswer(c, signatures)
 		}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/origin"
 )
 
 // fault is a fault that a proxy injects into its connections.
@@ -104,10 +107,14 @@
 }
 
 // forward copies data from one connection to the other with the current fault,
-// and closes both at the end.
+// and closes both at the end, with a reset if they did not end in order.
 func (p *proxy) forward(to, from net.Conn, toClient bool) {
 	defer to.Close()
 	defer from.Close()
+	reset := func() {
+		_ = to.(*net.TCPConn).SetLinger(0)
+		_ = from.(*net.TCPConn).SetLinger(0)
+	}
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
@@ -119,12 +126,15 @@
 				continue
 			}
 			if _, err := to.Write(buf[:n]); err != nil {
+				if !errors.Is(err, net.ErrClosed) {
+					reset()
+				}
 				return
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
+			if !errors.Is(err, net.ErrClosed) && !(errors.Is(err, io.EOF) && origin.EndedInOrder(from)) {
+				reset()
 			}
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -267,7 +267,7 @@
 // randomEndpointFault returns a random fault of an endpoint.
 func randomEndpointFault(rng *rand.Rand) standin.EndpointFaults {
 	faults := healthyEndpoint
-	switch rng.IntN(7) {
+	switch rng.IntN(9) {
 	case 0:
 		faults.RefuseAll = true
 	case 1:
@@ -282,6 +282,10 @@
 		faults.TruncateAfter = 3
 	case 6:
 		faults.Hang = true
+	case 7:
+		faults.BreakOff = standin.BreakByReset // a close is in order if the body is short
+	case 8:
+		faults.Status = []string{"000", "099", "600", "999"}[rng.IntN(4)]
 	}
 	return faults
 }
