inbound, listener, router, entry, side: bounds on what callers may hold

Each listener gets a part of the process's memory and descriptors, from memory_mb and the new setting max_fds. Package inbound decides, package listener carries it out around an HTTP server. MaxHeaderBytes and HeaderTimeoutMs of the configuration are enforced, as are 256 fields for a head and a least rate of transfers. Connections that make no progress are given up first, requests that have been read never. idleConn, which recognised the idle time of the HTTP server by its length, is replaced by the phase of the connection.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -73,6 +73,8 @@
 	Pools        map[model.Pool]Pool
 	MaxBody      int64               // maximum size of a request body in bytes; 0 means no limit
 	IdleTimeout  time.Duration       // how long a caller's connection may stay idle; 0 means no limit
+	MaxHeader    int64               // maximum size of the fields of a head in bytes; 0 means no limit
+	HeaderTime   time.Duration       // within which a head arrives; 0 means no limit
 	KeysRequired bool                // requests need an API key unless their route is public
 	routes       map[string][]*Route // by host, the longest prefix first
 	keys         map[string]*Workspace
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/listener"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -32,6 +34,7 @@
 const (
 	maxHeaderValueBytes = 256
 	defaultMaxTokens    = 256
+	memoryRetryAfter    = time.Second // bodies are held until their requests are answered
 	maxTokensPerRequest = 32768
 	charsPerToken       = 4 // typical of English text; used only to estimate the cost
 )
@@ -114,7 +117,12 @@
 // decodeCommon reads the body and the headers that all routes share.
 func (e *Entry) decodeCommon(r *http.Request) (*model.Request, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, e.settings.MaxBody))
-	if err != nil {
+	switch {
+	case errors.Is(err, listener.ErrMemory):
+		refusal := model.Refuse(model.ReasonMemory, err.Error())
+		refusal.RetryAfter = memoryRetryAfter
+		return nil, refusal
+	case err != nil:
 		return nil, model.Refuse(model.ReasonBadRequest, "the body cannot be read or is too large")
 	}
 	for _, h := range []string{headerChat, headerKey, headerTimeout, headerReturnToken, headerRequest} {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -20,7 +20,7 @@
 )
 
 func (e *Entry) newNode() *exchange.Node {
-	n := exchange.New(exchange.Config{Key: e.settings.Key, Budget: e.settings.ControlBudget, Dial: e.deps.Dial, AcceptFailed: func(err error) {
+	n := exchange.New(exchange.Config{Key: e.settings.Key, MaxPeers: int(e.settings.Bounds.Division().Peers.Descriptors), Budget: e.settings.ControlBudget, Dial: e.deps.Dial, AcceptFailed: func(err error) {
 		e.log.Warn("connections of peers cannot be accepted", "error", err.Error())
 	}})
 	if err := n.Register(exchange.Service, &peerService{e}); err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -77,10 +77,11 @@
 // Serve serves callers, operators and peers until ctx ends, and then drains.
 func (e *Entry) Serve(ctx context.Context, traffic, admin, peers net.Listener) error {
 	backgroundCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	division := e.settings.Bounds.Division()
 	var g errgroup.Group
 	e.Start(backgroundCtx, &g)
 	g.Go(func() error {
-		return program.Serve(backgroundCtx, program.NewServer(e.adminHandler()), admin, time.Second)
+		return program.ServeWithin(backgroundCtx, program.NewChecks(e.log, "admin", division.Readiness), program.NewServer(e.adminHandler()), admin, time.Second)
 	})
 	g.Go(func() error { return e.ServeControl(backgroundCtx, peers) })
 	e.log.Info("started", "instance", e.settings.Instance, "listen", traffic.Addr().String())
@@ -90,7 +91,8 @@
 		e.Drain(backgroundCtx, e.settings.DrainTimeout)
 		stopServing()
 	}()
-	err := program.Serve(servingCtx, program.NewServer(e.Handler()), traffic, closeTimeout)
+	callers := program.NewTraffic(e.log, division.WithBodies(), true)
+	err := program.ServeWithin(servingCtx, callers, program.NewServer(e.Handler()), traffic, closeTimeout)
 	stop()
 	return eris.Wrap(firstError(err, g.Wait()), "entry")
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
 	"github.com/goldcrestturn/goldcrestturn/internal/settings"
 )
 
@@ -22,6 +23,7 @@
 	DrainTimeout  time.Duration // for requests in flight at a planned stop
 	ControlBudget int64         // bytes per second of control traffic
 	AppendBudget  int64         // appends per second of the whole fleet
+	Bounds        program.Bounds
 	MaxBody       int64         // bytes of the body of one request
 	Timeout       time.Duration // of requests without the header Request-Timeout
 	BodyTimeout   time.Duration // for a caller to send the body of its request
@@ -87,5 +89,9 @@
 		BodyTimeout:   f.Duration("entry", "body_time", defaultBodyTimeout, time.Millisecond, maxTimeout),
 		WriteTimeout:  f.Duration("entry", "write_time", defaultWriteTimeout, time.Millisecond, maxTimeout),
 	}
+	s.Bounds = program.Bounds{
+		MemoryLimit: f.Int("entry", "memory_mb", program.DefaultMemoryMB, 16, 1<<20) << 20,
+		MaxFDs:      f.Int("entry", "max_fds", program.DefaultMaxFDs, program.MinMaxFDs, 1<<20),
+	}
 	return s, f.Err()
 }
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -48,7 +48,7 @@
 }
 
 func newServerCodec(conn net.Conn, key string) *serverCodec {
-	in := newMessageReader(conn, MaxMessageBytes)
+	in := newMessageReader(conn, maxHelloBytes)
 	out := bufio.NewWriter(conn)
 	return &serverCodec{
 		conn: conn, in: in, dec: gob.NewDecoder(in), enc: gob.NewEncoder(out), out: out,
@@ -87,6 +87,7 @@
 	if !c.authenticated {
 		return errUnauthenticated
 	}
+	c.in.max = MaxMessageBytes
 	return nil
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -166,6 +166,30 @@
 	far.Close()
 }
 
+// Guards against connections that hold a large message each before they have shown the key
+// of the fleet, and against the same bound on messages of peers that have.
+func TestFirstMessageIsShort(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	go func() {
+		enc := gob.NewEncoder(near)
+		_ = enc.Encode(&rpc.Request{ServiceMethod: helloMethod})
+		_ = enc.Encode(Hello{"k"})
+		_ = enc.Encode(&rpc.Request{ServiceMethod: strings.Repeat("x", 5000)})
+	}()
+	c := newServerCodec(far, "k")
+	is.NoErr(c.ReadRequestHeader(&rpc.Request{}))
+	is.NoErr(c.ReadRequestBody(&Hello{}))
+	is.NoErr(c.ReadRequestHeader(&rpc.Request{}))
+	near.Close()
+	far.Close()
+	near, far = net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	go func() { _ = gob.NewEncoder(near).Encode(&rpc.Request{ServiceMethod: strings.Repeat("x", 5000)}) }()
+	is.Equal(newServerCodec(far, "k").ReadRequestHeader(&rpc.Request{}), errTooLarge)
+}
+
 // Guards against a drop order that differs from docs/design.md, D2, and against
 // a report interval longer than 4 s.
 func TestDropOrder(t *testing.T) {
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -19,7 +19,9 @@
 type Config struct {
 	Key    string // shared key of the fleet
 	Budget int64  // bytes a second, both directions together
-	Dial   Dialer // nil means TCP
+	// MaxPeers bounds incoming connections; 0 means maxPeers.
+	MaxPeers int
+	Dial     Dialer // nil means TCP
 	// AcceptFailed is called with each error of the listener that Serve passes over; nil
 	// means nothing is done.
 	AcceptFailed func(error)
@@ -30,6 +32,9 @@
 	// MaxMessageBytes bounds one gob message. The largest regular message is a
 	// piece of configuration.
 	MaxMessageBytes = 1 << 20
+	// maxHelloBytes bounds a message of a peer that has not shown the key, so that many
+	// of them do not hold much.
+	maxHelloBytes = 4 << 10
 	// maxPeers bounds incoming connections. At the target size there are 370
 	// entries and 850 sides, some of which have two during a reconnect.
 	maxPeers = 2048
@@ -70,6 +75,9 @@
 			return d.DialContext(ctx, "tcp", address)
 		}
 	}
+	if cfg.MaxPeers == 0 {
+		cfg.MaxPeers = maxPeers
+	}
 	if cfg.AcceptFailed == nil {
 		cfg.AcceptFailed = func(error) {}
 	}
@@ -96,7 +104,7 @@
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
-	slots := make(chan struct{}, maxPeers)
+	slots := make(chan struct{}, n.cfg.MaxPeers)
 	backoff := minAcceptBackoff
 	for {
 		conn, err := l.Accept()
--- /dev/null
+++ b/internal/listener/server.go
@@ -0,0 +1,157 @@
+package listener
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/inbound"
+)
+
+const (
+	// serverHeaderBytes is the limit of the HTTP server, which is fixed at its start. It is
+	// above all limits that Config.Limits may return.
+	serverHeaderBytes = MaxHeaderBytes + 64<<10
+	// MaxHeaderBytes bounds the size of a head that Config.Limits may allow.
+	MaxHeaderBytes = 1 << 20
+	// serverTime makes the server set a deadline for heads and idle connections, which
+	// Conn replaces by the limits in force.
+	serverTime = time.Minute
+)
+
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// Protect applies the bounds to the requests of srv, which must serve a listener of Wrap
+// only.
+func (l *Listener) Protect(srv *http.Server) *http.Server {
+	srv.Handler = l.handler(srv.Handler)
+	srv.ReadHeaderTimeout, srv.IdleTimeout, srv.MaxHeaderBytes = serverTime, serverTime, serverHeaderBytes
+	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	srv.ConnState = func(c net.Conn, s http.ConnState) {
+		if conn, ok := c.(*Conn); ok && s == http.StateIdle {
+			conn.becomeIdle()
+		}
+	}
+	return srv
+}
+
+// handler checks the bounds of each request before next gets it. A refusal is always true,
+// since the request is not passed on.
+func (l *Listener) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		request := *r // the server uses the body of r itself
+		r = &request
+		body := c.beginRequest(r)
+		defer func() {
+			if !body.ended {
+				// The server reads the rest of a short body before the next request.
+				_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+			}
+			c.holdHead(0)
+		}()
+		if over := l.check(c, r); over != inbound.None {
+			l.reached(over)
+			status, header := l.refusal(over)
+			for name, values := range header {
+				w.Header()[name] = values
+			}
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Content-Length", "0")
+			w.WriteHeader(status)
+			return
+		}
+		defer l.descriptors.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// check takes what a request holds and returns the bound that it exceeds, or None. If it
+// returns None, a descriptor is taken.
+func (l *Listener) check(c *Conn, r *http.Request) inbound.Bound {
+	limits := l.config.Limits()
+	var size, fields int64
+	for name, values := range r.Header {
+		fields += int64(len(values))
+		for _, v := range values {
+			size += int64(len(name) + len(v))
+		}
+	}
+	switch {
+	case c.surplus:
+		return inbound.Connections
+	case size > limits.HeaderBytes:
+		return inbound.HeaderBytes
+	case fields > limits.Fields:
+		return inbound.Fields
+	case !c.holdHead(inbound.HeadCost(size, fields) + inbound.RequestBytes):
+		return inbound.Memory
+	}
+	if limit := l.config.Quota.Descriptors; l.descriptors.Add(1) > limit && (l.reclaim(1, 0) == 0 || l.descriptors.Load() > limit) {
+		l.descriptors.Add(-1)
+		return inbound.Requests
+	}
+	return inbound.None
+}
+
+// beginRequest records that the head of a request has been read, and replaces the body of
+// r by one that records its end. It panics if the connection has been given up.
+func (c *Conn) beginRequest(r *http.Request) *body {
+	b := &body{ReadCloser: r.Body, conn: c, ended: r.Body == nil || r.Body == http.NoBody}
+	to := inbound.Serving
+	if !b.ended {
+		to, r.Body = inbound.Receiving, b
+	}
+	c.requests.Add(1)
+	for {
+		phase := c.inPhase()
+		if phase == inbound.Ending {
+			panic(http.ErrAbortHandler)
+		}
+		if c.change(phase, to) {
+			return b
+		}
+	}
+}
+
+// bodyCopies is how often a body is held while its buffer grows.
+const bodyCopies = 2
+
+// ErrMemory is returned by reads of a body for which the quota has no memory left.
+var ErrMemory = eris.New("listener: callers hold all the memory that they may")
+
+// body is the body of a request. While it is being read, the connection waits for its
+// caller.
+type body struct {
+	io.ReadCloser
+	conn  *Conn
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	b.conn.reading.Store(true)
+	n, err := b.ReadCloser.Read(p)
+	b.conn.reading.Store(false)
+	if err == nil && b.conn.owner.config.CountBodies && !b.conn.holdHead(b.conn.headCost+bodyCopies*int64(n)) {
+		b.conn.owner.reached(inbound.Memory)
+		return n, ErrMemory
+	}
+	if err == nil || b.ended {
+		return n, err
+	}
+	if !b.conn.change(inbound.Receiving, inbound.Serving) && err == io.EOF {
+		return n, errEnded // given up just before the end, so the request is not passed on
+	}
+	b.ended = err == io.EOF
+	return n, err
+}
--- a/internal/router/body_test.go
+++ b/internal/router/body_test.go
@@ -22,7 +22,7 @@
 	srv := httptest.NewServer(limitBodyTime(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		_, err := io.ReadAll(r.Body)
 		failed <- err
-	}), 200*time.Millisecond))
+	}), func() time.Duration { return 200 * time.Millisecond }))
 	defer srv.Close()
 	c, err := net.Dial("tcp", srv.Listener.Addr().String())
 	is.NoErr(err)
@@ -53,7 +53,7 @@
 		case <-time.After(3 * timeout):
 			_, _ = w.Write(body)
 		}
-	}), timeout))
+	}), func() time.Duration { return timeout }))
 	defer srv.Close()
 	for range 2 {
 		res, err := srv.Client().Post(srv.URL, "text/plain", strings.NewReader("body"))
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -11,11 +11,6 @@
 )
 
 const (
-	// requestMemoryShare is the share of the memory of the process that the bodies of
-	// requests, the heads and bodies of answers and events may hold together. The soft
-	// limit of the heap is half of the memory, so what is garbage beside them is
-	// collected in time.
-	requestMemoryShare = 0.25
 	// memoryRetryAfter is the shortest time after which a caller may come back whose body
 	// did not fit. Bodies are held until their requests are answered.
 	memoryRetryAfter = time.Second
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -155,10 +155,12 @@
 		r.log.Error("metrics address cannot be used", "error", err.Error())
 		return
 	}
-	srv := program.NewServer(program.AdminHandler(r.ready, r.status))
+	bounds := program.NewChecks(r.log, "metrics", r.division.Metrics)
+	go bounds.Run(ctx)
+	srv := bounds.Protect(program.NewServer(program.AdminHandler(r.ready, r.status)))
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(bounds.Wrap(l)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		r.log.Error("metrics server failed", "error", err.Error())
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -15,6 +16,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
+	"github.com/goldcrestturn/goldcrestturn/internal/inbound"
 	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/origin"
@@ -34,6 +36,7 @@
 	suspects *suspectWriter
 	meter    *meter
 	memory   *memory.Budget
+	division inbound.Division
 	random   func() float64 // uniform in [0, 1)
 	// membersReady is closed once the list of routers has been read, configReady and
 	// listReady after the result of the first read of the operators' orders and of
@@ -66,8 +69,9 @@
 		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
-	r.memory = memory.NewBudget(int64(requestMemoryShare * float64(s.MemoryLimit)))
-	r.node = exchange.New(exchange.Config{Key: exchangeKey, AcceptFailed: func(err error) {
+	r.division = inbound.Divide(s.MemoryLimit, cmp.Or(s.MaxFDs, defaultMaxFDs))
+	r.memory = memory.NewBudget(r.division.Bodies)
+	r.node = exchange.New(exchange.Config{Key: exchangeKey, MaxPeers: int(r.division.Peers.Descriptors), AcceptFailed: func(err error) {
 		r.log.Warn("connections of peers cannot be accepted", "error", err.Error())
 	}})
 	r.loop = control.New(control.Config[State, Snapshot]{
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -14,17 +14,20 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/listener"
 	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/program"
 )
 
 const (
-	// readHeaderTimeout and readBodyTimeout bound a caller that sends slowly.
+	// readHeaderTimeout bounds a caller that sends slowly while the operators' limit is not
+	// known, and readBodyTimeout the time of bodies that bodyRate would give less.
 	readHeaderTimeout = 5 * time.Second
 	readBodyTimeout   = 10 * time.Second
 	// writeTimeout bounds each write to a caller that reads slowly.
-	writeTimeout        = 10 * time.Second
+	writeTimeout = 10 * time.Second
+	// maxHeaderBytes is the largest head while the operators' limit is not known.
 	maxHeaderBytes      = 64 << 10
 	defaultMaxBodyBytes = 8 << 20
 )
@@ -56,15 +59,17 @@
 	r.Start(background, &g)
 	g.Go(func() error { return r.node.Serve(background, rpc) })
 	active := &atomic.Int64{}
-	srv := &http.Server{
-		Handler: r.countActive(active, limitBodyTime(r.Handler(), readBodyTimeout)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	fromCallers, checks := r.callerListener(), program.NewChecks(r.log, "readiness", r.division.Readiness)
+	for _, l := range []*listener.Listener{fromCallers, checks} {
+		g.Go(func() error { l.Run(background); return nil })
 	}
-	readinessSrv := &http.Server{Handler: r.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	srv := fromCallers.Protect(&http.Server{Handler: r.countActive(active, limitBodyTime(r.Handler(), r.bodyTime))})
+	readinessSrv := checks.Protect(&http.Server{Handler: r.readinessHandler()})
 	failed := make(chan error, 2)
-	go func() { failed <- readinessSrv.Serve(readiness) }()
+	go func() { failed <- readinessSrv.Serve(checks.Wrap(readiness)) }()
 	go func() {
 		r.awaitStartState(background)
-		failed <- srv.Serve(idleListener{callers, r.idleLimit})
+		failed <- srv.Serve(fromCallers.Wrap(callers))
 	}()
 	r.log.Info("started", "instance", r.settings.Instance, "data_centre", r.settings.DataCentre,
 		"listen", callers.Addr().String(), "version", program.Version)
@@ -181,11 +186,7 @@
 		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
 	}
 	req.Arrived, req.memory = arrived, memoryOf(ctx)
-	limit := int64(defaultMaxBodyBytes)
-	if c := r.loop.Snapshot().Catalog; c != nil && c.MaxBody > 0 {
-		limit = c.MaxBody
-	}
-	req.Body, err = memory.ReadAll(hr.Body, hr.ContentLength, limit, req.memory, errBodyTooLong)
+	req.Body, err = memory.ReadAll(hr.Body, hr.ContentLength, r.maxBody(), req.memory, errBodyTooLong)
 	switch {
 	case errors.Is(err, errBodyTooLong):
 		return nil, model.Refuse(model.ReasonLimit, err.Error())
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -19,6 +19,9 @@
 	Store       string // address of the platform's store
 	ReadyPath   string // path of the readiness check
 	MemoryLimit int64  // bytes
+	MaxFDs      int64  // descriptors that the process may have open; 0 means the default
+	MaxFields   int64  // of the head of a caller's request; 0 means the default
+	MinRate     int64  // bytes a second that a caller sends or takes while the router waits for it
 	FirstStart  bool   // first start of the whole system, so the caches of engines are empty
 
 	Grace        time.Duration // from SIGTERM until the platform kills the process
@@ -39,6 +42,15 @@
 // and at the routers that query it add up to about two intervals.
 const readsPerDrain = 4
 
+// Bounds on callers. Ordinary requests have some 20 fields, and 2,400 transfers at once on a
+// link of 10 Mbit/s have the default rate each.
+const (
+	defaultMaxFDs    = 4096
+	minDescriptors   = 384 // leaves some to callers beside those in reserve
+	defaultMaxFields = 256
+	defaultMinRate   = 512
+)
+
 // Allowed range of settings that are durations.
 const (
 	minDuration = time.Millisecond
@@ -69,6 +81,9 @@
 		Exchange:     f.Address("router", "exchange"),
 		Store:        f.Address("platform", "store"),
 		MemoryLimit:  f.Int("router", "memory_mb", 256, 16, 1<<20) << 20,
+		MaxFDs:       f.Int("router", "max_fds", defaultMaxFDs, minDescriptors, 1<<20),
+		MaxFields:    f.Int("router", "max_header_fields", defaultMaxFields, 16, 1<<16),
+		MinRate:      f.Int("router", "min_rate", defaultMinRate, 0, 1<<20),
 		FirstStart:   f.Bool("router", "first_start", false),
 		Grace:        f.Duration("bounds", "grace", 8*time.Second, minDuration, maxDuration),
 		Revoke:       f.Duration("bounds", "revoke", 5*time.Second, minDuration, maxDuration),
--- a/internal/side/exchange.go
+++ b/internal/side/exchange.go
@@ -21,7 +21,7 @@
 )
 
 func (p *Side) newNode() *exchange.Node {
-	n := exchange.New(exchange.Config{Key: p.settings.Key, Budget: p.settings.ControlBudget, Dial: p.deps.Dial, AcceptFailed: func(err error) {
+	n := exchange.New(exchange.Config{Key: p.settings.Key, MaxPeers: int(p.settings.Bounds.Division().Peers.Descriptors), Budget: p.settings.ControlBudget, Dial: p.deps.Dial, AcceptFailed: func(err error) {
 		p.log.Warn("connections of peers cannot be accepted", "error", err.Error())
 	}})
 	if err := n.Register(exchange.Service, &peerService{p}); err != nil {
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -93,10 +93,11 @@
 // Serve serves entries, operators and peers until ctx ends, and then drains.
 func (p *Side) Serve(ctx context.Context, traffic, admin, peers net.Listener) error {
 	backgroundCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	division := p.settings.Bounds.Division()
 	var g errgroup.Group
 	p.Start(backgroundCtx, &g)
 	g.Go(func() error {
-		return program.Serve(backgroundCtx, program.NewServer(program.AdminHandler(p.ready, p.status)), admin, time.Second)
+		return program.ServeWithin(backgroundCtx, program.NewChecks(p.log, "admin", division.Readiness), program.NewServer(program.AdminHandler(p.ready, p.status)), admin, time.Second)
 	})
 	g.Go(func() error { return p.ServeControl(backgroundCtx, peers) })
 	p.log.Info("started", "instance", p.settings.Instance, "listen", traffic.Addr().String())
@@ -106,7 +107,10 @@
 		p.Drain(backgroundCtx, p.settings.DrainTimeout)
 		stopServing()
 	}()
-	err := program.Serve(servingCtx, program.NewServer(p.Handler()), traffic, closeTimeout)
+	// Bodies do not count: only processes with the shared key have theirs read, and caches
+	// of chats pass through without being held.
+	entries := program.NewTraffic(p.log, division.Callers, false)
+	err := program.ServeWithin(servingCtx, entries, program.NewServer(p.Handler()), traffic, closeTimeout)
 	stop()
 	if err == nil {
 		err = g.Wait()
--- a/internal/side/settings.go
+++ b/internal/side/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/program"
 	"github.com/goldcrestturn/goldcrestturn/internal/settings"
 )
 
@@ -25,6 +26,7 @@
 	DrainTimeout  time.Duration // for requests in flight at a planned stop
 	ControlBudget int64         // bytes per second of control traffic
 	AppendBudget  int64         // appends per second of the whole fleet
+	Bounds        program.Bounds
 }
 
 // Bounds and defaults of the settings.
@@ -74,5 +76,9 @@
 		ControlBudget: f.Int("fleet", "control_budget", defaultControlBudget, minControlBudget, maxControlBudget),
 		AppendBudget:  f.Int("fleet", "append_budget", defaultAppendBudget, 1, maxAppendBudget),
 	}
+	s.Bounds = program.Bounds{
+		MemoryLimit: f.Int("side", "memory_mb", program.DefaultMemoryMB, 16, 1<<20) << 20,
+		MaxFDs:      f.Int("side", "max_fds", program.DefaultMaxFDs, program.MinMaxFDs, 1<<20),
+	}
 	return s, f.Err()
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -44,7 +44,8 @@
 	binary     string
 	store      *standin.Store
 	storeProxy *proxy
-	memoryMB   int // setting of the routers; the default if 0
+	memoryMB   int // settings of the routers; the defaults if 0
+	maxFDs     int
 	// separated says of each router whether it exchanges messages over IPv6, so that it
 	// does not hear those over IPv4; nil if none does.
 	separated func(router int) bool
@@ -174,6 +175,9 @@
 	if f.memoryMB > 0 {
 		memory = fmt.Sprintf("memory_mb = %d\n", f.memoryMB)
 	}
+	if f.maxFDs > 0 {
+		memory += fmt.Sprintf("max_fds = %d\n", f.maxFDs)
+	}
 	content := fmt.Sprintf("[router]\ninstance = %s\ndata_centre = dc-%d\nlisten = %s\nready = %s\nready_path = /ready\nexchange = %s\nfirst_start = true\n%s[platform]\nstore = %s\n[regions]\ndata_centres = dc-0, dc-1\ndc-0 = r\ndc-1 = r\n",
 		p.name, i%2, p.callerAddress, p.readyAddress, freePortAt(f.t, exchange), memory, f.storeProxy.address())
 	if err := os.WriteFile(p.settings, []byte(content), 0o600); err != nil {
