listener, soak: slow drips count as no progress; rows for all listeners

A transfer that moves a few bytes a second, or a head that takes longer than a second, is given up first when others need what it holds, like one that stands still.

--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -96,8 +96,10 @@
 		7: {Address: address(2), Phase: Receiving, Still: time.Millisecond, Held: 30},
 		8: {Address: address(2), Phase: Opening, Still: time.Millisecond, Held: 10},
 		9: {Address: address(2), Phase: Ending, Still: time.Hour, Held: 10},
+		// A byte now and then is no progress.
+		10: {Address: address(2), Phase: Receiving, Slow: true, Still: time.Millisecond, Held: 10},
 	}
-	is.Equal(Reclaim(views, 100, 0, time.Second), []int{3, 6, 5, 1, 4, 2})
+	is.Equal(Reclaim(views, 100, 0, time.Second), []int{3, 6, 10, 5, 1, 4, 2})
 	is.Equal(Reclaim(views, 2, 0, time.Second), []int{3, 6})
 	is.Equal(Reclaim(views, 0, 60, time.Second), []int{3, 6})
 	is.Equal(len(Reclaim(views, 0, 0, time.Second)), 0)
--- a/internal/inbound/reclaim.go
+++ b/internal/inbound/reclaim.go
@@ -25,13 +25,14 @@
 	Address netip.Addr
 	Phase   Phase
 	Unread  bool          // the caller does not take the response
+	Slow    bool          // a transfer far below the rate of callers inside the limits
 	Still   time.Duration // since it last sent or took a byte, or changed its phase
 	Held    int64         // bytes
 }
 
 // Classes of connections, in the order in which they are given up.
 const (
-	stalled      = iota // an unfinished request or an unread response, without progress
+	stalled      = iota // an unfinished request or an unread response, without progress or slow
 	unused              // nothing was ever sent
 	idleOver            // idle, of an address above its share
 	progressOver        // an unfinished request of an address above its share
@@ -46,7 +47,7 @@
 	switch {
 	case v.Phase == Ending:
 		return kept
-	case unfinished && v.Still >= stall:
+	case unfinished && (v.Slow || v.Still >= stall):
 		return stalled
 	case unfinished && over && !v.Unread:
 		return progressOver
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -208,23 +208,29 @@
 	moved, requests int64
 	phase           inbound.Phase
 	since           time.Time // of the last progress
+	entered         time.Time // into the phase
 	pace            inbound.Pace
 }
 
 // look updates w and returns what is known of the connection, and the bytes that it has
 // moved since.
-func (w *watch) look(c *Conn, now time.Time) (v inbound.View, moved int64) {
+func (w *watch) look(c *Conn, now time.Time, stall time.Duration) (v inbound.View, moved int64) {
 	v = c.view()
 	total, requests := c.moved.Load(), c.requests.Load()
 	moved = total - w.moved
 	if requests != w.requests {
 		w.pace = inbound.Pace{}
 	}
-	if moved > 0 || v.Phase != w.phase || requests != w.requests || w.since.IsZero() {
+	if v.Phase != w.phase || requests != w.requests || w.since.IsZero() {
+		w.since, w.entered = now, now
+	}
+	if moved > 0 {
 		w.since = now
 	}
 	w.moved, w.requests, w.phase = total, requests, v.Phase
 	v.Still = now.Sub(w.since)
+	// A head is so short that it arrives within the time of a stall.
+	v.Slow = w.pace.Below(pressedRate, pressedTime) || v.Phase == inbound.Reading && now.Sub(w.entered) >= stall
 	return v, moved
 }
 
@@ -272,7 +278,7 @@
 	pressed := o.l.config.Pressed != nil && o.l.config.Pressed() ||
 		o.l.config.CountBodies && float64(o.l.bytes.Load()) > PressedShare*float64(o.l.config.Quota.Bytes)
 	for c, w := range o.conns {
-		v, moved := w.look(c, now)
+		v, moved := w.look(c, now, o.l.config.Stall)
 		waiting := v.Unread || v.Phase == inbound.Receiving
 		slow := w.pace.Observe(waiting, passed, moved, limits)
 		bound := inbound.SlowBody
@@ -302,7 +308,7 @@
 	}
 	conns, views := make([]*Conn, 0, len(o.conns)), make([]inbound.View, 0, len(o.conns))
 	for c, w := range o.conns {
-		v, _ := w.look(c, now)
+		v, _ := w.look(c, now, o.l.config.Stall)
 		conns, views = append(conns, c), append(views, v)
 	}
 	ended := 0
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -69,7 +69,7 @@
 		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
-	r.division = inbound.Divide(s.MemoryLimit, cmp.Or(s.MaxFDs, defaultMaxFDs))
+	r.division = inbound.Divide(cmp.Or(s.MemoryLimit, defaultMemoryMB<<20), cmp.Or(s.MaxFDs, defaultMaxFDs))
 	r.memory = memory.NewBudget(r.division.Bodies)
 	r.node = exchange.New(exchange.Config{Key: exchangeKey, MaxPeers: int(r.division.Peers.Descriptors), AcceptFailed: func(err error) {
 		r.log.Warn("connections of peers cannot be accepted", "error", err.Error())
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -18,7 +18,7 @@
 	Exchange    string // address for peers, UDP and TCP
 	Store       string // address of the platform's store
 	ReadyPath   string // path of the readiness check
-	MemoryLimit int64  // bytes
+	MemoryLimit int64  // bytes; 0 means the default
 	MaxFDs      int64  // descriptors that the process may have open; 0 means the default
 	MaxFields   int64  // of the head of a caller's request; 0 means the default
 	MinRate     int64  // bytes a second that a caller sends or takes while the router waits for it
@@ -42,9 +42,10 @@
 // and at the routers that query it add up to about two intervals.
 const readsPerDrain = 4
 
-// Bounds on callers. Ordinary requests have some 20 fields, and 2,400 transfers at once on a
+// Defaults from which the bounds on callers follow. Ordinary requests have some 20 fields, and 2,400 transfers at once on a
 // link of 10 Mbit/s have the default rate each.
 const (
+	defaultMemoryMB  = 256
 	defaultMaxFDs    = 4096
 	minDescriptors   = 384 // leaves some to callers beside those in reserve
 	defaultMaxFields = 256
@@ -80,7 +81,7 @@
 		Metrics:      f.OptionalAddress("router", "metrics"),
 		Exchange:     f.Address("router", "exchange"),
 		Store:        f.Address("platform", "store"),
-		MemoryLimit:  f.Int("router", "memory_mb", 256, 16, 1<<20) << 20,
+		MemoryLimit:  f.Int("router", "memory_mb", defaultMemoryMB, 16, 1<<20) << 20,
 		MaxFDs:       f.Int("router", "max_fds", defaultMaxFDs, minDescriptors, 1<<20),
 		MaxFields:    f.Int("router", "max_header_fields", defaultMaxFields, 16, 1<<16),
 		MinRate:      f.Int("router", "min_rate", defaultMinRate, 0, 1<<20),
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -22,12 +22,15 @@
 	settings      string
 	callerAddress string
 	readyAddress  string
-	log           *os.File
-	mu            sync.Mutex
-	cmd           *exec.Cmd
-	exited        chan struct{}
-	exitExpected  bool       // the soak sent a signal that ends the process
-	restartMu     sync.Mutex // held during a restart
+	// exchangeAddress and metricsAddress are those for peers and of metrics; the second one
+	// is empty if there is none.
+	exchangeAddress, metricsAddress string
+	log                             *os.File
+	mu                              sync.Mutex
+	cmd                             *exec.Cmd
+	exited                          chan struct{}
+	exitExpected                    bool       // the soak sent a signal that ends the process
+	restartMu                       sync.Mutex // held during a restart
 }
 
 // fleetEndpoint is an endpoint that routers reach through a proxy.
@@ -176,10 +179,12 @@
 		memory = fmt.Sprintf("memory_mb = %d\n", f.memoryMB)
 	}
 	if f.maxFDs > 0 {
-		memory += fmt.Sprintf("max_fds = %d\n", f.maxFDs)
+		p.metricsAddress = freePort(f.t)
+		memory += fmt.Sprintf("max_fds = %d\nmetrics = %s\n", f.maxFDs, p.metricsAddress)
 	}
+	p.exchangeAddress = freePortAt(f.t, exchange)
 	content := fmt.Sprintf("[router]\ninstance = %s\ndata_centre = dc-%d\nlisten = %s\nready = %s\nready_path = /ready\nexchange = %s\nfirst_start = true\n%s[platform]\nstore = %s\n[regions]\ndata_centres = dc-0, dc-1\ndc-0 = r\ndc-1 = r\n",
-		p.name, i%2, p.callerAddress, p.readyAddress, freePortAt(f.t, exchange), memory, f.storeProxy.address())
+		p.name, i%2, p.callerAddress, p.readyAddress, p.exchangeAddress, memory, f.storeProxy.address())
 	if err := os.WriteFile(p.settings, []byte(content), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -88,8 +88,14 @@
 // buildRouter builds the router program and returns its path.
 func buildRouter(t *testing.T) string {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), "goldcrest-router")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/goldcrest-router").CombinedOutput(); err != nil {
+	return buildProgram(t, "goldcrest-router")
+}
+
+// buildProgram builds a program of cmd and returns its path.
+func buildProgram(t *testing.T, name string) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), name)
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/"+name).CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	return binary
