listener: a caller for whom connections are given up need not come back

A connection that is given up while its body is read closes only after its refusal has been sent, so the caller who needed the room found none and was refused. A quota may now be exceeded by a sixteenth while such connections are being closed; the descriptors in reserve cover that.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -36,8 +36,8 @@
 	reclaimPart = 32
 	// reclaimPause is how long nothing is reclaimed after too little was found.
 	reclaimPause = 50 * time.Millisecond
-	// surplusPart is the part of the descriptors that connections may take beyond the
-	// quota to be refused with a response.
+	// surplusPart is the part of a quota that connections may take beyond it, to be refused
+	// with a response, or while others that were given up for them are being closed.
 	surplusPart = 16
 )
 
@@ -126,10 +126,10 @@
 // admit takes a connection into the quota, or returns nil if there is no room for it.
 func (l *Listener) admit(inner net.Conn) *Conn {
 	limit := l.config.Quota.Descriptors
-	surplus := false
-	if l.descriptors.Add(1) > limit && (l.reclaim(1, 0) == 0 || l.descriptors.Load() > limit) {
+	l.descriptors.Add(1)
+	surplus := !l.room(&l.descriptors, limit, 1, 0)
+	if surplus {
 		l.reached(inbound.Connections)
-		surplus = true
 		if l.descriptors.Load() > limit+limit/surplusPart {
 			l.descriptors.Add(-1)
 			return nil
@@ -162,17 +162,20 @@
 	}
 }
 
+// room reports whether a count, which includes the new part, is within its limit. It may be
+// above by a small part while connections that were given up for it are being closed.
+func (l *Listener) room(count *atomic.Int64, limit int64, connections int, bytes int64) bool {
+	return count.Load() <= limit || l.reclaim(connections, bytes) > 0 && count.Load() <= limit+limit/surplusPart
+}
+
 // takeBytes takes n bytes of the quota and reports whether they were left.
 func (l *Listener) takeBytes(n int64) bool {
-	for try := 0; ; try++ {
-		if l.bytes.Add(n) <= l.config.Quota.Bytes {
-			return true
-		}
-		l.bytes.Add(-n)
-		if try > 0 || l.reclaim(0, n) == 0 {
-			return false
-		}
+	l.bytes.Add(n)
+	if l.room(&l.bytes, l.config.Quota.Bytes, 0, n) {
+		return true
 	}
+	l.bytes.Add(-n)
+	return false
 }
 
 // reclaim asks for connections to be given up and returns their number.
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -96,7 +96,8 @@
 	case !c.holdHead(inbound.HeadCost(size, fields) + inbound.RequestBytes):
 		return inbound.Memory
 	}
-	if limit := l.config.Quota.Descriptors; l.descriptors.Add(1) > limit && (l.reclaim(1, 0) == 0 || l.descriptors.Load() > limit) {
+	l.descriptors.Add(1)
+	if !l.room(&l.descriptors, l.config.Quota.Descriptors, 1, 0) {
 		l.descriptors.Add(-1)
 		return inbound.Requests
 	}
