place: endpoints that state their work time are compared by expected time

Endpoints of a pool were compared by their load alone, so engines that became four times as slow for some seconds kept their share, and callers waited. Where an endpoint of the pool states its work time, the expected time to the first event and to the end decides now: load, slots, the work time with its age, speeds learned from answers, and prompt tokens that are not cached. The prefill rate is learned for each such pool. Routers notify each other of endpoints that become slow or usual again. Pools whose endpoints state no work time are served as before.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -31,6 +31,7 @@
 	flagRelay        = 1 << 4
 	flagStatedLoads  = 1 << 5 // the loads are those that endpoints stated, without flagLoads
 	flagLimits       = 1 << 6 // the loads are limits in limitUnit, without the other two
+	flagWorkTimes    = 1 << 7 // the loads are work times in percent, without the other three
 
 	flagsOffset  = 2
 	headerLen    = 3  // bytes: magic, version and flags
@@ -75,9 +76,13 @@
 	// stated in answers to the sender, by endpoint hash; negative if they state none any
 	// more. They are sent in units of 0.05, 3276 at most. A message with Loads or
 	// StatedLoads carries none.
-	Limits  map[uint32]float64
-	Holders []place.PartHolder
-	Leaving bool // the sender is stopping
+	Limits map[uint32]float64
+	// WorkTimes are the work times that endpoints stated in answers to the sender, relative
+	// to the usual ones, by endpoint hash. They are sent in percent. A message with Loads,
+	// StatedLoads or Limits carries none.
+	WorkTimes map[uint32]float64
+	Holders   []place.PartHolder
+	Leaving   bool // the sender is stopping
 	// HoldersKnown says that the sender knows the holders from before its start, so
 	// that the receiver need not ask the engines.
 	HoldersKnown bool
@@ -114,6 +119,9 @@
 	case m.Limits != nil:
 		flags |= flagLimits
 		loads = limitUnits(m.Limits)
+	case m.WorkTimes != nil:
+		flags |= flagWorkTimes
+		loads = percents(m.WorkTimes)
 	}
 	if m.Leaving {
 		flags |= flagLeaving
@@ -189,6 +197,15 @@
 	return out
 }
 
+// percents returns work times in percent, at least one each.
+func percents(workTimes map[uint32]float64) map[uint32]int {
+	out := make(map[uint32]int, len(workTimes))
+	for h, w := range workTimes {
+		out[h] = int(min(max(1, 100*w+0.5), 1<<16-1))
+	}
+	return out
+}
+
 // Relayed returns the datagram b as its relay forwards it: receivers do not forward
 // it again. b must have been parsed without an error.
 func Relayed(b []byte) []byte {
@@ -238,6 +255,11 @@
 		m.StatedLoads = loads
 	case flags&flagLimits != 0:
 		m.Limits = limitsOf(loads)
+	case flags&flagWorkTimes != 0:
+		m.WorkTimes = make(map[uint32]float64, len(loads))
+		for h, n := range loads {
+			m.WorkTimes[h] = float64(n) / 100
+		}
 	}
 	n = int(binary.BigEndian.Uint16(b))
 	b = b[2:]
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -18,6 +18,7 @@
 		{Name: "router-2", Loads: map[uint32]int{}},
 		{Name: "router-2", StatedLoads: map[uint32]int{7: 40}},
 		{Name: "router-2", Limits: map[uint32]float64{7: 2.5, 8: 3276.75, 9: -1}},
+		{Name: "router-2", WorkTimes: map[uint32]float64{7: 4, 8: 0.31, 9: 1}},
 		{Name: "router-2", Crashes: []Crash{{Key: 1 << 60, Endpoint: 7, Age: 30 * time.Millisecond}}, Sound: []uint64{5, 6}},
 		{Name: "router-3", Leaving: true},
 		{Name: "router-5", DataCentre: "dc-a", Address: netip.MustParseAddrPort("10.1.0.7:7340"), Relay: true},
--- /dev/null
+++ b/internal/place/speed.go
@@ -0,0 +1,242 @@
+package place
+
+import (
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+)
+
+// AnswerTime is what a complete answer tells of the speed of its endpoint and of the pool.
+type AnswerTime struct {
+	Kind       model.Route   // kind of request
+	Stated     StatedLoad    // in the head of the answer
+	Uncached   int           // prompt tokens that the endpoint was expected to read; negative if not known
+	Fetched    int           // prompt tokens that it was told to fetch from another endpoint
+	FirstEvent time.Duration // from sending the request to the first event
+	Whole      time.Duration // from sending the request to the end
+	Bytes      int           // of the request and the answer
+}
+
+const (
+	// priorFirstEvent and priorReadTime are the time to the first event without a prompt
+	// and the time for each prompt token, in ms, that are assumed until answers tell
+	// others: those of an engine of the first users.
+	priorFirstEvent = 15.0
+	priorReadTime   = 1.0 / prefillRate
+	// priorWeight is the weight of the assumed values, in answers.
+	priorWeight = 4.0
+	// priorTokens is the prompt size at which the assumed read time counts.
+	priorTokens = 4000.0
+	// answerMemory is the number of answers over which the pool's times are averaged. At
+	// 17 answers a second, the rate of one router of 28, that is 12 s.
+	answerMemory = 200
+	// minReadTime and maxReadTime bound the learned time for each prompt token in ms.
+	minReadTime = 1.0 / 1000
+	maxReadTime = 1.0 / 5
+	// minFirstEvent bounds the learned time to the first event without a prompt in ms.
+	minFirstEvent = 1.0
+	// maxSpread bounds a time against the expected one, so that a single answer that was
+	// delayed for another reason does not move the averages.
+	maxSpread = 8.0
+)
+
+// lineFit fits the time to the first event, in ms, to a line over the prompt tokens that
+// are not cached. Older answers weigh less.
+type lineFit struct{ n, x, y, xx, xy float64 }
+
+func newLineFit() lineFit {
+	var f lineFit
+	for _, tokens := range []float64{0, priorTokens} {
+		f.add(tokens, priorFirstEvent+tokens*priorReadTime, priorWeight/2)
+	}
+	return f
+}
+
+func (f *lineFit) add(x, y, weight float64) {
+	f.n, f.x, f.y, f.xx, f.xy = f.n+weight, f.x+weight*x, f.y+weight*y, f.xx+weight*x*x, f.xy+weight*x*y
+}
+
+// observe adds one answer.
+func (f *lineFit) observe(x, y float64) {
+	const keep = 1 - 1.0/answerMemory
+	f.n, f.x, f.y, f.xx, f.xy = f.n*keep, f.x*keep, f.y*keep, f.xx*keep, f.xy*keep
+	f.add(x, y, 1)
+}
+
+// line returns the time to the first event without a prompt and the time for each token.
+func (f *lineFit) line() (base, perToken float64) {
+	meanX, meanY := f.x/f.n, f.y/f.n
+	perToken = priorReadTime
+	if variance := f.xx/f.n - meanX*meanX; variance > 1 {
+		perToken = (f.xy/f.n - meanX*meanY) / variance
+	}
+	perToken = min(max(perToken, minReadTime), maxReadTime)
+	return max(minFirstEvent, meanY-perToken*meanX), perToken
+}
+
+// average is an exponentially weighted mean; value is 0 before the first figure.
+type average struct {
+	value float64
+	count int
+}
+
+// averageMemory is the number of figures over which an average is taken.
+const averageMemory = 50
+
+func (a *average) add(v float64) {
+	a.count++
+	a.value += (v - a.value) / float64(min(a.count, averageMemory))
+}
+
+// poolTimes are the times of a pool as answers told them, at the usual work time.
+type poolTimes struct {
+	workTimeStated bool // an endpoint of the pool has stated its work time
+	fit            lineFit
+	base, perToken float64 // line of fit, in ms
+	fetch          average // ms for each token that was fetched from another endpoint
+	fetchedAt      time.Time
+	whole          average // ms from the first event to the end
+	kinds          map[model.Route]*kindTimes
+}
+
+// kindTimes are the times and the bytes of one kind of request.
+type kindTimes struct {
+	whole average // ms from the first event to the end
+	bytes average // of the request and the answer
+}
+
+// timesOf returns the times of a pool.
+func (t *Table) timesOf(pool model.Pool) *poolTimes {
+	p := t.times[pool]
+	if p == nil {
+		p = &poolTimes{fit: newLineFit(), kinds: map[model.Route]*kindTimes{}}
+		p.base, p.perToken = p.fit.line()
+		t.times[pool] = p
+	}
+	return p
+}
+
+// maxKinds bounds the kinds of requests of a pool whose times are kept.
+const maxKinds = 64
+
+// kind returns the times of a kind of request, or nil if there are too many kinds.
+func (p *poolTimes) kind(name model.Route) *kindTimes {
+	k := p.kinds[name]
+	if k == nil && len(p.kinds) < maxKinds {
+		k = &kindTimes{}
+		p.kinds[name] = k
+	}
+	return k
+}
+
+// wholeTime returns the expected time in ms from the first event to the end.
+func (p *poolTimes) wholeTime(kind model.Route) float64 {
+	if k := p.kinds[kind]; k != nil && k.whole.count > 0 {
+		return k.whole.value
+	}
+	return p.whole.value
+}
+
+const (
+	// minFetches is how many answers the learned time of a fetch needs.
+	minFetches = 4
+	// maxFetchCost is the largest time for fetching a token relative to reading it at
+	// which it is still fetched: reading takes time that the other requests of the
+	// endpoint need.
+	maxFetchCost = 2.0
+	// fetchRetry is the time after the last fetch from which prompts are fetched again
+	// although that took too long.
+	fetchRetry = 30 * time.Second
+)
+
+// fetchTime returns the expected time in ms for each token that is fetched from another
+// endpoint. Until answers tell it, it is that of reading the token.
+func (p *poolTimes) fetchTime() float64 {
+	if p.fetch.count < minFetches {
+		return p.perToken
+	}
+	return p.fetch.value
+}
+
+// fetchPays reports whether prompts are fetched rather than read again.
+func (p *poolTimes) fetchPays(now time.Time) bool {
+	return p.fetchTime() <= maxFetchCost*p.perToken || now.Sub(p.fetchedAt) >= fetchRetry
+}
+
+const (
+	// learnedSmoothing is the weight of a new answer in the learned speed of an endpoint.
+	learnedSmoothing = 0.3
+	// minLearnedAnswers is how many answers a learned speed needs, and maxLearnedAge the
+	// age from which it no longer counts.
+	minLearnedAnswers = 4
+	maxLearnedAge     = 10 * time.Second
+	// maxLearned bounds a learned speed. An endpoint that is slower than that becomes
+	// known by its failures and by its load.
+	maxLearned = 4.0
+)
+
+// learnedSpeed is how long the first event of an endpoint takes relative to the expected
+// time. It makes up for work times that are not stated or wrong.
+type learnedSpeed struct {
+	ratio   float64
+	answers int
+	at      time.Time
+}
+
+func (l *learnedSpeed) add(now time.Time, ratio float64) {
+	if now.Sub(l.at) >= maxLearnedAge {
+		*l = learnedSpeed{ratio: 1}
+	}
+	l.ratio += learnedSmoothing * (min(ratio, maxSpread) - l.ratio)
+	l.answers++
+	l.at = now
+}
+
+// factor returns the factor by which the endpoint is slower than the pool, beyond what it
+// states.
+func (l *learnedSpeed) factor(now time.Time) float64 {
+	if l.answers < minLearnedAnswers || now.Sub(l.at) >= maxLearnedAge {
+		return 1
+	}
+	return max(1/maxLearned, min(aboveVariation(l.ratio), maxLearned))
+}
+
+// RecordAnswerTime applies the times of a complete answer. Answers of endpoints that state
+// no work time tell nothing, since their choice does not depend on it, and neither do those
+// of endpoints with waiting requests: these tell how long the queue was.
+func (t *Table) RecordAnswerTime(now time.Time, id model.EndpointID, a AnswerTime) {
+	s := t.endpoints[id]
+	if s == nil || a.Stated.WorkTime <= 0 {
+		return
+	}
+	p := t.timesOf(s.Pool)
+	p.workTimeStated = true
+	kind := p.kind(a.Kind)
+	if kind != nil && a.Bytes > 0 {
+		kind.bytes.add(float64(a.Bytes))
+	}
+	if a.FirstEvent <= 0 || a.Whole < a.FirstEvent {
+		return
+	}
+	whole := milliseconds(a.Whole-a.FirstEvent) / a.Stated.WorkTime
+	p.whole.add(whole)
+	if kind != nil {
+		kind.whole.add(whole)
+	}
+	if a.Stated.Waiting > 0 || a.Uncached < 0 {
+		return
+	}
+	first := milliseconds(a.FirstEvent) / a.Stated.WorkTime
+	expected := p.base + float64(a.Uncached)*p.perToken
+	first = min(first, maxSpread*(expected+float64(a.Fetched)*p.fetchTime()))
+	if a.Fetched > 0 {
+		p.fetch.add(max(0, first-expected) / float64(a.Fetched))
+		p.fetchedAt = now
+		return
+	}
+	s.learned.add(now, first/expected)
+	p.fit.observe(float64(a.Uncached), first)
+	p.base, p.perToken = p.fit.line()
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/place/stated.go
+++ b/internal/place/stated.go
@@ -54,6 +54,10 @@
 	}
 	known, load := t.load(now, s), stated.Requests()
 	s.lastStated, s.lastStatedAt = stated, now
+	if stated.WorkTime > 0 {
+		s.work.add(now, stated.WorkTime)
+		t.timesOf(s.Pool).workTimeStated = true
+	}
 	s.stated = statedLoad{load: load, at: now, inFlight: s.inFlight}
 	if float64(load) < known+statedLoadMargin {
 		return s.hash, false
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -42,6 +42,8 @@
 	stated          statedLoad
 	lastStated      StatedLoad // in an answer to this router
 	lastStatedAt    time.Time
+	work            workTime
+	learned         learnedSpeed
 	limit           *statedLimit // nil if it stated none
 	leaving         bool         // it said so in an answer since its start
 	turnedAwayUntil time.Time    // until then it wants no requests of this router
@@ -63,8 +65,9 @@
 	announced    map[string]uint64        // routers with a recent announcement in the store, and the hashes of their names
 	returns      map[model.Pool]time.Time // when the last caller returns that was refused because of limits
 	holders      holderTable
-	listReceived bool      // set by the first list, whose endpoints are cold only if the list says so
-	graceUntil   time.Time // endpoints that are missing from the list are kept until then
+	times        map[model.Pool]*poolTimes // what answers told of the speed of the pools
+	listReceived bool                      // set by the first list, whose endpoints are cold only if the list says so
+	graceUntil   time.Time                 // endpoints that are missing from the list are kept until then
 }
 
 // New returns a table for the router self in data centre home.
@@ -72,7 +75,7 @@
 	return &Table{
 		selfID: routerID(string(self)), home: home, endpoints: map[model.EndpointID]*endpointState{}, byHash: map[uint32]*endpointState{}, usableCache: map[model.Pool]poolEndpoints{},
 		pools: map[model.Pool]catalog.Pool{}, evacuated: map[model.DataCentre]bool{},
-		peers: map[string]*peer{}, peerSums: map[uint32]int{}, returns: map[model.Pool]time.Time{}, holders: newHolderTable(),
+		peers: map[string]*peer{}, peerSums: map[uint32]int{}, returns: map[model.Pool]time.Time{}, holders: newHolderTable(), times: map[model.Pool]*poolTimes{},
 	}
 }
 
@@ -126,6 +129,7 @@
 			t.holders.removeEndpoint(s.hash) // the restarted process has an empty cache
 			s.stated, s.limit, s.leaving, s.turnedAwayUntil = statedLoad{}, nil, false, time.Time{}
 			s.lastStated, s.lastStatedAt = StatedLoad{}, time.Time{}
+			s.work, s.learned = workTime{}, learnedSpeed{}
 			s.coldUntil = now.Add(t.pools[e.Pool].ColdTime)
 		}
 		if !s.listed {
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -53,6 +53,11 @@
 		load     place.StatedLoad
 		limit    float64 // requests a second of all routers; negative if not stated
 	}
+	// answerTimed carries the times of a complete answer.
+	answerTimed struct {
+		endpoint model.EndpointID
+		times    place.AnswerTime
+	}
 	// noticeSeen says that an endpoint stated in an answer that it leaves, or that it
 	// wants no requests of this router for the time turnAway.
 	noticeSeen struct {
@@ -97,6 +102,7 @@
 		// statedLoads are loads that endpoints stated to the peer.
 		statedLoads map[uint32]int
 		limits      map[uint32]float64 // that endpoints stated to the peer
+		workTimes   map[uint32]float64 // the same, relative to the usual ones
 		crashes     []mesh.Crash
 		sound       []uint64 // properties of requests that were answered
 		holders     []place.PartHolder
@@ -134,6 +140,7 @@
 func (phaseChanged) EventName() string      { return "phase_changed" }
 func (pickEndpoint) EventName() string      { return "pick_endpoint" }
 func (requestEnded) EventName() string      { return "request_ended" }
+func (answerTimed) EventName() string       { return "answer_timed" }
 func (noticeSeen) EventName() string        { return "notice_seen" }
 func (crashSeen) EventName() string         { return "crash_seen" }
 func (causesSound) EventName() string       { return "causes_sound" }
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -73,7 +73,7 @@
 var attemptCounters = newCounters("goldcrest_router_attempts_total", "result", resultNames)
 
 var choiceCounters = newCounters("goldcrest_router_choices_total", "reason", map[place.Reason]string{
-	place.HoldsPrompt: "holds_prompt", place.HoldersLoaded: "holders_loaded", place.FirstUse: "first_use", place.LeastLoad: "least_load",
+	place.HoldsPrompt: "holds_prompt", place.HoldersLoaded: "holders_loaded", place.HoldersSlow: "holders_slow", place.FirstUse: "first_use", place.LeastLoad: "least_load",
 })
 
 // newCounters returns a counter for each key of names, labelled with the name.
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -80,3 +80,34 @@
 		return regexp.MustCompile(id + `".*holders_loaded`).MatchString(b.text())
 	})
 }
+
+// Guards against a router that keeps requests at a slow cache holder although another
+// router learned from an answer that it is slow: a router gets an answer of each endpoint
+// only every few seconds.
+func TestWorkTimesReachPeers(t *testing.T) {
+	f := newFleet(t, 4, 0)
+	start := func(name string) *process {
+		return f.start(func(s *router.Settings) { s.Instance, s.FirstStart = model.InstanceID(name), true }).await()
+	}
+	a, b := start("router-1"), start("router-2")
+	f.setFaults("", standin.EndpointFaults{Load: "1,0,64,100"})
+	slow := f.endpoints[0]
+	slow.SetFaults(standin.EndpointFaults{Load: "1,0,64,500"})
+	part := 1000
+	eventually(t, "the peer passes over the slow holder", func() bool {
+		part++
+		header := map[string]string{"X-Goldcrestturn-Prefix-Hash": fmt.Sprintf("%x:200,c:10", part)}
+		send := func(p *process) string {
+			r := p.call(context.Background(), http.MethodPost, "/stream/brief/x", "body", header)
+			is.New(t).Equal(r.status, http.StatusOK)
+			return r.id
+		}
+		if f.received(send(a))[0].Endpoint != slow.ID {
+			return false
+		}
+		id := send(b)
+		eventually(t, "the request is logged", func() bool { return strings.Contains(b.text(), id) })
+		return regexp.MustCompile(id + `".*holders_slow`).MatchString(b.text())
+	})
+	is.New(t).True(strings.Contains(a.text(), "work time of endpoint changed"))
+}
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -24,7 +24,7 @@
 		retryRequest{allowRetry: r.allowRetry, log: r.log},
 		guardEndpoints{snapshot: r.loop.Snapshot, allowTrial: r.allowTrial},
 		placeRequest{pick: r.pick, broadcastHolder: r.broadcastHolder, random: r.random},
-		send{client: r.client, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, checkKey: r.checkKey, log: r.log},
+		send{client: r.client, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordTimes: r.recordTimes, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, checkKey: r.checkKey, log: r.log},
 	)
 }
 
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -30,13 +30,14 @@
 func (placeRequest) Name() string { return "place" }
 
 func (f placeRequest) Handle(ctx context.Context, req *Request, next handler) (*Answer, error) {
-	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Key: xxhash.Sum64String(string(req.ID))}
+	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Kind: req.Route.Name, Key: xxhash.Sum64String(string(req.ID))}
 	if req.Workspace != nil && len(req.Workspace.Regions) > 0 {
 		q.Regions = intersect(q.Regions, req.Workspace.Regions)
 	}
 	if req.Route.Generation {
 		q.Base = req.basePart()
 		q.Part, q.Tokens = req.sharedPart(), req.sharedTokens()
+		q.PromptTokens = req.promptTokens()
 	}
 	p, err := f.pick(ctx, q)
 	if err != nil {
@@ -52,6 +53,7 @@
 	}
 	choiceCounters[p.choice.Reason].Inc()
 	req.Endpoint, req.FetchFrom, req.ChoiceReason, req.PendingPart = p.choice.Endpoint, p.choice.FetchFrom, p.choice.Reason, 0
+	req.uncached, req.fetched = p.choice.Uncached, p.choice.Fetched
 	if p.choice.NewHolder {
 		req.PendingPart = q.Part
 		f.broadcastHolder(q.Part, place.EndpointHash(req.Endpoint.ID))
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -46,6 +46,8 @@
 	Excluded     []model.EndpointID // endpoints picked for this and earlier attempts
 	Sends        int                // attempts that may have reached an endpoint
 	Runs         int                // attempts that an endpoint may have run
+	uncached     int                // prompt tokens that the endpoint is expected to read
+	fetched      int                // prompt tokens that it is told to fetch
 	trace        origin.Trace       // of the latest attempt
 	connections  []uint64           // that carried attempts, by their numbers
 	// FirstEvent is the time from the arrival to the first event of a stream.
@@ -84,6 +86,15 @@
 	return n
 }
 
+// promptTokens returns the number of tokens of all parts.
+func (r *Request) promptTokens() int {
+	n := 0
+	for _, p := range r.Parts {
+		n += p.Tokens
+	}
+	return n
+}
+
 // priority returns the priority of the workspace, or that of the route if the
 // workspace has none. 0 is the most urgent.
 func (r *Request) priority() int {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// recordTimes reports the times of a complete answer to the control goroutine, if its
+// endpoint states how long work takes: others are chosen without them.
+func (r *Router) recordTimes(id model.EndpointID, times place.AnswerTime) {
+	if times.Stated.WorkTime > 0 {
+		_ = r.loop.Post(context.Background(), answerTimed{endpoint: id, times: times})
+	}
+}
+
 // ready reports whether this router should receive new requests.
 func (r *Router) ready() bool {
 	s := r.loop.Snapshot()
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -45,6 +45,7 @@
 	protocol        Protocol
 	recordResult    func(endpoint model.EndpointID, result place.Result, pendingPart uint64)
 	recordNotice    func(endpoint model.EndpointID, class ResponseClass)
+	recordTimes     func(endpoint model.EndpointID, times place.AnswerTime)
 	recordCrash     func(context.Context, *Request)
 	recordAbandoned func(*Request)
 	recordSound     func(*Request)
@@ -78,13 +79,14 @@
 	}
 	req.Sends++
 	req.Runs++
+	sent := time.Now()
 	res, err := f.client.Do(ctx, req.Endpoint.Address, out)
 	answersSkipped.Add(req.trace.Skipped)
 	req.connections = append(req.connections, req.trace.Connection)
 	if err != nil {
 		return nil, f.refuseFailed(ctx, req, err)
 	}
-	return f.readAnswer(ctx, req, res)
+	return f.readAnswer(ctx, req, res, sent)
 }
 
 // stallTimeout returns how long req, which is about to be sent, waits for the head of
@@ -128,8 +130,8 @@
 	return &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonEndpointFailed, Detail: err.Error()}
 }
 
-// readAnswer reads the answer whose head is in res.
-func (f send) readAnswer(ctx context.Context, req *Request, res *origin.Response) (*Answer, error) {
+// readAnswer reads the answer whose head is in res to a request that was sent at a time.
+func (f send) readAnswer(ctx context.Context, req *Request, res *origin.Response, sent time.Time) (*Answer, error) {
 	class := f.protocol.ClassifyResponse(res.Status, res.Header)
 	// A 421 is of another endpoint, and an answer without a signature may be of anyone.
 	if !class.Misdirected && (class.Signed || class.NotRun) {
@@ -153,7 +155,8 @@
 	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, EndpointError: res.Status >= http.StatusInternalServerError}
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
 		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
-			recordCrash: f.recordCrash, recordAbandoned: f.recordAbandoned, recordSound: f.recordSound}
+			recordCrash: f.recordCrash, recordAbandoned: f.recordAbandoned, recordSound: f.recordSound, recordTimes: f.recordTimes, sent: sent,
+			times: place.AnswerTime{Kind: req.Route.Name, Stated: class.Load, Uncached: req.uncached, Fetched: req.fetched, Bytes: len(req.Body)}, resumed: req.LastEvent != ""}
 		return answer, nil
 	}
 	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
@@ -201,6 +204,10 @@
 	recordCrash     func(context.Context, *Request)
 	recordAbandoned func(*Request)
 	recordSound     func(*Request)
+	recordTimes     func(model.EndpointID, place.AnswerTime)
+	sent            time.Time // when the request was sent
+	times           place.AnswerTime
+	resumed         bool // the answer continues that of another endpoint, so its times tell little
 	begun           bool // an event has arrived
 	waiting         bool // the read timeout of the next event runs
 	finished        bool
@@ -214,7 +221,10 @@
 	if err == nil {
 		// A stalled endpoint may still send comments, which are no progress.
 		s.waiting = isComment(event)
-		s.begun = s.begun || !s.waiting
+		s.times.Bytes += len(event)
+		if !s.begun && !s.waiting {
+			s.begun, s.times.FirstEvent = true, time.Since(s.sent)
+		}
 		return event, nil
 	}
 	if errors.Is(err, io.EOF) && !s.begun && !s.res.Framed() {
@@ -223,6 +233,10 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		s.recordSound(s.req) // not earlier, since an endpoint may crash after its first events
+		if s.begun && !s.resumed {
+			s.times.Whole = time.Since(s.sent)
+			s.recordTimes(s.req.Endpoint.ID, s.times)
+		}
 		s.finish(true, place.Answered)
 	case errors.Is(s.ctx.Err(), context.Canceled):
 		s.finish(false, place.Cancelled)
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -112,7 +112,7 @@
 		if m.Name == string(p.r.settings.Instance) || !m.Address.IsValid() {
 			continue
 		}
-		_ = p.r.loop.Post(ctx, peerMessage{name: m.Name, at: exchangeAddress{m.Address.String(), model.DataCentre(m.DataCentre)}, loads: m.Loads, statedLoads: m.StatedLoads, limits: m.Limits, crashes: m.Crashes, sound: m.Sound, holders: m.Holders, leaving: m.Leaving, holdersKnown: m.HoldersKnown, cachesRead: m.CachesRead})
+		_ = p.r.loop.Post(ctx, peerMessage{name: m.Name, at: exchangeAddress{m.Address.String(), model.DataCentre(m.DataCentre)}, loads: m.Loads, statedLoads: m.StatedLoads, limits: m.Limits, workTimes: m.WorkTimes, crashes: m.Crashes, sound: m.Sound, holders: m.Holders, leaving: m.Leaving, holdersKnown: m.HoldersKnown, cachesRead: m.CachesRead})
 		d, queue := datagram{sender: m.Address, dataCentre: model.DataCentre(m.DataCentre), leaving: m.Leaving}, p.received
 		if m.Relay {
 			d.relay = mesh.Relayed(buf[:n])
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -180,6 +180,8 @@
 		}
 	case loadStated:
 		f.applyStated(s, now, e)
+	case answerTimed:
+		s.table.RecordAnswerTime(now, e.endpoint, e.times)
 	}
 	return false
 }
@@ -193,6 +195,9 @@
 			f.broadcast(mesh.Message{StatedLoads: map[uint32]int{hash: e.load.Requests()}})
 		}
 	}
+	if e.load.WorkTime > 0 {
+		f.applyWorkTime(s, now, e.endpoint)
+	}
 	hash, changed, tell := s.table.RecordStatedLimit(now, e.endpoint, e.limit)
 	if changed && e.limit >= 0 {
 		f.log.Info("endpoint limits its requests", "endpoint", e.endpoint, "per_second", e.limit)
@@ -204,6 +209,17 @@
 	}
 }
 
+// applyWorkTime notifies the peers of an endpoint that became slow, or usual again.
+func (f placeRequests) applyWorkTime(s *State, now time.Time, id model.EndpointID) {
+	hash, figure, changed, tell := s.table.WorkTimeNotice(now, id)
+	if changed {
+		f.log.Info("work time of endpoint changed", "endpoint", id, "work_time", figure)
+	}
+	if tell {
+		f.broadcast(mesh.Message{WorkTimes: map[uint32]float64{hash: figure}})
+	}
+}
+
 // budgetRetries keeps the retry budget of each pool.
 type budgetRetries struct{}
 
@@ -261,6 +277,9 @@
 		for endpoint, limit := range e.limits {
 			s.table.ApplyStatedLimit(now, endpoint, limit)
 		}
+		for endpoint, figure := range e.workTimes {
+			s.table.ApplyWorkTime(now, endpoint, figure)
+		}
 		for _, h := range e.holders {
 			s.table.AddHolder(now, h.Part, h.Endpoint)
 		}
