locality: a price decides which requests go to other data centres

Endpoints of other data centres carried a constant cost of one request, so in calm about half of the requests crossed, and under overload all kinds alike. With [locality] gb_price a router keeps requests in its data centre and sends the share that makes the marginal expected delays differ by the price of the bytes and the link, cheap requests first, and as many as keep the own endpoints below the load bound at any price. The share is computed from where the requests of the data centre are, so it does not swing with old load reports.

Requests and bytes to other data centres are counted by pool and reason.

--- a/internal/place/expected.go
+++ b/internal/place/expected.go
@@ -74,6 +74,12 @@
 	return s.Slots
 }
 
+// full reports whether all slots of the endpoint are taken.
+func (c candidate) full() bool {
+	slots := c.slots()
+	return slots > 0 && c.load >= float64(slots)
+}
+
 // movePrompt returns the expected time in ms for a prompt part that another endpoint holds,
 // if the request runs at one that does not: to fetch it if there is a source, otherwise to
 // read it.
--- a/internal/place/peers.go
+++ b/internal/place/peers.go
@@ -35,9 +35,18 @@
 
 // peer is the state of another router as of its last message.
 type peer struct {
-	id       uint64 // hash of its name
-	lastSeen time.Time
-	loads    map[uint32]int // included in peerSums; nil once expired
+	id         uint64 // hash of its name
+	lastSeen   time.Time
+	dataCentre model.DataCentre // empty if unknown
+	loads      map[uint32]int   // included in peerSums; nil once expired
+}
+
+// SetPeerDataCentre sets the data centre of a peer, whose requests then count as those of
+// the callers of that data centre.
+func (t *Table) SetPeerDataCentre(name string, dc model.DataCentre) {
+	if p := t.peers[name]; p != nil {
+		p.dataCentre = dc
+	}
 }
 
 // UpdatePeerLoads applies a message of the named peer. loads are its requests in
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -36,6 +36,8 @@
 	Load              float64 // of the endpoint, without this request
 	Mean              float64 // mean load of the usable endpoints of the pool
 	Reason            Reason
+	Remote            RemoteReason // empty if the endpoint is in the own data centre
+	Spill             *SpillChange // nil if nothing changed
 }
 
 // Reason is why an endpoint was selected.
@@ -68,7 +70,7 @@
 	minCandidates        = 2
 	candidatesTimesPeers = 36
 	// remoteLoadPenalty is added to the load of endpoints outside the home data
-	// centre.
+	// centre, unless a price decides which requests go there.
 	remoteLoadPenalty = 1.0
 	// minEligibleShare is the share of the candidates that must not be in backoff.
 	// If fewer are left, the failures are not those of single endpoints, and skipping
@@ -95,18 +97,23 @@
 		return Choice{}, false
 	}
 	expected := t.expect(now, q, mean)
+	eligible, remoteReason, spill := t.localize(now, q, expected, eligible, mean, loadLimit(mean))
 	choice := t.selectEndpoint(q, expected, eligible, loadLimit(mean))
 	if choice.endpointState == nil {
 		return Choice{}, false
 	}
-	out := Choice{Endpoint: choice.Endpoint, Load: choice.load, Mean: mean, Reason: choice.reason}
+	out := Choice{Endpoint: choice.Endpoint, Load: choice.load, Mean: mean, Reason: choice.reason, Spill: spill}
+	if choice.DataCentre != t.home {
+		out.Remote = remoteReason
+	}
 	t.recordStart(now, choice.endpointState)
 	ofBase := false // the first part alone is transferred
 	if q.Part != 0 {
 		if !expected.active() || expected.times.fetchPays(now) {
-			out.FetchFrom = t.cacheSource(now, q.Part, choice.endpointState, all)
+			across := t.fetchAcrossPays(expected)
+			out.FetchFrom = t.cacheSource(now, q.Part, choice.endpointState, all, across)
 			if out.FetchFrom == "" && q.Base != 0 && choice.reason == FirstUse {
-				out.FetchFrom = t.cacheSource(now, q.Base, choice.endpointState, all)
+				out.FetchFrom = t.cacheSource(now, q.Base, choice.endpointState, all, across)
 				ofBase = out.FetchFrom != ""
 			}
 		}
--- a/internal/place/select.go
+++ b/internal/place/select.go
@@ -55,8 +55,7 @@
 	if !expected.active() {
 		return candidate{}, false
 	}
-	slots := holder.slots()
-	if expected.slowness(holder.endpointState) <= 1 && (slots == 0 || holder.load < float64(slots)) {
+	if expected.slowness(holder.endpointState) <= 1 && !holder.full() {
 		return candidate{}, false
 	}
 	others := slices.DeleteFunc(slices.Clone(withinLimit), func(c candidate) bool { return slices.Contains(holders, c.hash) })
@@ -64,7 +63,10 @@
 		return candidate{}, false
 	}
 	best, otherCost := t.best(q, expected, t.compared(q.Part, others))
-	move := readWeight * expected.movePrompt(!holder.health.down) * expected.slowness(best.endpointState)
+	if best.full() { // reading the prompt would delay the requests that wait there
+		return candidate{}, false
+	}
+	move := readWeight * expected.movePrompt(!holder.health.down && (holder.DataCentre == best.DataCentre || t.fetchAcrossPays(expected))) * expected.slowness(best.endpointState)
 	return best, otherCost+move < cost
 }
 
@@ -98,11 +100,11 @@
 
 // best returns the candidate with the least cost and this cost: the expected time in ms of
 // a request whose prompt part is cached, or the load if the pool has no expectation. Both
-// apply remoteLoadPenalty. The rendezvous order for the key of the request breaks ties.
+// apply remoteLoadPenalty if no price is set. The rendezvous order for the key of the request breaks ties.
 func (t *Table) best(q Query, expected expectation, list []candidate) (candidate, float64) {
 	cost := func(c candidate) float64 {
 		load := c.load
-		if c.DataCentre != t.home {
+		if c.DataCentre != t.home && !t.price.Enabled() {
 			load += remoteLoadPenalty
 		}
 		if expected.active() {
--- a/internal/place/source.go
+++ b/internal/place/source.go
@@ -8,15 +8,15 @@
 // cacheSource returns the address of an endpoint from which target can transfer
 // the cache of the part. It returns "" if target is a holder itself or no source is
 // known. It prefers usable endpoints, and among them those in the data centre of
-// target.
-func (t *Table) cacheSource(now time.Time, part uint64, target *endpointState, all []candidate) string {
+// target. Those in others are sources only if across is set.
+func (t *Table) cacheSource(now time.Time, part uint64, target *endpointState, all []candidate, across bool) string {
 	holders := t.holders.lookup(part)
 	if slices.Contains(holders, target.hash) {
 		return ""
 	}
 	best, from := -1, ""
 	for _, c := range all {
-		if !slices.Contains(holders, c.hash) || c.health.down {
+		if !slices.Contains(holders, c.hash) || c.health.down || !across && c.DataCentre != target.DataCentre {
 			continue
 		}
 		rank := 0
@@ -28,7 +28,7 @@
 		}
 	}
 	if from == "" {
-		from = t.leavingSource(now, holders)
+		from = t.leavingSource(now, target, holders, across)
 	}
 	return from
 }
@@ -42,11 +42,11 @@
 // still serve its cache: one that is listed, such as a draining endpoint, or one that
 // left the list at most removedCacheTime ago. Of several that left, it returns the
 // last.
-func (t *Table) leavingSource(now time.Time, holders []uint32) string {
+func (t *Table) leavingSource(now time.Time, target *endpointState, holders []uint32, across bool) string {
 	var best *endpointState
 	for _, h := range holders {
 		s := t.byHash[h]
-		if s == nil || s.health.down || now.Before(s.turnedAwayUntil) || !s.listed && now.Sub(s.missingSince) > removedCacheTime {
+		if s == nil || !across && s.DataCentre != target.DataCentre || s.health.down || now.Before(s.turnedAwayUntil) || !s.listed && now.Sub(s.missingSince) > removedCacheTime {
 			continue
 		}
 		if best == nil || s.listed && !best.listed || s.missingSince.After(best.missingSince) {
--- a/internal/place/speed.go
+++ b/internal/place/speed.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
@@ -10,10 +11,11 @@
 type AnswerTime struct {
 	Kind       model.Route   // kind of request
 	Stated     StatedLoad    // in the head of the answer
+	Load       float64       // of the endpoint, as known when it was chosen
 	Uncached   int           // prompt tokens that the endpoint was expected to read; negative if not known
 	Fetched    int           // prompt tokens that it was told to fetch from another endpoint
 	FirstEvent time.Duration // from sending the request to the first event
-	Whole      time.Duration // from sending the request to the end
+	Whole      time.Duration // from sending the request to the end; FirstEvent of an answer that is no stream is the same
 	Bytes      int           // of the request and the answer
 }
 
@@ -52,6 +54,22 @@
 	return f
 }
 
+// priorDelaySlope is the time in ms by which each request in flight at an endpoint is assumed
+// to delay the first event of another one until answers tell it, at loads up to priorLoad.
+// It is low, so that requests go to other data centres only for delays that were observed.
+const (
+	priorDelaySlope = 0.1
+	priorLoad       = 20.0
+)
+
+func newDelayFit() lineFit {
+	var f lineFit
+	for _, load := range []float64{0, priorLoad} {
+		f.add(load, priorFirstEvent+load*priorDelaySlope, priorWeight/2)
+	}
+	return f
+}
+
 func (f *lineFit) add(x, y, weight float64) {
 	f.n, f.x, f.y, f.xx, f.xy = f.n+weight, f.x+weight*x, f.y+weight*y, f.xx+weight*x*x, f.xy+weight*x*y
 }
@@ -63,15 +81,27 @@
 	f.add(x, y, 1)
 }
 
-// line returns the time to the first event without a prompt and the time for each token.
-func (f *lineFit) line() (base, perToken float64) {
-	meanX, meanY := f.x/f.n, f.y/f.n
-	perToken = priorReadTime
+// slope returns the slope of the line, or prior if the values of x hardly differ.
+func (f *lineFit) slope(prior float64) float64 {
+	meanX := f.x / f.n
 	if variance := f.xx/f.n - meanX*meanX; variance > 1 {
-		perToken = (f.xy/f.n - meanX*meanY) / variance
+		return (f.xy/f.n - meanX*f.y/f.n) / variance
 	}
-	perToken = min(max(perToken, minReadTime), maxReadTime)
-	return max(minFirstEvent, meanY-perToken*meanX), perToken
+	return prior
+}
+
+// promptLine returns the time to the first event without a prompt and the time for each
+// token.
+func (f *lineFit) promptLine() (base, perToken float64) {
+	perToken = min(max(f.slope(priorReadTime), minReadTime), maxReadTime)
+	return max(minFirstEvent, f.y/f.n-perToken*f.x/f.n), perToken
+}
+
+// delayLine returns the delay at no load, which may be negative since delays rise faster than
+// a line, and by how much each request in flight raises it.
+func (f *lineFit) delayLine() (base, perRequest float64) {
+	perRequest = max(0, f.slope(priorDelaySlope))
+	return f.y/f.n - perRequest*f.x/f.n, perRequest
 }
 
 // average is an exponentially weighted mean; value is 0 before the first figure.
@@ -95,7 +125,9 @@
 	base, perToken float64 // line of fit, in ms
 	fetch          average // ms for each token that was fetched from another endpoint
 	fetchedAt      time.Time
-	whole          average // ms from the first event to the end
+	whole          average      // ms from the first event to the end
+	delay          lineFit      // ms to the first event, without reading the prompt, over the load of the endpoint
+	local, remote  learnedSpeed // delays in the own data centre and in others, relative to that line
 	kinds          map[model.Route]*kindTimes
 }
 
@@ -109,8 +141,8 @@
 func (t *Table) timesOf(pool model.Pool) *poolTimes {
 	p := t.times[pool]
 	if p == nil {
-		p = &poolTimes{fit: newLineFit(), kinds: map[model.Route]*kindTimes{}}
-		p.base, p.perToken = p.fit.line()
+		p = &poolTimes{fit: newLineFit(), delay: newDelayFit(), kinds: map[model.Route]*kindTimes{}}
+		p.base, p.perToken = p.fit.promptLine()
 		t.times[pool] = p
 	}
 	return p
@@ -164,8 +196,13 @@
 }
 
 const (
-	// learnedSmoothing is the weight of a new answer in the learned speed of an endpoint.
+	// learnedSmoothing is the weight of a new answer in the learned speed of an endpoint, if
+	// it comes at once. After learnedFades the former answers have a third of their weight.
 	learnedSmoothing = 0.3
+	learnedFades     = 3 * time.Second
+	// sideSmoothing is the same weight for the delays in a data centre, of which there are
+	// many answers.
+	sideSmoothing = 0.05
 	// minLearnedAnswers is how many answers a learned speed needs, and maxLearnedAge the
 	// age from which it no longer counts.
 	minLearnedAnswers = 4
@@ -183,34 +220,39 @@
 	at      time.Time
 }
 
-func (l *learnedSpeed) add(now time.Time, ratio float64) {
+func (l *learnedSpeed) add(now time.Time, ratio, smoothing float64) {
 	if now.Sub(l.at) >= maxLearnedAge {
-		*l = learnedSpeed{ratio: 1}
+		*l = learnedSpeed{ratio: 1, at: now}
 	}
-	l.ratio += learnedSmoothing * (min(ratio, maxSpread) - l.ratio)
+	former := (1 - smoothing) * math.Exp(-now.Sub(l.at).Seconds()/learnedFades.Seconds())
+	l.ratio += (1 - former) * (min(ratio, maxSpread) - l.ratio)
 	l.answers++
 	l.at = now
 }
 
-// factor returns the factor by which the endpoint is slower than the pool, beyond what it
-// states.
-func (l *learnedSpeed) factor(now time.Time) float64 {
+// level returns the mean ratio, bounded, or 1 if it is not known.
+func (l *learnedSpeed) level(now time.Time) float64 {
 	if l.answers < minLearnedAnswers || now.Sub(l.at) >= maxLearnedAge {
 		return 1
 	}
-	return max(1/maxLearned, min(aboveVariation(l.ratio), maxLearned))
+	return max(1/maxLearned, min(l.ratio, maxLearned))
 }
 
-// RecordAnswerTime applies the times of a complete answer. Answers of endpoints that state
-// no work time tell nothing, since their choice does not depend on it, and neither do those
-// of endpoints with waiting requests: these tell how long the queue was.
+// factor returns the factor by which the endpoint is slower than the pool, beyond what it
+// states.
+func (l *learnedSpeed) factor(now time.Time) float64 { return aboveVariation(l.level(now)) }
+
+// RecordAnswerTime applies the times of a complete answer. Those of endpoints that state no
+// work time count only where a price of requests to other data centres is set, since nothing
+// else depends on them.
 func (t *Table) RecordAnswerTime(now time.Time, id model.EndpointID, a AnswerTime) {
 	s := t.endpoints[id]
-	if s == nil || a.Stated.WorkTime <= 0 {
+	stated := a.Stated.WorkTime > 0
+	if s == nil || !stated && !t.price.Enabled() {
 		return
 	}
 	p := t.timesOf(s.Pool)
-	p.workTimeStated = true
+	p.workTimeStated = p.workTimeStated || stated
 	kind := p.kind(a.Kind)
 	if kind != nil && a.Bytes > 0 {
 		kind.bytes.add(float64(a.Bytes))
@@ -218,15 +260,47 @@
 	if a.FirstEvent <= 0 || a.Whole < a.FirstEvent {
 		return
 	}
-	whole := milliseconds(a.Whole-a.FirstEvent) / a.Stated.WorkTime
+	workTime := 1.0
+	if stated {
+		workTime = a.Stated.WorkTime
+	}
+	whole := milliseconds(a.Whole-a.FirstEvent) / workTime
+	if a.Whole == a.FirstEvent {
+		whole = milliseconds(a.Whole) / workTime
+	}
 	p.whole.add(whole)
 	if kind != nil {
 		kind.whole.add(whole)
 	}
-	if a.Stated.Waiting > 0 || a.Uncached < 0 {
+	if a.Uncached < 0 {
 		return
 	}
-	first := milliseconds(a.FirstEvent) / a.Stated.WorkTime
+	first := milliseconds(a.FirstEvent) / workTime
+	if a.Fetched == 0 {
+		p.recordDelay(now, s.DataCentre == t.home, a.Load, max(0, first-float64(a.Uncached)*p.perToken))
+	}
+	if stated && a.Stated.Waiting == 0 { // otherwise it tells how long the queue was
+		p.recordFirstEvent(now, s, first, a)
+	}
+}
+
+// recordDelay applies the delay of an answer, in ms without reading its prompt. Requests are not
+// alike: where the small ones have gone to other data centres, those that are left delay each
+// other more.
+func (p *poolTimes) recordDelay(now time.Time, local bool, load, delay float64) {
+	base, slope := p.delay.delayLine()
+	ratio := delay / max(minFirstEvent, base+slope*load)
+	if local {
+		p.local.add(now, ratio, sideSmoothing)
+	} else {
+		p.remote.add(now, ratio, sideSmoothing)
+	}
+	p.delay.observe(load, delay)
+}
+
+// recordFirstEvent applies the time to the first event, in ms at the usual work time, of a
+// request that did not wait for a slot.
+func (p *poolTimes) recordFirstEvent(now time.Time, s *endpointState, first float64, a AnswerTime) {
 	expected := p.base + float64(a.Uncached)*p.perToken
 	first = min(first, maxSpread*(expected+float64(a.Fetched)*p.fetchTime()))
 	if a.Fetched > 0 {
@@ -234,9 +308,11 @@
 		p.fetchedAt = now
 		return
 	}
-	s.learned.add(now, first/expected)
+	// An endpoint with more requests than others is not slow for that reason.
+	base, slope := p.delay.delayLine()
+	s.learned.add(now, first/max(expected, base+slope*a.Load+float64(a.Uncached)*p.perToken), learnedSmoothing)
 	p.fit.observe(float64(a.Uncached), first)
-	p.base, p.perToken = p.fit.line()
+	p.base, p.perToken = p.fit.promptLine()
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/locality"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -66,8 +67,10 @@
 	returns      map[model.Pool]time.Time // when the last caller returns that was refused because of limits
 	holders      holderTable
 	times        map[model.Pool]*poolTimes // what answers told of the speed of the pools
-	listReceived bool                      // set by the first list, whose endpoints are cold only if the list says so
-	graceUntil   time.Time                 // endpoints that are missing from the list are kept until then
+	price        locality.Price            // of requests to other data centres
+	spills       map[model.Pool]*locality.Pool
+	listReceived bool      // set by the first list, whose endpoints are cold only if the list says so
+	graceUntil   time.Time // endpoints that are missing from the list are kept until then
 }
 
 // New returns a table for the router self in data centre home.
@@ -75,7 +78,7 @@
 	return &Table{
 		selfID: routerID(string(self)), home: home, endpoints: map[model.EndpointID]*endpointState{}, byHash: map[uint32]*endpointState{}, usableCache: map[model.Pool]poolEndpoints{},
 		pools: map[model.Pool]catalog.Pool{}, evacuated: map[model.DataCentre]bool{},
-		peers: map[string]*peer{}, peerSums: map[uint32]int{}, returns: map[model.Pool]time.Time{}, holders: newHolderTable(), times: map[model.Pool]*poolTimes{},
+		peers: map[string]*peer{}, peerSums: map[uint32]int{}, returns: map[model.Pool]time.Time{}, holders: newHolderTable(), times: map[model.Pool]*poolTimes{}, spills: map[model.Pool]*locality.Pool{},
 	}
 }
 
--- a/internal/place/uneven_test.go
+++ b/internal/place/uneven_test.go
@@ -11,38 +11,63 @@
 	"github.com/matryer/is"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/locality"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
-// unevenFleet is a fleet of engines of which a part is slow for a while.
+// unevenFleet is a fleet of engines in three data centres, of which a part is slow or gone
+// for a while, or the callers of the first data centre send more.
 type unevenFleet struct {
 	routers, engines int
 	load             float64 // relative to the usual rate
-	slowShare        float64 // of the engines, from slowFrom to slowTo
+	slowShare        float64 // of the engines
 	slowFactor       float64
 	stated           bool // engines state their work time
+	price            locality.Price
+	noSpill          bool    // no share of the requests is sent to other data centres
+	surge            float64 // factor on the load of the callers of the first data centre
+	gone             float64 // share of its engines
+	from, to         time.Duration
+	calmAfter        time.Duration
 }
 
-const (
-	slowFrom = 2 * time.Second
-	slowTo   = 5 * time.Second
-	fleetEnd = 6 * time.Second
-)
+// withTimes returns f with the usual times of the trouble.
+func (f unevenFleet) withTimes() unevenFleet {
+	if f.to == 0 {
+		f.from, f.to, f.calmAfter = 2*time.Second, 5*time.Second, time.Second
+	}
+	return f
+}
 
 // unevenKinds are kinds of requests with their rates a second for 50 engines.
 var unevenKinds = []struct {
 	name                model.Route
 	shared, own, events int
 	perSecond           float64
-}{{"long", 10512, 1300, 42, 111}, {"short", 699, 130, 32, 202}, {"brief", 2041, 360, 3, 178}}
+	bytes               int
+}{{"long", 10512, 1300, 42, 111, 60_000}, {"short", 699, 130, 32, 202, 8000}, {"brief", 2041, 360, 3, 178, 12_000}}
 
 // unevenResult is what the callers and the engines saw while engines were slow.
 type unevenResult struct {
 	arrivals, overBound, reads int // reads: of a part that the engine had not cached
 	first                      []time.Duration
 	reasons                    map[Reason]int
+	remote                     map[RemoteReason]int
+	calmBytes                  int // to other data centres before the trouble
+	sampled                    []fleetSample
 }
 
+// fleetSample is the state of the fleet over a sampleInterval.
+type fleetSample struct {
+	at                        time.Duration
+	localLoad, remoteLoad     float64       // mean of the engines of the first data centre and of the others
+	sent, sentRemote          int           // requests of the callers of the first data centre
+	localFirst, remoteFirst   time.Duration // sums of the times to the first event of the callers of the first data centre and of the others
+	localAnswer, remoteAnswer int
+}
+
+const sampleInterval = 250 * time.Millisecond
+
 func (r unevenResult) mean() time.Duration {
 	total := time.Duration(0)
 	for _, d := range r.first {
@@ -73,6 +98,7 @@
 // simulateUneven plays the load on one table for each router, which know each other's
 // requests only from load reports, new holders and notices of work times.
 func simulateUneven(f unevenFleet, seed uint64) unevenResult {
+	f = f.withTimes()
 	const (
 		networkDelay = 1500 * time.Microsecond
 		slots        = 128
@@ -87,6 +113,7 @@
 		tables[i] = New(model.InstanceID(fmt.Sprint("router-", i)), model.DataCentre(fmt.Sprint("dc-", i%3)))
 		tables[i].SetPools(map[model.Pool]catalog.Pool{"p": {Name: "p", Engine: true}})
 		tables[i].SetEndpoints(start, list)
+		tables[i].SetLocality(f.price)
 	}
 	states := map[model.EndpointID]*engineModel{}
 	for i, e := range list {
@@ -110,36 +137,86 @@
 		var report func()
 		report = func() {
 			loads := tables[i].Loads()
-			toPeers(i, func(t *Table) { t.UpdatePeerLoads(clock(), name, loads) })
+			toPeers(i, func(t *Table) {
+				t.UpdatePeerLoads(clock(), name, loads)
+				t.SetPeerDataCentre(name, tables[i].home)
+			})
 			after(LoadReportInterval(f.routers-1), report)
 		}
 		after(time.Duration(rng.Float64()*float64(LoadReportInterval(f.routers-1))), report)
 	}
 	workTime := func(e *engineModel) float64 {
 		w := 0.7 + 0.6*rng.Float64()
-		if now >= slowFrom && now < slowTo && float64(e.slow) < f.slowShare*float64(f.engines) {
+		if now >= f.from && now < f.to && float64(e.slow) < f.slowShare*float64(f.engines) {
 			w *= f.slowFactor
 		}
 		return w
 	}
 	inFlight, total := map[model.EndpointID]int{}, 0
-	out := unevenResult{reasons: map[Reason]int{}}
-	send := func(kind int) {
+	out := unevenResult{reasons: map[Reason]int{}, remote: map[RemoteReason]int{}}
+	var sample fleetSample
+	var record func()
+	record = func() {
+		var load, count [2]float64
+		for i, e := range list {
+			side := min(i%3, 1)
+			if gone := now >= f.from && now < f.to && float64(i/3) < f.gone*float64(f.engines)/3; side == 1 || !gone {
+				load[side] += float64(inFlight[e.ID])
+				count[side]++
+			}
+		}
+		sample.at, sample.localLoad, sample.remoteLoad = now, load[0]/count[0], load[1]/count[1]
+		out.sampled, sample = append(out.sampled, sample), fleetSample{}
+		after(sampleInterval, record)
+	}
+	after(sampleInterval, record)
+	listed := float64(f.engines)
+	relist := func(share float64) {
+		var left []Endpoint
+		for i, e := range list {
+			if i%3 != 0 || float64(i/3) >= share*float64(f.engines)/3 {
+				left = append(left, e)
+			}
+		}
+		listed = float64(len(left))
+		for _, t := range tables {
+			t.SetEndpoints(clock(), left)
+		}
+	}
+	after(f.from, func() { relist(f.gone) })
+	after(f.to, func() { relist(0) })
+	send := func(kind, i int) {
 		k := unevenKinds[kind]
-		i, part := rng.IntN(f.routers), uint64(kind)<<32|uint64(1+rng.ExpFloat64()*6)
-		arrived, counts := now, now >= slowFrom && now < slowTo
+		part := uint64(kind)<<32 | uint64(1+rng.ExpFloat64()*6)
+		if f.noSpill {
+			clear(tables[i].spills)
+		}
+		arrived, counts := now, now >= f.from && now < f.to
 		c, ok := tables[i].Pick(clock(), Query{Pool: "p", Kind: k.name, Part: part, Tokens: k.shared, PromptTokens: k.shared + k.own, Key: rng.Uint64()})
 		if !ok {
 			return
 		}
 		id, e := c.Endpoint.ID, states[c.Endpoint.ID]
+		isRemote := c.Endpoint.DataCentre != tables[i].home
+		if isRemote && now < f.from && now > f.from/2 {
+			out.calmBytes += k.bytes
+		}
+		if i%3 == 0 {
+			sample.sent++
+			if isRemote {
+				sample.sentRemote++
+			}
+		}
 		if c.NewHolder {
 			toPeers(i, func(t *Table) { t.AddHolder(clock(), part, EndpointHash(id)) })
 		}
 		if counts {
 			out.arrivals++
 			out.reasons[c.Reason]++
-			if mean := float64(total) / float64(f.engines); float64(inFlight[id]) > 2*mean+3 {
+			if isRemote {
+				out.remote[c.Remote]++
+			}
+			if mean := float64(total) / listed; float64(inFlight[id]) > 2*mean+3 {
 				out.overBound++
 			}
 		}
@@ -162,6 +239,16 @@
 			}
 			after(e.busyUntil-now+step(), func() {
 				first := now - arrived
+				if isRemote {
+					first += 2 * networkDelay
+				}
+				if i%3 == 0 {
+					sample.localFirst += first
+					sample.localAnswer++
+				} else {
+					sample.remoteFirst += first
+					sample.remoteAnswer++
+				}
 				if counts {
 					out.first = append(out.first, first)
 				}
@@ -186,7 +273,7 @@
 					e.running--
 					inFlight[id]--
 					total--
-					tables[i].RecordAnswerTime(clock(), id, AnswerTime{Kind: k.name, Stated: load, Uncached: c.Uncached, Fetched: c.Fetched, FirstEvent: first, Whole: now - arrived})
+					tables[i].RecordAnswerTime(clock(), id, AnswerTime{Kind: k.name, Stated: load, Load: c.Load, Bytes: k.bytes, Uncached: c.Uncached, Fetched: c.Fetched, FirstEvent: first, Whole: now - arrived})
 					tables[i].Complete(clock(), id, Answered, 0)
 					if len(e.waiting) > 0 {
 						start := e.waiting[0]
@@ -205,14 +292,23 @@
 	}
 	for kind, k := range unevenKinds {
 		rate := k.perSecond * f.load * float64(f.engines) / 50
-		var arrive func()
+		var arrive, surge func()
+		surge = func() {
+			if now < f.to {
+				send(kind, 3*rng.IntN((f.routers+2)/3))
+				after(time.Duration(rng.ExpFloat64()/rate*3/(f.surge-1)*float64(time.Second)), surge)
+			}
+		}
+		if f.surge > 1 {
+			after(f.from, surge)
+		}
 		arrive = func() {
-			send(kind)
+			send(kind, rng.IntN(f.routers))
 			after(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), arrive)
 		}
 		arrive()
 	}
-	for now < fleetEnd {
+	for now < f.to+f.calmAfter {
 		ev := heap.Pop(&queue).(fleetEvent)
 		now = ev.at
 		ev.do()
@@ -220,6 +316,16 @@
 	return out
 }
 
+// simulateRuns returns the sum of runs with different seeds.
+func simulateRuns(f unevenFleet, runs uint64) unevenResult {
+	out := simulateUneven(f, 1)
+	for seed := uint64(2); seed <= runs; seed++ {
+		r := simulateUneven(f, seed)
+		out.arrivals, out.overBound, out.reads, out.first = out.arrivals+r.arrivals, out.overBound+r.overBound, out.reads+r.reads, append(out.first, r.first...)
+	}
+	return out
+}
+
 // Guards against callers that wait for engines which became slow for a while, as of a
 // quarter of a pool, with routers that pick the same engines from old load reports to avoid
 // the slow ones, and with prompts that are read again without need. The target is that at
@@ -237,10 +343,10 @@
 			without, calm := f, f
 			calm.slowShare = 0
 			f.stated = true
-			r, unaware, usual := simulateUneven(f, 1), simulateUneven(without, 1), simulateUneven(calm, 1)
+			runs := uint64(4 / f.load) // with about as many requests each
+			r, unaware, usual := simulateRuns(f, runs), simulateRuns(without, runs), simulateRuns(calm, runs)
 			for name, r := range map[string]unevenResult{"calm": usual, "without work times": unaware, "with work times": r} {
-				t.Logf("%s: %d requests, first event mean %v p99 %v, %.4f over the bound, %.4f reuse, %v", name, r.arrivals, r.mean(), r.quantile(0.99),
-					r.overShare(), r.reuse(), r.reasons)
+				t.Logf("%s: %d requests, first event mean %v p99 %v, %.4f over the bound, %.4f reuse", name, r.arrivals, r.mean(), r.quantile(0.99), r.overShare(), r.reuse())
 			}
 			is.True(float64(r.mean()-usual.mean()) <= maxLeft*float64(unaware.mean()-usual.mean()))
 			is.True(r.overShare() <= maxOverShare)
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -114,7 +114,7 @@
 		workspace = string(req.Workspace.Name)
 	}
 	since := time.Since(req.Arrived)
-	took, m := since.Milliseconds(), measurement{result: "answered", took: since, firstEvent: req.FirstEvent}
+	took, m := since.Milliseconds(), measurement{result: "answered", took: since, firstEvent: req.FirstEvent, pool: req.Pool, remote: req.sentRemote}
 	if req.Workspace != nil {
 		m.workspace = req.Workspace.Name
 	}
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -30,6 +30,8 @@
 	result     string
 	took       time.Duration
 	firstEvent time.Duration // from arrival to the first event of a stream; 0 if there was none
+	pool       model.Pool
+	remote     remoteTraffic
 }
 
 func newMeter() *meter { return &meter{make(chan measurement, 256)} }
@@ -57,6 +59,11 @@
 			labelled[name] = true
 			metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_router_requests_total{result=%q}`, v.result)).Inc()
 			metrics.GetOrCreateHistogram(fmt.Sprintf(`goldcrest_router_request_seconds{workspace=%q}`, name)).Update(v.took.Seconds())
+			if v.remote.sends > 0 {
+				labels := fmt.Sprintf(`{pool=%q,reason=%q}`, v.pool, v.remote.reason)
+				metrics.GetOrCreateCounter("goldcrest_router_remote_requests_total" + labels).Add(v.remote.sends)
+				metrics.GetOrCreateCounter("goldcrest_router_remote_bytes_total" + labels).Add(v.remote.bytes)
+			}
 			if v.firstEvent > 0 {
 				metrics.GetOrCreateHistogram(fmt.Sprintf(`goldcrest_router_first_event_seconds{workspace=%q}`, name)).Update(v.firstEvent.Seconds())
 			}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -53,7 +53,7 @@
 	}
 	choiceCounters[p.choice.Reason].Inc()
 	req.Endpoint, req.FetchFrom, req.ChoiceReason, req.PendingPart = p.choice.Endpoint, p.choice.FetchFrom, p.choice.Reason, 0
-	req.uncached, req.fetched = p.choice.Uncached, p.choice.Fetched
+	req.uncached, req.fetched, req.endpointLoad, req.remote = p.choice.Uncached, p.choice.Fetched, p.choice.Load, p.choice.Remote
 	if p.choice.NewHolder {
 		req.PendingPart = q.Part
 		f.broadcastHolder(q.Part, place.EndpointHash(req.Endpoint.ID))
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -48,8 +48,11 @@
 	Runs         int                // attempts that an endpoint may have run
 	uncached     int                // prompt tokens that the endpoint is expected to read
 	fetched      int                // prompt tokens that it is told to fetch
-	trace        origin.Trace       // of the latest attempt
-	connections  []uint64           // that carried attempts, by their numbers
+	endpointLoad float64            // of the endpoint when it was chosen
+	remote       place.RemoteReason // why the endpoint is in another data centre; empty if it is not
+	sentRemote   remoteTraffic
+	trace        origin.Trace // of the latest attempt
+	connections  []uint64     // that carried attempts, by their numbers
 	// FirstEvent is the time from the arrival to the first event of a stream.
 	FirstEvent time.Duration
 }
@@ -86,6 +89,29 @@
 	return n
 }
 
+// remoteTraffic is what a request sent to other data centres and received from them.
+type remoteTraffic struct {
+	reason place.RemoteReason // of the last attempt that went there
+	sends  int
+	bytes  int // bodies and events
+}
+
+// countSend counts an attempt that is sent.
+func (r *Request) countSend() {
+	if r.remote != "" {
+		r.sentRemote.reason = r.remote
+		r.sentRemote.sends++
+	}
+	r.countBytes(len(r.Body))
+}
+
+// countBytes counts bytes to or from the endpoint of the attempt.
+func (r *Request) countBytes(n int) {
+	if r.remote != "" {
+		r.sentRemote.bytes += n
+	}
+}
+
 // promptTokens returns the number of tokens of all parts.
 func (r *Request) promptTokens() int {
 	n := 0
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -134,9 +134,10 @@
 }
 
 // recordTimes reports the times of a complete answer to the control goroutine, if its
-// endpoint states how long work takes: others are chosen without them.
+// endpoint states how long work takes or a price of requests to other data centres is set:
+// other choices do not depend on them.
 func (r *Router) recordTimes(id model.EndpointID, times place.AnswerTime) {
-	if times.Stated.WorkTime > 0 {
+	if times.Stated.WorkTime > 0 || r.loop.Snapshot().Settings.Price.Enabled() {
 		_ = r.loop.Post(context.Background(), answerTimed{endpoint: id, times: times})
 	}
 }
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -79,6 +79,7 @@
 	}
 	req.Sends++
 	req.Runs++
+	req.countSend()
 	sent := time.Now()
 	res, err := f.client.Do(ctx, req.Endpoint.Address, out)
 	answersSkipped.Add(req.trace.Skipped)
@@ -156,7 +157,7 @@
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
 		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
 			recordCrash: f.recordCrash, recordAbandoned: f.recordAbandoned, recordSound: f.recordSound, recordTimes: f.recordTimes, sent: sent,
-			times: place.AnswerTime{Kind: req.Route.Name, Stated: class.Load, Uncached: req.uncached, Fetched: req.fetched, Bytes: len(req.Body)}, resumed: req.LastEvent != ""}
+			times: answerTime(req, class), resumed: req.LastEvent != ""}
 		return answer, nil
 	}
 	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
@@ -170,11 +171,22 @@
 		result = place.EndpointError // an endpoint that fails all requests does not run them
 	} else {
 		f.recordSound(req)
+		times := answerTime(req, class)
+		times.FirstEvent = time.Since(sent)
+		times.Whole = times.FirstEvent
+		times.Bytes += len(body)
+		f.recordTimes(req.Endpoint.ID, times)
 	}
+	req.countBytes(len(body))
 	f.recordResult(req.Endpoint.ID, result, 0)
 	return answer, nil
 }
 
+// answerTime returns what is known of the times of an answer when its head arrives.
+func answerTime(req *Request, class ResponseClass) place.AnswerTime {
+	return place.AnswerTime{Kind: req.Route.Name, Stated: class.Load, Load: req.endpointLoad, Uncached: req.uncached, Fetched: req.fetched, Bytes: len(req.Body)}
+}
+
 // errAnswerTooLong is returned for a body of more than maxAnswerBytes.
 var errAnswerTooLong = eris.Errorf("router: answer is longer than %d bytes", maxAnswerBytes)
 
@@ -222,6 +234,7 @@
 		// A stalled endpoint may still send comments, which are no progress.
 		s.waiting = isComment(event)
 		s.times.Bytes += len(event)
+		s.req.countBytes(len(event))
 		if !s.begun && !s.waiting {
 			s.begun, s.times.FirstEvent = true, time.Since(s.sent)
 		}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/locality"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/settings"
 )
@@ -28,10 +29,11 @@
 	RetryRatio   float64       // retries per request over all routers
 	RetryBurst   float64       // retries beyond the ratio in a window over all routers
 	RetryWindow  time.Duration
-	ListInterval time.Duration // between reads of the instance list
-	Contracts    []string      // terms of the platform for this deployment, from which Features follow
-	FollowWait   time.Duration // for which a read of the operators' orders waits for changes
-	path         string        // of the settings file
+	ListInterval time.Duration  // between reads of the instance list
+	Contracts    []string       // terms of the platform for this deployment, from which Features follow
+	FollowWait   time.Duration  // for which a read of the operators' orders waits for changes
+	Price        locality.Price // of requests to other data centres
+	path         string         // of the settings file
 }
 
 // readsPerDrain is how often the instance list is read within the time after which a
@@ -80,6 +82,11 @@
 		Contracts:    f.List("platform", "contracts"),
 		FollowWait:   f.Duration("platform", "follow", time.Second, minDuration, maxDuration),
 	}
+	s.Price = locality.Price{
+		PerGB:      f.Float("locality", "gb_price", 0, 0, 1e9),
+		Link:       f.Duration("locality", "link_delay", 3*time.Millisecond, 0, time.Second),
+		CacheToken: f.Float("locality", "cache_token_bytes", 0, 0, 1e7),
+	}
 	s.ListInterval = f.Duration("platform", "list_interval", s.Drain/readsPerDrain, minDuration, maxDuration)
 	for _, dc := range f.List("regions", "data_centres") {
 		s.Regions[model.DataCentre(dc)] = model.Region(f.Required("regions", dc))
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -162,6 +162,7 @@
 	case pickEndpoint:
 		c, ok := s.table.Pick(now, e.query)
 		reply := pickReply{choice: c, found: ok}
+		f.logSpill(c.Spill)
 		if !ok {
 			reply.turnedAway = s.table.TurnedAway(now, e.query.Pool)
 		}
@@ -209,6 +210,20 @@
 	}
 }
 
+// logSpill logs that requests of a pool begin to go to other data centres, or end to.
+func (f placeRequests) logSpill(c *place.SpillChange) {
+	if c == nil {
+		return
+	}
+	local, remote := c.View.Local, c.View.Remote
+	figures := []any{"pool", c.Pool, "local_delay_ms", local.Delay, "remote_delay_ms", remote.Delay, "local_load", local.MeanLoad(), "remote_load", remote.MeanLoad(), "bound", c.View.Bound}
+	if c.Started {
+		f.log.Info("requests go to other data centres", figures...)
+	} else {
+		f.log.Info("requests stay in their data centre again", figures...)
+	}
+}
+
 // applyWorkTime notifies the peers of an endpoint that became slow, or usual again.
 func (f placeRequests) applyWorkTime(s *State, now time.Time, id model.EndpointID) {
 	hash, figure, changed, tell := s.table.WorkTimeNotice(now, id)
@@ -271,6 +286,7 @@
 		if s.table.UpdatePeerLoads(now, e.name, e.loads) {
 			f.log.Info("router heard", "router", e.name)
 		}
+		s.table.SetPeerDataCentre(e.name, e.at.dataCentre)
 		for endpoint, load := range e.statedLoads {
 			s.table.ApplyStatedLoad(now, endpoint, load)
 		}
@@ -384,6 +400,7 @@
 		return false
 	}
 	s.settings = e.settings
+	s.table.SetLocality(e.settings.Price)
 	f.log.Info("settings reloaded")
 	return true
 }
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -72,8 +72,10 @@
 }
 
 func newState(s Settings) *State {
-	return &State{settings: s, holdersKnown: s.FirstStart, cachesRead: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), causes: suspect.NewCauses(), evacuated: map[model.DataCentre]bool{}, rollouts: map[model.Pool]model.Version{},
+	state := &State{settings: s, holdersKnown: s.FirstStart, cachesRead: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), causes: suspect.NewCauses(), evacuated: map[model.DataCentre]bool{}, rollouts: map[model.Pool]model.Version{},
 		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}}
+	state.table.SetLocality(s.Price)
+	return state
 }
 
 // publish returns the snapshot of the state.
