--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
 	"github.com/goldcrestturn/goldcrestturn/internal/locality"
@@ -66,6 +67,7 @@
 	announced    map[string]uint64        // routers with a recent announcement in the store, and the hashes of their names
 	returns      map[model.Pool]time.Time // when the last caller returns that was refused because of limits
 	holders      holderTable
+	notices      *rate.Limiter             // of work times; nil before the first
 	times        map[model.Pool]*poolTimes // what answers told of the speed of the pools
 	price        locality.Price            // of requests to other data centres
 	spills       map[model.Pool]*locality.Pool
--- a/internal/place/worktime.go
+++ b/internal/place/worktime.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -72,7 +74,7 @@
 // WorkTimeNotice returns the hash and the work time of an endpoint whose load was recorded
 // just before. changed reports that it became slow, fast or usual, tell that the peers should
 // be notified: for that reason, or since the figure of their last notice no longer counts
-// and it is not usual.
+// and it is not usual. Both are false while this router has sent its share of notices.
 func (t *Table) WorkTimeNotice(now time.Time, id model.EndpointID) (endpoint uint32, figure float64, changed, tell bool) {
 	s := t.endpoints[id]
 	if s == nil || s.work.at != now {
@@ -83,13 +85,36 @@
 	known := told.factor(now, hold)
 	figure = aboveVariation(w.value)
 	changed = figure/known >= usualVariation || figure/known <= 1/usualVariation
-	if !changed && (figure == 1 || now.Sub(w.toldAt) < hold) {
+	if !changed && (figure == 1 || now.Sub(w.toldAt) < hold) || !t.allowNotice(now) {
 		return s.hash, figure, false, false
 	}
 	w.told, w.toldAt = figure, now
 	return s.hash, figure, changed, true
 }
 
+const (
+	// noticesPerS is the number of notices a second of all routers together. With 60 bytes
+	// each a router receives 2 KB a second, of 11 that it may use for control, also if
+	// endpoints state figures that jump with each answer.
+	noticesPerS = 33
+	// noticeBurst is the number of notices that a router may send at once, as when a quarter
+	// of the endpoints becomes slow.
+	noticeBurst = 8
+)
+
+// allowNotice takes one notice from the share of this router and reports whether there was one
+// left.
+func (t *Table) allowNotice(now time.Time) bool {
+	limit := rate.Limit(noticesPerS / float64(len(t.peers)+1))
+	if t.notices == nil {
+		t.notices = rate.NewLimiter(limit, noticeBurst)
+	}
+	if t.notices.Limit() != limit {
+		t.notices.SetLimitAt(now, limit)
+	}
+	return t.notices.AllowN(now, 1)
+}
+
 // ApplyWorkTime applies the work time of an endpoint of which a peer sent a notice.
 func (t *Table) ApplyWorkTime(now time.Time, endpoint uint32, figure float64) {
 	s := t.byHash[endpoint]
--- a/internal/place/worktime_test.go
+++ b/internal/place/worktime_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -46,6 +47,26 @@
 	is.Equal(slowness(peer, 5500), 1.0)
 }
 
+// Guards against a message to all routers for each answer of endpoints whose work time jumps
+// from one answer to the next.
+func TestNoticesOfWorkTimesAreBounded(t *testing.T) {
+	is := is.New(t)
+	const routers = 28
+	tab := table(engines(50))
+	for i := range routers - 1 {
+		tab.UpdatePeerLoads(start, fmt.Sprint(i), nil)
+	}
+	sent := 0
+	for ms := range 10_000 {
+		id := engines(50)[ms%50].ID
+		tab.RecordStatedLoad(at(ms), id, StatedLoad{Known: true, WorkTime: 0.3 + float64(ms/50%2)*5})
+		if _, _, _, tell := tab.WorkTimeNotice(at(ms), id); tell {
+			sent++
+		}
+	}
+	is.True(sent > 0 && float64(sent) <= 10*noticesPerS/routers+noticeBurst+1)
+}
+
 // answer returns the times of an answer of an engine that reads perMs tokens in a
 // millisecond.
 func answer(uncached, fetched int, perMs, fetchPerMs float64, noise time.Duration) AnswerTime {
