--- a/internal/place/select.go
+++ b/internal/place/select.go
@@ -24,7 +24,7 @@
 		withinLimit = eligible
 	}
 	if q.Part == 0 {
-		best, _ := t.best(q, expected, t.compared(q.Key, withinLimit))
+		best, _ := t.best(q, expected, t.compared(q.Key, withinLimit), expected.own)
 		return selection{best, LeastLoad}
 	}
 	holders := t.holders.lookup(q.Part)
@@ -32,17 +32,17 @@
 		return !slices.Contains(holders, c.hash) || c.load+1 > limit
 	})
 	if len(holding) > 0 {
-		best, cost := t.best(q, expected, holding)
+		best, cost := t.best(q, expected, holding, expected.own)
 		if other, ok := t.insteadOfHolder(q, expected, best, cost, withinLimit, holders); ok {
 			return selection{other, HoldersSlow}
 		}
 		return selection{best, HoldsPrompt}
 	}
 	if len(holders) > 0 {
-		best, _ := t.best(q, expected, t.compared(q.Part, withinLimit))
+		best, _ := t.best(q, expected, t.compared(q.Part, withinLimit), expected.own+expected.shared)
 		return selection{best, HoldersLoaded}
 	}
-	best, _ := t.best(q, expected, firstInOrder(q.Part, withinLimit, min(firstUseCandidates, t.candidateCount())))
+	best, _ := t.best(q, expected, firstInOrder(q.Part, withinLimit, min(firstUseCandidates, t.candidateCount())), expected.own+expected.shared)
 	return selection{best, FirstUse}
 }
 
@@ -62,7 +62,7 @@
 	if len(others) == 0 {
 		return candidate{}, false
 	}
-	best, otherCost := t.best(q, expected, t.compared(q.Part, others))
+	best, otherCost := t.best(q, expected, t.compared(q.Part, others), expected.own)
 	if best.full() { // reading the prompt would delay the requests that wait there
 		return candidate{}, false
 	}
@@ -99,16 +99,17 @@
 }
 
 // best returns the candidate with the least cost and this cost: the expected time in ms of
-// a request whose prompt part is cached, or the load if the pool has no expectation. Both
-// apply remoteLoadPenalty if no price is set. The rendezvous order for the key of the request breaks ties.
-func (t *Table) best(q Query, expected expectation, list []candidate) (candidate, float64) {
+// a request for which it reads so many prompt tokens, or the load if the pool has no
+// expectation. Both apply remoteLoadPenalty if no price is set. The rendezvous order for the
+// key of the request breaks ties.
+func (t *Table) best(q Query, expected expectation, list []candidate, uncached int) (candidate, float64) {
 	cost := func(c candidate) float64 {
 		load := c.load
 		if c.DataCentre != t.home && !t.price.Enabled() {
 			load += remoteLoadPenalty
 		}
 		if expected.active() {
-			return expected.time(c, load, expected.own)
+			return expected.time(c, load, uncached)
 		}
 		return load
 	}
--- a/internal/place/speed.go
+++ b/internal/place/speed.go
@@ -257,8 +257,8 @@
 	if kind != nil && a.Bytes > 0 {
 		kind.bytes.add(float64(a.Bytes))
 	}
-	if a.FirstEvent <= 0 || a.Whole < a.FirstEvent {
-		return
+	if a.FirstEvent <= 0 || a.Whole < a.FirstEvent || now.Before(s.coldUntil) {
+		return // a cold endpoint tells nothing of the others
 	}
 	workTime := 1.0
 	if stated {
--- a/internal/place/worktime_test.go
+++ b/internal/place/worktime_test.go
@@ -188,3 +188,29 @@
 		tab.Complete(start, c.Endpoint.ID, Answered, 0)
 	}
 }
+
+// Guards against choices that change in deployments whose endpoints state no work time.
+func TestPoolsWithoutWorkTimesAreComparedByLoad(t *testing.T) {
+	is := is.New(t)
+	timed, plain := table(engines(9)), table(engines(9))
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 300 {
+		q := Query{Pool: "p", Kind: "k", Part: rng.Uint64N(20), Tokens: 5000, PromptTokens: 6000, Key: rng.Uint64()}
+		a, _ := timed.Pick(at(i), q)
+		b, _ := plain.Pick(at(i), q)
+		is.Equal(a, b)
+		load := StatedLoad{Running: rng.IntN(300), Waiting: rng.IntN(3), Slots: 8, Known: true}
+		slow := answer(5000, 0, 1, 1, 0)
+		slow.Stated = load
+		timed.RecordAnswerTime(at(i), a.Endpoint.ID, slow)
+		ends := rng.IntN(3) > 0
+		for _, tab := range []*Table{timed, plain} {
+			tab.RecordStatedLoad(at(i), a.Endpoint.ID, load)
+			_, _, _, tell := tab.WorkTimeNotice(at(i), a.Endpoint.ID)
+			is.True(!tell)
+			if ends {
+				tab.Complete(at(i), a.Endpoint.ID, Answered, 0)
+			}
+		}
+	}
+}
