--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -162,6 +162,7 @@
 	case pickEndpoint:
 		c, ok := s.table.Pick(now, e.query)
 		reply := pickReply{choice: c, found: ok}
+		f.logSpill(c.Spill)
 		if !ok {
 			reply.turnedAway = s.table.TurnedAway(now, e.query.Pool)
 		}
@@ -183,6 +184,8 @@
 		}
 	case loadStated:
 		f.applyStated(s, now, e)
+	case answerTimed:
+		s.table.RecordAnswerTime(now, e.endpoint, e.times)
 	}
 	return false
 }
@@ -196,6 +199,9 @@
 			f.broadcast(mesh.Message{StatedLoads: map[uint32]int{hash: e.load.Requests()}})
 		}
 	}
+	if e.load.WorkTime > 0 {
+		f.applyWorkTime(s, now, e.endpoint)
+	}
 	hash, changed, tell := s.table.RecordStatedLimit(now, e.endpoint, e.limit)
 	if changed && e.limit >= 0 {
 		f.log.Info("endpoint limits its requests", "endpoint", e.endpoint, "per_second", e.limit)
@@ -207,6 +213,31 @@
 	}
 }
 
+// logSpill logs that requests of a pool begin to go to other data centres, or end to.
+func (f placeRequests) logSpill(c *place.SpillChange) {
+	if c == nil {
+		return
+	}
+	local, remote := c.View.Local, c.View.Remote
+	figures := []any{"pool", c.Pool, "local_delay_ms", local.Delay, "remote_delay_ms", remote.Delay, "local_load", local.MeanLoad(), "remote_load", remote.MeanLoad(), "bound", c.View.Bound}
+	if c.Started {
+		f.log.Info("requests go to other data centres", figures...)
+	} else {
+		f.log.Info("requests stay in their data centre again", figures...)
+	}
+}
+
+// applyWorkTime notifies the peers of an endpoint that became slow, or usual again.
+func (f placeRequests) applyWorkTime(s *State, now time.Time, id model.EndpointID) {
+	hash, figure, changed, tell := s.table.WorkTimeNotice(now, id)
+	if changed {
+		f.log.Info("work time of endpoint changed", "endpoint", id, "work_time", figure)
+	}
+	if tell {
+		f.broadcast(mesh.Message{WorkTimes: map[uint32]float64{hash: figure}})
+	}
+}
+
 // budgetRetries keeps the retry budget of each pool.
 type budgetRetries struct{}
 
@@ -258,12 +289,16 @@
 		if s.table.UpdatePeerLoads(now, e.name, e.loads) {
 			f.log.Info("router heard", "router", e.name)
 		}
+		s.table.SetPeerDataCentre(e.name, e.at.dataCentre)
 		for endpoint, load := range e.statedLoads {
 			s.table.ApplyStatedLoad(now, endpoint, load)
 		}
 		for endpoint, limit := range e.limits {
 			s.table.ApplyStatedLimit(now, endpoint, limit)
 		}
+		for endpoint, figure := range e.workTimes {
+			s.table.ApplyWorkTime(now, endpoint, figure)
+		}
 		for _, h := range e.holders {
 			s.table.AddHolder(now, h.Part, h.Endpoint)
 		}
@@ -368,6 +403,7 @@
 		return false
 	}
 	s.settings = e.settings
+	s.table.SetLocality(e.settings.Price)
 	f.log.Info("settings reloaded")
 	return true
 }
