admission: refuse early and by urgency while a pool is overloaded

Routers report the demand for loaded pools in their load reports and derive one threshold for each pool from it; the filter shed refuses what is above it as not run.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/admission"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
 
@@ -31,6 +32,7 @@
 	flagRelay        = 1 << 4
 	flagStatedLoads  = 1 << 5 // the loads are those that endpoints stated, without flagLoads
 	flagLimits       = 1 << 6 // the loads are limits in limitUnit, without the other two
+	flagDemand       = 1 << 7 // demand follows the holders
 
 	flagsOffset  = 2
 	headerLen    = 3  // bytes: magic, version and flags
@@ -88,6 +90,9 @@
 	// with either carries no loads, holders or caches.
 	Crashes []Crash
 	Sound   []uint64
+	// Demand is the demand for loaded pools at the sender, MaxDemand pools at most. A
+	// message with Crashes or Sound carries none.
+	Demand []admission.Report
 }
 
 // Crash is a crash of an endpoint at which a request with a property was met.
@@ -127,6 +132,9 @@
 	if m.Relay {
 		flags |= flagRelay
 	}
+	if len(m.Demand) > 0 && !m.hasCauses() {
+		flags |= flagDemand
+	}
 	version := byte(formatVersion)
 	if m.hasCauses() {
 		version = causesVersion
@@ -157,6 +165,9 @@
 		b = binary.BigEndian.AppendUint64(b, h.Part)
 		b = binary.BigEndian.AppendUint32(b, h.Endpoint)
 	}
+	if flags&flagDemand != 0 {
+		b = appendDemand(b, m.Demand)
+	}
 	for _, engine := range m.CachesRead[:min(len(m.CachesRead), maxCachesRead)] {
 		b = binary.BigEndian.AppendUint32(b, engine)
 	}
@@ -248,6 +259,12 @@
 		m.Holders = append(m.Holders, place.PartHolder{Part: binary.BigEndian.Uint64(b), Endpoint: binary.BigEndian.Uint32(b[8:])})
 		b = b[holderLen:]
 	}
+	if flags&flagDemand != 0 {
+		var err error
+		if m.Demand, b, err = parseDemand(b); err != nil {
+			return Message{}, err
+		}
+	}
 	for ; len(b) > 0; b = b[cacheReadLen:] {
 		m.CachesRead = append(m.CachesRead, binary.BigEndian.Uint32(b))
 	}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -7,9 +7,17 @@
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/admission"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
 
+// demand is in whole units of the encoding.
+var demand = []admission.Report{
+	{Pool: 9, Overloaded: true, Occupancy: 0.9375, Stretch: 1.5, Demand: [admission.Classes]float64{1: 2.5, 3: 2047.96875},
+		HeavyPriority: 1, Heavy: []admission.Heavy{{Workspace: 1 << 31, Demand: 0.03125}}},
+	{Pool: 10},
+}
+
 // Guards against a datagram that decodes to another message than was encoded.
 func TestMessagesRoundTrip(t *testing.T) {
 	is := is.New(t)
@@ -22,6 +30,7 @@
 		{Name: "router-3", Leaving: true},
 		{Name: "router-5", DataCentre: "dc-a", Address: netip.MustParseAddrPort("10.1.0.7:7340"), Relay: true},
 		{Name: "router-4", HoldersKnown: true, WantHolders: true, CachesRead: []uint32{1, 2}},
+		{Name: "router-6", Loads: map[uint32]int{7: 3}, Holders: []place.PartHolder{{Part: 5, Endpoint: 7}}, CachesRead: []uint32{1}, Demand: demand},
 		{},
 	} {
 		got, err := Parse(Append(nil, m))
@@ -46,6 +55,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add(Append(nil, Message{Name: "router-1", Loads: map[uint32]int{7: 3}, Holders: []place.PartHolder{{Part: 5, Endpoint: 7}}}))
 	f.Add(Append(nil, Message{Name: "router-1", Crashes: []Crash{{Key: 5, Endpoint: 7}}, Sound: []uint64{5}}))
+	f.Add(Append(nil, Message{Name: "router-1", Loads: map[uint32]int{7: 3}, Demand: demand}))
 	f.Add([]byte{magic, formatVersion, 0, 200})
 	f.Add([]byte{magic, formatVersion, 0, 0, 0, 3, 1, 2, 3})
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -53,7 +63,7 @@
 		if err != nil {
 			return
 		}
-		if again, err := Parse(Append(nil, m)); err != nil || again.Name != m.Name {
+		if again, err := Parse(Append(nil, m)); err != nil || again.Name != m.Name || len(again.Demand) != len(m.Demand) {
 			t.Errorf("parsed message does not survive encoding: %v", err)
 		}
 	})
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/admission"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/mesh"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
@@ -87,7 +88,9 @@
 	// if there was none left.
 	allowRetry struct {
 		control.Question[bool]
-		pool model.Pool
+		pool     model.Pool
+		priority int
+		resumed  bool // the answer has begun
 	}
 	// peerMessage carries a datagram of a peer.
 	peerMessage struct {
@@ -104,6 +107,7 @@
 		// holdersKnown says that the sender knows the holders from before its start.
 		holdersKnown bool
 		cachesRead   []uint32 // engines whose caches the sender has read since its start
+		demand       []admission.Report
 	}
 	// cacheRead carries the prompt parts in the cache of one engine.
 	cacheRead struct {
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -56,6 +56,7 @@
 			}
 			labelled[name] = true
 			metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_router_requests_total{result=%q}`, v.result)).Inc()
+			metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_router_workspace_requests_total{workspace=%q,result=%q}`, name, v.result)).Inc()
 			metrics.GetOrCreateHistogram(fmt.Sprintf(`goldcrest_router_request_seconds{workspace=%q}`, name)).Update(v.took.Seconds())
 			if v.firstEvent > 0 {
 				metrics.GetOrCreateHistogram(fmt.Sprintf(`goldcrest_router_first_event_seconds{workspace=%q}`, name)).Update(v.firstEvent.Seconds())
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -20,7 +20,8 @@
 		identify{snapshot: r.loop.Snapshot, fresh: r.fresh},
 		setDeadline{},
 		countRequest{r.recordRequest},
-		resumeStream{allowRetry: r.allowRetry, log: r.log},
+		shedRequest{enabled: r.deps.Features.Admission, decide: r.decideAdmission, retryAfter: r.admissionRetryAfter, firstEvent: r.recordFirstEvent, end: r.recordAdmittedEnd},
+		resumeStream{allowRetry: r.allowResume, log: r.log},
 		retryRequest{allowRetry: r.allowRetry, log: r.log},
 		guardEndpoints{snapshot: r.loop.Snapshot, allowTrial: r.allowTrial},
 		placeRequest{pick: r.pick, broadcastHolder: r.broadcastHolder, random: r.random},
@@ -36,6 +37,7 @@
 		applyList{r.log},
 		applyPeers{r.log},
 		placeRequests{broadcast: r.broadcast, log: r.log},
+		admitRequests{r.log},
 		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, report: r.suspects.saveReport, log: r.log},
 		budgetRetries{},
 		applySettings{r.log},
@@ -48,9 +50,16 @@
 	_ = r.loop.Post(context.Background(), requestArrived{pool})
 }
 
+// allowResume takes one retry for a stream that broke off, as allowRetry does. It is not
+// refused because of overload: what the stream has cost would be lost.
+func (r *Router) allowResume(ctx context.Context, req *Request) bool {
+	ok, err := control.Ask(ctx, r.loop, allowRetry{Question: control.NewQuestion[bool](), pool: req.Pool, resumed: true})
+	return ok && err == nil
+}
+
 // allowRetry takes one retry from the retry budget of the request's pool and
 // reports whether there was one left.
 func (r *Router) allowRetry(ctx context.Context, req *Request) bool {
-	ok, err := control.Ask(ctx, r.loop, allowRetry{Question: control.NewQuestion[bool](), pool: req.Pool})
+	ok, err := control.Ask(ctx, r.loop, allowRetry{Question: control.NewQuestion[bool](), pool: req.Pool, priority: req.priority()})
 	return ok && err == nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,8 +70,13 @@
 	r.node = exchange.New(exchange.Config{Key: exchangeKey, AcceptFailed: func(err error) {
 		r.log.Warn("connections of peers cannot be accepted", "error", err.Error())
 	}})
+	state := newState(s)
+	if deps.Features.Admission {
+		state.admission = newAdmission(state)
+		state.admission.SetEnabled(s.Admission)
+	}
 	r.loop = control.New(control.Config[State, Snapshot]{
-		State: newState(s), Stages: r.controlPipeline(), Publish: publish,
+		State: state, Stages: r.controlPipeline(), Publish: publish,
 	})
 	return r
 }
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -29,6 +29,7 @@
 	RetryBurst   float64       // retries beyond the ratio in a window over all routers
 	RetryWindow  time.Duration
 	ListInterval time.Duration // between reads of the instance list
+	Admission    bool          // requests are refused early and by urgency while a pool is overloaded
 	Contracts    []string      // terms of the platform for this deployment, from which Features follow
 	FollowWait   time.Duration // for which a read of the operators' orders waits for changes
 	path         string        // of the settings file
@@ -77,6 +78,7 @@
 		RetryRatio:   f.Float("bounds", "retry_ratio", 0.2, 0, 10),
 		RetryBurst:   f.Float("bounds", "retry_burst", 50, 0, 1e6),
 		RetryWindow:  f.Duration("bounds", "retry_window", 10*time.Second, minDuration, maxDuration),
+		Admission:    f.Bool("admission", "enabled", true),
 		Contracts:    f.List("platform", "contracts"),
 		FollowWait:   f.Duration("platform", "follow", time.Second, minDuration, maxDuration),
 	}
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -57,6 +57,7 @@
 	self          netip.AddrPort
 	loadsReported bool // the last load report had requests in flight
 	reportedAt    time.Time
+	demandAt      time.Time // when demand was last reported
 }
 
 // datagram is what the send goroutine needs of a received message.
@@ -112,7 +113,7 @@
 		if m.Name == string(p.r.settings.Instance) || !m.Address.IsValid() {
 			continue
 		}
-		_ = p.r.loop.Post(ctx, peerMessage{name: m.Name, at: exchangeAddress{m.Address.String(), model.DataCentre(m.DataCentre)}, loads: m.Loads, statedLoads: m.StatedLoads, limits: m.Limits, crashes: m.Crashes, sound: m.Sound, holders: m.Holders, leaving: m.Leaving, holdersKnown: m.HoldersKnown, cachesRead: m.CachesRead})
+		_ = p.r.loop.Post(ctx, peerMessage{name: m.Name, at: exchangeAddress{m.Address.String(), model.DataCentre(m.DataCentre)}, loads: m.Loads, statedLoads: m.StatedLoads, limits: m.Limits, crashes: m.Crashes, sound: m.Sound, holders: m.Holders, leaving: m.Leaving, holdersKnown: m.HoldersKnown, cachesRead: m.CachesRead, demand: m.Demand})
 		d, queue := datagram{sender: m.Address, dataCentre: model.DataCentre(m.DataCentre), leaving: m.Leaving}, p.received
 		if m.Relay {
 			d.relay = mesh.Relayed(buf[:n])
@@ -250,7 +251,7 @@
 	if now.Sub(p.reportedAt) < interval-reportSlack {
 		return next
 	}
-	p.broadcast(mesh.Message{Loads: report.loads})
+	p.broadcast(mesh.Message{Loads: report.loads, Demand: p.demand(ctx, now)})
 	p.loadsReported, p.reportedAt = len(report.loads) > 0, now
 	return next
 }
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -214,6 +214,11 @@
 	case requestArrived:
 		retryWindow(s, e.pool).AddRequest(now)
 	case allowRetry:
+		if s.admission != nil && !e.resumed && !s.admission.AllowRetry(now, e.pool, e.priority) {
+			retriesShed.Inc()
+			e.Reply(false)
+			return false
+		}
 		e.Reply(retryWindow(s, e.pool).AllowRetry(now, s.settings.RetryRatio, s.settings.RetryBurst, s.table.Routers(now)))
 	}
 	return false
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -37,6 +37,7 @@
 	failures     suspect.Failures  // attempts at endpoints that may have crashed
 	observed     suspect.Observed  // what this router reports of crashes
 	retryWindows map[model.Pool]*retry.Window
+	admission    *admissionState                      // nil if the deployment does not call for it
 	position     int64                                // after the last order that was read
 	config       []byte                               // encoding of catalog
 	configHash   uint64                               // hash of config
