--- a/internal/admission/threshold.go
+++ b/internal/admission/threshold.go
@@ -239,14 +239,24 @@
 		within = drainTime
 	}
 	least := 0.0
-	if p.healthy() && float64(len(p.tickets)) < p.share*target {
+	if p.contradicts(target) {
 		least = contradicted * target / stretch
 	}
 	return max(least, target/stretch+missing*p.work/within.Seconds()) * p.knownPart()
 }
 
-// contradicted is the part of the capacity that is admitted at least while own results and
-// the own requests in flight show no overload, whatever endpoints state.
+// contradicts reports whether the own requests in flight and results show no overload,
+// whatever endpoints state. Without results, as after a time in which all was refused, far
+// fewer requests than the share must be in flight.
+func (p *pool) contradicts(target float64) bool {
+	least := p.share * target
+	if !p.healthy() {
+		least *= contradicted
+	}
+	return p.load.Stated && !p.bad() && float64(len(p.tickets)) < least
+}
+
+// contradicted is the part of the capacity that is admitted at least in that case.
 const contradicted = 0.5
 
 // taken returns the requests in flight at the endpoints of the pool: those that are known,
