--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -289,3 +289,30 @@
 	off := scenario{rate: step(4), change: noControl}.run().useful()
 	is.True(off < minThroughput*once)
 }
+
+// Guards against shares of the capacity that follow the number of routers instead of their
+// demand: those of one data centre get ten times the requests of the others.
+func TestRoutersWithMoreDemandAdmitMore(t *testing.T) {
+	is := is.New(t)
+	useful := func(skew float64, tune func(*pool)) float64 {
+		return scenario{rate: step(1.5), change: func(s *sim) { s.skew, s.tune = skew, tune }}.run().useful()
+	}
+	even, skewed := useful(1, nil), useful(10, nil)
+	off := useful(10, func(p *pool) { p.share = 1 / float64(p.load.Routers) })
+	t.Logf("%.3f of the throughput with even demand, without the mechanism %.3f", skewed/even, off/even)
+	is.True(skewed >= minThroughput*even)
+	is.True(off < minThroughput*even)
+}
+
+// Guards against callers that are told to return before there is capacity for them, and are
+// refused a second time.
+func TestCallersReturnWhenThereIsCapacity(t *testing.T) {
+	is := is.New(t)
+	share := func(told time.Duration) float64 {
+		s := scenario{kinds: engineKinds[1:2], rate: wave, change: func(s *sim) { s.told = told }}.run()
+		return float64(s.refusedTwice) / float64(s.offered["ticket-summary"])
+	}
+	on, off := share(0), share(50*time.Millisecond)
+	t.Logf("refused twice: %.3f of all, if told to return at once %.3f", on, off)
+	is.True(on < off)
+}
--- a/internal/admission/sim_test.go
+++ b/internal/admission/sim_test.go
@@ -163,6 +163,8 @@
 	offered, inTime, late map[model.Route]int
 	byWorkspace           map[model.Workspace][2]int // offered, in time
 	extra                 float64                    // factor on the rates
+	told                  time.Duration              // in place of the computed wait, if not 0
+	skew                  float64                    // factor on the requests of the first third of the routers
 	never                 bool                       // capacity never counts as free
 	workspaces            int
 	weight                float64
@@ -220,7 +222,7 @@
 }
 
 func newSim(routers, engines, slots int, kinds []simKind) *sim {
-	s := &sim{rand: rand.New(rand.NewPCG(1, 2)), start: time.Unix(1000, 0), kinds: kinds, stated: true, extra: 1, lost: 0.05,
+	s := &sim{rand: rand.New(rand.NewPCG(1, 2)), start: time.Unix(1000, 0), kinds: kinds, stated: true, extra: 1, skew: 1, lost: 0.05,
 		interval: max(150*time.Millisecond, time.Duration(routers-1)*12*time.Millisecond),
 		offered:  map[model.Route]int{}, inTime: map[model.Route]int{}, late: map[model.Route]int{}, byWorkspace: map[model.Workspace][2]int{}, engineOf: map[*simRequest]*simEngine{}}
 	for range engines {
@@ -343,7 +345,7 @@
 // attempt sends a request to a router, which decides on it.
 func (s *sim) attempt(r *simRequest) {
 	r.attempts++
-	r.router = s.rand.IntN(len(s.routers))
+	r.router = s.pickRouter()
 	router := s.routers[r.router]
 	now := s.start.Add(s.now)
 	left := r.giveUp - s.now
@@ -362,6 +364,9 @@
 		if s.freeSince >= 0 && s.now-s.freeSince > s.interval+loadDelay+tick {
 			s.wrongRefusals++
 		}
+		if s.told > 0 {
+			d.RetryAfter = s.told
+		}
 		s.comeBack(r, d.RetryAfter)
 		return
 	}
@@ -387,6 +392,14 @@
 	})
 }
 
+func (s *sim) pickRouter() int {
+	third := len(s.routers) / 3
+	if s.rand.Float64()*(s.skew+2) < s.skew {
+		return s.rand.IntN(third)
+	}
+	return third + s.rand.IntN(len(s.routers)-third)
+}
+
 // comeBack sends a refused request once more, after the wait that it was told as far as
 // callers honour it.
 func (s *sim) comeBack(r *simRequest, wait time.Duration) {
--- a/internal/admission/threshold.go
+++ b/internal/admission/threshold.go
@@ -21,7 +21,9 @@
 	}
 	p.average(dt)
 	p.averageWorkspaces(dt)
-	p.countLate(now)
+	if dt < maxTick {
+		p.countLate(now)
+	}
 	p.expirePeers(now)
 	if p.occupancy == 0 {
 		p.occupancy = startOccupancy(load.Stated)
@@ -81,6 +83,10 @@
 	return total
 }
 
+// maxTick is the time between two ticks from which the router has been frozen, or has got no
+// request. Requests in flight say nothing then.
+const maxTick = time.Second
+
 // countLate counts the requests in flight whose latency target has passed without a first
 // event. Their results would come too late to act on.
 func (p *pool) countLate(now time.Time) {
