--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
@@ -93,6 +95,11 @@
 	estimateLifetime = time.Second
 	// maxCredit bounds the requests that are admitted at once because earlier ones were not.
 	maxCredit = 2
+	// maxPeers bounds the peers whose reports are kept, since any host can send them with any
+	// name. It is far above the 370 of the target size.
+	maxPeers = 2048
+	// poolLifetime is how long a pool without requests is kept, since operators remove pools.
+	poolLifetime = 10 * time.Minute
 	// maxRoutes bounds the routes of a pool with learned times.
 	maxRoutes = 4096
 )
@@ -188,6 +195,7 @@
 	fair       fairness
 	peers      map[string]heard
 	heardAt    time.Time // when a peer's report last arrived
+	usedAt     time.Time // when the last request arrived
 	ticked     time.Time
 	stepped    time.Time
 	calmFrom   time.Time // since when there is neither evidence nor a refusal; zero if there is
@@ -249,6 +257,7 @@
 // Decide decides on a request. End must be called once for each admitted one.
 func (c *Controller) Decide(now time.Time, r Request) Decision {
 	p := c.pool(now, r.Pool)
+	p.usedAt = now
 	times := p.times(r.Route)
 	cl := class(r.Priority, times.returning(r.Wait))
 	p.arrived[cl]++
@@ -475,7 +484,7 @@
 func (c *Controller) Hear(now time.Time, peer string, reports []Report) {
 	for _, p := range c.pools {
 		for _, r := range reports {
-			if r.Pool == p.hash {
+			if _, known := p.peers[peer]; r.Pool == p.hash && (known || len(p.peers) < maxPeers) {
 				p.peers[peer], p.heardAt = heard{r, now}, now
 			}
 		}
@@ -498,6 +507,10 @@
 	var out []Report
 	for name := range c.pools {
 		p := c.pool(now, name)
+		if len(p.tickets) == 0 && now.Sub(p.usedAt) > poolLifetime {
+			delete(c.pools, name)
+			continue
+		}
 		if !p.active && !p.evidence && p.load.Taken < reportedOccupancy*p.load.Slots {
 			continue
 		}
@@ -508,9 +521,19 @@
 		}
 		out = append(out, report)
 	}
+	// A datagram may not hold all; those of overloaded pools matter most.
+	slices.SortFunc(out, func(a, b Report) int { return cmp.Compare(rank(a), rank(b)) })
 	return out
 }
 
+// rank orders the reports of overloaded pools before the others, and then by pool.
+func rank(r Report) uint64 {
+	if r.Overloaded {
+		return uint64(r.Pool)
+	}
+	return 1<<32 + uint64(r.Pool)
+}
+
 // Status is the state of a pool for metrics and logs.
 type Status struct {
 	Pool      model.Pool
--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -51,6 +51,17 @@
 	return out
 }
 
+// LivePeerCount returns the number of live peers.
+func (t *Table) LivePeerCount(now time.Time) int {
+	n, lifetime := 0, t.peerLifetime()
+	for _, p := range t.peers {
+		if now.Sub(p.lastSeen) <= lifetime {
+			n++
+		}
+	}
+	return n
+}
+
 // PoolLoad returns the load of a pool over all routers, as far as it is known.
 func (t *Table) PoolLoad(now time.Time, pool model.Pool) PoolLoad {
 	t.expirePeers(now)
--- a/internal/router/control_admission.go
+++ b/internal/router/control_admission.go
@@ -62,7 +62,7 @@
 	a := &admissionState{interval: place.LoadReportInterval(0), logged: map[model.Pool]admission.Status{}, loggedAt: map[model.Pool]time.Time{}, centres: map[model.Pool]map[model.DataCentre]bool{}}
 	a.Controller = admission.New(func(now time.Time, pool model.Pool) admission.Load {
 		l := s.table.PoolLoad(now, pool)
-		peers := len(s.table.LivePeers(now))
+		peers := s.table.LivePeerCount(now)
 		if peers == 0 {
 			peers = s.table.Routers(now) - 1
 		}
