admission: shares follow the demand of all peers that are heard

A router that heard no report of a pool took only its even part of it, and one whose peers had low demand took too much, since only loaded routers reported.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -110,7 +110,8 @@
 	Taken    float64 // requests in flight there, running or waiting
 	Waiting  float64 // requests that wait there for a slot
 	Stated   bool    // the endpoints state their loads
-	Routers  int     // live routers, this one included
+	Routers  int     // live or, if this router hears none, known routers, this one included
+	Live     int     // live peers
 	Interval time.Duration
 }
 
@@ -195,6 +196,7 @@
 	fair       fairness
 	peers      map[string]heard
 	heardAt    time.Time // when a peer's report last arrived
+	loadedFrom time.Time // since when the demand is reported for the load of the pool; zero if it is not
 	usedAt     time.Time // when the last request arrived
 	ticked     time.Time
 	stepped    time.Time
@@ -511,11 +513,18 @@
 			delete(c.pools, name)
 			continue
 		}
-		if !p.active && !p.evidence && p.load.Taken < reportedOccupancy*p.load.Slots {
+		loaded := p.active || p.evidence || p.load.Slots > 0 && p.load.Taken >= reportedOccupancy*p.load.Slots
+		switch {
+		case !loaded:
+			p.loadedFrom = time.Time{}
+		case p.loadedFrom.IsZero():
+			p.loadedFrom = now
+		}
+		if !loaded && !p.asked() {
 			continue
 		}
 		p.reported, p.reportedAt = p.demand, now
-		report := Report{Pool: p.hash, Overloaded: p.evidence, Occupancy: p.occupancy, Stretch: p.stretch(), Demand: p.demand}
+		report := Report{Pool: p.hash, Loaded: loaded, Overloaded: p.evidence, Occupancy: p.occupancy, Stretch: p.stretch(), Demand: p.demand}
 		if p.fair.mean > 0 {
 			report.HeavyPriority, report.Heavy = p.fair.priority, p.heaviest(p.fair.priority)
 		}
@@ -526,6 +535,17 @@
 	return out
 }
 
+// asked reports whether a peer reports its demand because of the load of the pool. To derive
+// its share it needs the demand of all.
+func (p *pool) asked() bool {
+	for _, h := range p.peers {
+		if h.Loaded {
+			return true
+		}
+	}
+	return false
+}
+
 // rank orders the reports of overloaded pools before the others, and then by pool.
 func rank(r Report) uint64 {
 	if r.Overloaded {
--- a/internal/admission/fill_test.go
+++ b/internal/admission/fill_test.go
@@ -153,7 +153,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	c := New(func(time.Time, model.Pool) Load {
-		return Load{Slots: 100, Taken: 60, Stated: true, Routers: 2, Interval: 150 * time.Millisecond}
+		return Load{Slots: 100, Taken: 60, Stated: true, Routers: 2, Live: 1, Interval: 150 * time.Millisecond}
 	}, hashOf)
 	p := c.pool(now, simPool)
 	for range 30 {
@@ -166,3 +166,40 @@
 	is.Equal(len(p.peers), 0)
 	is.True(!p.active)
 }
+
+// Guards against a router that takes only a part of a pool that its peers do not use, and
+// against one that takes the part of peers whose demand is low and not reported.
+func TestSharesFollowTheDemandOfAllPeers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	live := 1
+	load := func(time.Time, model.Pool) Load {
+		return Load{Slots: 100, Taken: 95, Stated: true, Routers: 2, Live: live, Interval: 150 * time.Millisecond}
+	}
+	idle := func(time.Time, model.Pool) Load {
+		return Load{Slots: 100, Routers: 2, Live: 1, Interval: 150 * time.Millisecond}
+	}
+	a, b := New(load, hashOf), New(idle, hashOf)
+	run := func(each func()) {
+		for range 60 {
+			now = now.Add(tick)
+			a.Decide(now, Request{Pool: simPool, Route: "r", Left: time.Minute})
+			each()
+		}
+	}
+	is.Equal(a.pool(now, simPool).share, 1.0) // before the first load
+	run(func() { a.Reports(now) })
+	is.Equal(a.pool(now, simPool).share, 1.0) // the peer is heard and reports nothing
+	run(func() {
+		if b.Decide(now, Request{Pool: simPool, Route: "r", Left: time.Minute}).Admit {
+			b.End(now, b.last, Answered)
+		}
+		b.Hear(now, "a", a.Reports(now))
+		a.Hear(now, "b", b.Reports(now))
+	})
+	half := a.pool(now, simPool).share
+	is.True(math.Abs(half-0.5) < 0.05) // b reports since a does
+	live = 0
+	run(func() { a.Reports(now) })
+	is.Equal(a.pool(now, simPool).share, half) // cut off: the last share holds
+}
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -3,6 +3,9 @@
 // Report is what a router states to its peers about the demand for one pool.
 type Report struct {
 	Pool uint32 // hash of its name
+	// Loaded says that the router reports because of the load of the pool that it knows,
+	// rather than because a peer does.
+	Loaded bool
 	// Overloaded says that the router has evidence of its own. What it only heard from
 	// peers does not count, or overload would confirm itself.
 	Overloaded bool
--- a/internal/admission/sim_test.go
+++ b/internal/admission/sim_test.go
@@ -245,7 +245,10 @@
 	if len(s.loads) > 0 {
 		l = s.loads[i]
 	}
-	l.Routers, l.Interval = len(s.routers), s.interval
+	l.Routers, l.Live, l.Interval = len(s.routers), len(s.routers)-1, s.interval
+	if s.mute != nil && s.mute(s.now-1500*time.Millisecond) {
+		l.Live = 0
+	}
 	if s.falsify != nil {
 		l = s.falsify(l)
 	}
--- a/internal/admission/threshold.go
+++ b/internal/admission/threshold.go
@@ -34,7 +34,7 @@
 	p.setActive(now)
 	if !p.active {
 		p.fair = fairness{}
-		p.setShare()
+		p.setShare(now)
 		if wasActive {
 			p.occupancy = startOccupancy(load.Stated)
 		}
@@ -44,7 +44,7 @@
 	p.adapt(now)
 	p.setAdmitted()
 	p.setFair()
-	p.setShare()
+	p.setShare(now)
 	p.refused = false
 }
 
@@ -98,13 +98,16 @@
 	}
 }
 
-// minReportLifetime is how long a report counts at least; otherwise it counts for four
-// intervals, as load reports do.
-const minReportLifetime = 1500 * time.Millisecond
+// minReportLifetime is how long a report counts at least; otherwise it counts for eight
+// intervals. That is twice as long as load reports do, so that a router knows that it is cut
+// off before reports expire one by one: it would take the share of those that are silent.
+const minReportLifetime = 3 * time.Second
+
+func (p *pool) reportLifetime() time.Duration { return max(minReportLifetime, 8*p.load.Interval) }
 
 func (p *pool) expirePeers(now time.Time) {
 	for name, h := range p.peers {
-		if now.Sub(h.at) > max(minReportLifetime, 4*p.load.Interval) {
+		if now.Sub(h.at) > p.reportLifetime() {
 			delete(p.peers, name)
 		}
 	}
@@ -182,10 +185,13 @@
 	p.occupancy = p.clamped(p.occupancy)
 }
 
-// isolated reports whether this router has heard nothing of its peers' demand for a while
-// although it did before. It is then no stricter than before.
+// cutOff reports whether this router hears none of its peers.
+func (p *pool) cutOff() bool { return p.load.Live == 0 && p.load.Routers > 1 }
+
+// isolated reports whether this router is cut off for a while. It is then no stricter than
+// before.
 func (p *pool) isolated(now time.Time) bool {
-	return !p.heardAt.IsZero() && now.Sub(p.heardAt) >= isolationTime
+	return p.cutOff() && !p.heardAt.IsZero() && now.Sub(p.heardAt) >= isolationTime
 }
 
 // clamped returns an occupancy target within its bounds.
@@ -215,6 +221,9 @@
 // total returns the demand of all routers whose demand is known.
 func (p *pool) total() [Classes]float64 {
 	out := p.demand
+	if p.cutOff() {
+		return out
+	}
 	for _, h := range p.peers {
 		for i, d := range h.Demand {
 			out[i] += d
@@ -248,7 +257,11 @@
 	if p.contradicts(target) {
 		least = contradicted * target / stretch
 	}
-	return max(least, target/stretch+missing*p.work/within.Seconds()) * p.knownPart()
+	whole := max(least, target/stretch+missing*p.work/within.Seconds())
+	if len(p.peers) == 0 || p.cutOff() {
+		return p.share * whole // for the own demand, which is all that is known
+	}
+	return whole
 }
 
 // contradicts reports whether the own requests in flight and results show no overload,
@@ -284,11 +297,6 @@
 	return p.late+p.onTime >= minResults && p.lateShare() < lateHealthy
 }
 
-// knownPart returns the part of the routers whose demand is known.
-func (p *pool) knownPart() float64 {
-	return min(1, float64(1+len(p.peers))/float64(max(1, p.load.Routers)))
-}
-
 // usualTime is the time over which the threshold is averaged that a router keeps to at
 // least when it loses contact to its peers.
 const usualTime = 2 * time.Second
@@ -297,9 +305,9 @@
 func (p *pool) setAdmitted() {
 	next := fill(p.total(), p.capacity())
 	for i, v := range next {
-		if len(p.peers) > 0 {
+		if !p.cutOff() {
 			p.usual[i] += (p.admitted[i] - p.usual[i]) * tick.Seconds() / usualTime.Seconds()
-		} else if !p.heardAt.IsZero() {
+		} else {
 			v = max(v, p.usual[i]) // no stricter than with contact to peers
 		}
 		if v == 0 || v == 1 || math.Abs(v-p.admitted[i]) >= deadBand*p.admitted[i] {
@@ -329,19 +337,32 @@
 // router with few requests a second sees large variations of its demand.
 const shareGain = 0.3
 
+// minWeight is the weight of demand that is not admitted at all, so that shares do not jump
+// when nothing is admitted for a moment.
+const minWeight = 0.01
+
 // setShare sets the share of this router in the admitted demand. Own demand counts as the
 // peers know it: if all counted what they alone know already, their shares would add up to
 // more than the whole while demand rises.
-func (p *pool) setShare() {
-	if len(p.peers) == 0 {
+func (p *pool) setShare(now time.Time) {
+	even := 1 / float64(max(1, p.load.Routers))
+	switch {
+	case p.cutOff():
 		if p.heardAt.IsZero() {
-			p.share = 1 / float64(max(1, p.load.Routers))
+			p.share = even
 		}
-		return // the last share holds without contact to peers
+		return // otherwise the last share holds
+	case len(p.peers) > 0:
+	case !p.loadedFrom.IsZero() && now.Sub(p.loadedFrom) > p.reportLifetime():
+		p.share = 1 // peers are heard, and have no demand
+		return
+	default:
+		p.share = even
+		return
 	}
 	own, total := 0.0, 0.0
 	for i := range Classes {
-		weight := p.admitted[i]
+		weight := max(p.admitted[i], minWeight)
 		if !p.active {
 			weight = 1
 		}
@@ -352,8 +373,8 @@
 		}
 	}
 	if total <= 0 {
-		p.share = 1 / float64(max(1, p.load.Routers))
+		p.share = even
 		return
 	}
-	p.share += shareGain * (own/total*p.knownPart() - p.share)
+	p.share += shareGain * (own/total - p.share)
 }
--- a/internal/mesh/demand.go
+++ b/internal/mesh/demand.go
@@ -19,6 +19,7 @@
 	occupancyUnit  = 1.0 / 64
 	stretchUnit    = 1.0 / 64
 	demandOverload = 1 << 0 // flag: the sender has evidence of overload
+	demandLoaded   = 1 << 1 // flag: the sender reports for the load of the pool
 )
 
 // appendDemand appends the length of the section in units of cacheReadLen and then the
@@ -34,6 +35,9 @@
 		if r.Overloaded {
 			flags |= demandOverload
 		}
+		if r.Loaded {
+			flags |= demandLoaded
+		}
 		b = binary.BigEndian.AppendUint32(b, r.Pool)
 		b = append(b, flags, byte(units(r.Occupancy, occupancyUnit, 255)))
 		b = binary.BigEndian.AppendUint16(b, uint16(units(r.Stretch, stretchUnit, 65535)))
@@ -96,7 +100,8 @@
 	if len(b) < demandHeadLen {
 		return r, nil, ErrFormat
 	}
-	r.Pool, r.Overloaded = binary.BigEndian.Uint32(b), b[4]&demandOverload != 0
+	r.Pool = binary.BigEndian.Uint32(b)
+	r.Overloaded, r.Loaded = b[4]&demandOverload != 0, b[4]&demandLoaded != 0
 	r.Occupancy = float64(b[5]) * occupancyUnit
 	r.Stretch = float64(binary.BigEndian.Uint16(b[6:])) * stretchUnit
 	classes := int(b[8])
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -15,7 +15,7 @@
 var demand = []admission.Report{
 	{Pool: 9, Overloaded: true, Occupancy: 0.9375, Stretch: 1.5, Demand: [admission.Classes]float64{1: 2.5, 3: 2047.96875},
 		HeavyPriority: 1, Heavy: []admission.Heavy{{Workspace: 1 << 31, Demand: 0.03125}}},
-	{Pool: 10},
+	{Pool: 10, Loaded: true},
 }
 
 // Guards against a datagram that decodes to another message than was encoded.
--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -29,7 +29,7 @@
 // takesRequests reports whether an endpoint can take requests of this router, apart from
 // how loaded it is.
 func (t *Table) takesRequests(now time.Time, s *endpointState) bool {
-	return !t.evacuated[s.DataCentre] && !(s.health.down && s.health.inBackoff(now)) && !now.Before(s.turnedAwayUntil)
+	return !t.evacuated[s.DataCentre] && !s.health.down && !now.Before(s.turnedAwayUntil)
 }
 
 // slots returns the requests that an endpoint runs at once; 0 if unknown.
--- a/internal/router/control_admission.go
+++ b/internal/router/control_admission.go
@@ -62,11 +62,12 @@
 	a := &admissionState{interval: place.LoadReportInterval(0), logged: map[model.Pool]admission.Status{}, loggedAt: map[model.Pool]time.Time{}, centres: map[model.Pool]map[model.DataCentre]bool{}}
 	a.Controller = admission.New(func(now time.Time, pool model.Pool) admission.Load {
 		l := s.table.PoolLoad(now, pool)
-		peers := s.table.LivePeerCount(now)
-		if peers == 0 {
+		live := s.table.LivePeerCount(now)
+		peers := live
+		if live == 0 {
 			peers = s.table.Routers(now) - 1
 		}
-		return admission.Load{Slots: l.Slots, Taken: l.Taken, Waiting: l.Waiting, Stated: l.Stated, Routers: 1 + peers, Interval: max(a.interval, place.LoadReportInterval(peers))}
+		return admission.Load{Slots: l.Slots, Taken: l.Taken, Waiting: l.Waiting, Stated: l.Stated, Routers: 1 + peers, Live: live, Interval: max(a.interval, place.LoadReportInterval(peers))}
 	}, hashName)
 	return a
 }
