--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -18,7 +18,11 @@
 // which requests of its priority are admitted has served those that were refused before
 // it. Callers return mostly at other routers, which refuse about as many.
 func (p *pool) retryAfter(now time.Time, r Request) time.Duration {
-	longest := min(time.Duration(maxReturnShare*float64(max(r.Left, 0))), maxReturn)
+	left := r.Wait // of the caller; the route's timeout counts from each arrival
+	if left <= 0 {
+		left = r.Left
+	}
+	longest := min(time.Duration(maxReturnShare*float64(max(left, 0))), maxReturn)
 	level := min(max(r.Priority, 0), Priorities-1)
 	perSecond := returningShare * (p.admitted[2*level]*p.rate[2*level] + p.admitted[2*level+1]*p.rate[2*level+1])
 	if perSecond > 0 {
