--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -106,13 +106,14 @@
 
 // Load is what a router knows of the load of a pool over all routers.
 type Load struct {
-	Slots    float64 // requests that the endpoints run at once; 0 if unknown
-	Taken    float64 // requests in flight there, running or waiting
-	Waiting  float64 // requests that wait there for a slot
-	Stated   bool    // the endpoints state their loads
-	Routers  int     // live or, if this router hears none, known routers, this one included
-	Live     int     // live peers
-	Interval time.Duration
+	Slots          float64       // requests that the endpoints run at once; 0 if unknown
+	Taken          float64       // requests in flight there, running or waiting
+	Waiting        float64       // requests that wait there for a slot
+	Stated         bool          // the endpoints state their loads
+	Routers        int           // live or, if this router hears none, known routers, this one included
+	Live           int           // live peers
+	Interval       time.Duration // between the load reports of a router
+	ReportInterval time.Duration // between its reports of demand; 0 means Interval
 }
 
 // Request is a request to be decided on.
--- a/internal/admission/sim_test.go
+++ b/internal/admission/sim_test.go
@@ -124,7 +124,7 @@
 	for _, e := range engines {
 		e.down = true
 		for _, r := range append(append([]*simRequest{}, e.running...), e.waiting...) {
-			s.end(r, s.indexOf(e), Abandoned)
+			s.end(r, Abandoned)
 		}
 		e.running, e.waiting = nil, nil
 	}
@@ -147,7 +147,7 @@
 	now     time.Duration
 	start   time.Time
 	kinds   []simKind
-	routers []*simRouter
+	routers []*Controller
 	engines []*simEngine
 	events  simEvents
 	stated  bool
@@ -175,11 +175,6 @@
 	engineOf              map[*simRequest]*simEngine
 }
 
-type simRouter struct {
-	c    *Controller
-	sent []int // requests in flight by engine
-}
-
 type simEvent struct {
 	at  time.Duration
 	seq int
@@ -229,8 +224,7 @@
 		s.engines = append(s.engines, &simEngine{slots: slots, slow: 1})
 	}
 	for i := range routers {
-		r := &simRouter{sent: make([]int, engines)}
-		r.c = New(func(time.Time, model.Pool) Load { return s.knownLoad(i) }, hashOf)
+		r := New(func(time.Time, model.Pool) Load { return s.knownLoad(i) }, hashOf)
 		s.routers = append(s.routers, r)
 	}
 	return s
@@ -293,10 +287,10 @@
 	for i, r := range s.routers {
 		var report func()
 		report = func() {
-			reports := r.c.Reports(s.start.Add(s.now))
+			reports := r.Reports(s.start.Add(s.now))
 			for j, o := range s.routers {
 				if j != i && s.rand.Float64() >= s.lost && (s.mute == nil || !s.mute(s.now)) {
-					s.at(s.now+oneWay, func() { o.c.Hear(s.start.Add(s.now), fmt.Sprint(i), reports) })
+					s.at(s.now+oneWay, func() { o.Hear(s.start.Add(s.now), fmt.Sprint(i), reports) })
 				}
 			}
 			if s.now < end {
@@ -355,12 +349,12 @@
 	d := Decision{Admit: true}
 	if !s.off {
 		if s.never {
-			router.c.pool(now, simPool).freeFrom = time.Time{}
+			router.pool(now, simPool).freeFrom = time.Time{}
 		}
 		if s.tune != nil {
-			s.tune(router.c.pool(now, simPool))
+			s.tune(router.pool(now, simPool))
 		}
-		d = router.c.Decide(now, Request{Pool: simPool, Route: r.kind.name, Priority: r.kind.priority, Left: left, Wait: left, Target: r.kind.target, Random: s.rand.Float64(), Workspace: r.workspace})
+		d = router.Decide(now, Request{Pool: simPool, Route: r.kind.name, Priority: r.kind.priority, Left: left, Wait: left, Target: r.kind.target, Random: s.rand.Float64(), Workspace: r.workspace})
 	}
 	if !d.Admit {
 		s.refusals++
@@ -374,22 +368,21 @@
 		return
 	}
 	r.ticket = d.Ticket
-	e, i := s.choose(router)
+	e := s.choose()
 	if e.service && len(e.running)+len(e.waiting) >= e.slots+e.queue {
 		s.rejections++
-		router.c.Rejected(now, simPool)
-		router.c.End(now, r.ticket, NotRun)
+		router.Rejected(now, simPool)
+		router.End(now, r.ticket, NotRun)
 		s.comeBack(r, 50*time.Millisecond)
 		return
 	}
-	router.sent[i]++
 	s.engineOf[r] = e
 	e.waiting = append(e.waiting, r)
 	s.wake(e)
 	wait := max(2*time.Second, 4*r.kind.target)
 	s.at(min(s.now+wait, r.giveUp), func() {
 		if s.engineOf[r] == e && r.first == 0 {
-			s.end(r, i, Abandoned)
+			s.end(r, Abandoned)
 			e.drop(r)
 		}
 	})
@@ -415,7 +408,7 @@
 }
 
 // choose returns the less loaded of two endpoints.
-func (s *sim) choose(*simRouter) (*simEngine, int) {
+func (s *sim) choose() *simEngine {
 	best := -1
 	for range 2 {
 		i := s.rand.IntN(len(s.engines))
@@ -426,7 +419,7 @@
 			best = i
 		}
 	}
-	return s.engines[best], best
+	return s.engines[best]
 }
 
 func (s *sim) busy(i int) int { return len(s.engines[i].running) + len(s.engines[i].waiting) }
@@ -441,25 +434,16 @@
 		if len(e.running)+len(e.waiting) == 0 || e.down {
 			return
 		}
-		e.iterate(s.now, s.firstEvent, func(r *simRequest) { s.end(r, s.indexOf(e), Answered) })
+		e.iterate(s.now, s.firstEvent, func(r *simRequest) { s.end(r, Answered) })
 		s.at(e.busyUntil, next)
 	}
 	e.busyUntil = s.now + 1
 	s.at(e.busyUntil, next)
 }
 
-func (s *sim) indexOf(e *simEngine) int {
-	for i, o := range s.engines {
-		if o == e {
-			return i
-		}
-	}
-	return -1
-}
-
 func (s *sim) firstEvent(r *simRequest) {
 	r.first = s.now
-	s.routers[r.router].c.FirstEvent(s.start.Add(s.now), r.ticket)
+	s.routers[r.router].FirstEvent(s.start.Add(s.now), r.ticket)
 	took := r.first - r.arrived
 	if r.attempts > 1 {
 		took = r.first - r.refusedAt // the target counts for each attempt
@@ -474,8 +458,7 @@
 	}
 }
 
-func (s *sim) end(r *simRequest, engine int, o Outcome) {
+func (s *sim) end(r *simRequest, o Outcome) {
 	delete(s.engineOf, r)
-	s.routers[r.router].sent[engine]--
-	s.routers[r.router].c.End(s.start.Add(s.now), r.ticket, o)
+	s.routers[r.router].End(s.start.Add(s.now), r.ticket, o)
 }
--- a/internal/admission/threshold.go
+++ b/internal/admission/threshold.go
@@ -103,7 +103,9 @@
 // off before reports expire one by one: it would take the share of those that are silent.
 const minReportLifetime = 3 * time.Second
 
-func (p *pool) reportLifetime() time.Duration { return max(minReportLifetime, 8*p.load.Interval) }
+func (p *pool) reportLifetime() time.Duration {
+	return max(minReportLifetime, 8*p.load.Interval, 8*p.load.ReportInterval)
+}
 
 func (p *pool) expirePeers(now time.Time) {
 	for name, h := range p.peers {
--- a/internal/router/control_admission.go
+++ b/internal/router/control_admission.go
@@ -67,7 +67,7 @@
 		if live == 0 {
 			peers = s.table.Routers(now) - 1
 		}
-		return admission.Load{Slots: l.Slots, Taken: l.Taken, Waiting: l.Waiting, Stated: l.Stated, Routers: 1 + peers, Live: live, Interval: max(a.interval, place.LoadReportInterval(peers))}
+		return admission.Load{Slots: l.Slots, Taken: l.Taken, Waiting: l.Waiting, Stated: l.Stated, Routers: 1 + peers, Live: live, Interval: place.LoadReportInterval(peers), ReportInterval: a.interval}
 	}, hashName)
 	return a
 }
@@ -187,7 +187,8 @@
 	// report. With more, it is sent as rarely as demandBytesPerSecond requires.
 	wholeDemandPeers     = 64
 	demandBytesPerSecond = 1500
-	// demandBytes is about the size of the demand in a report while pools are overloaded.
+	// demandBytes is about the size of the demand in a report while two pools are
+	// overloaded.
 	demandBytes = 60
 )
 
