--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,32 +29,35 @@
 	isolationTime = 5 * time.Second
 
 	// Bounds of the occupancy target: requests in flight over slots. Below half of the
-	// slots nothing is refused, so lower targets have no effect. Endpoints that state
-	// loads work on all that they run at once, so more than their slots waits; the others
-	// have a queue that is needed while routers do not know which of them is free.
-	minOccupancy        = 0.55
-	minOccupancyUnknown = 1.2
-	startStated         = 0.9
-	maxOccupancyStated  = 0.95
-	startUnstated       = 1.6
-	maxOccupancyUnknown = 2.5
-	occupancyDecrease   = 0.95
-	occupancyIncrease   = 1.015
+	// slots nothing is refused, so lower targets have no effect. At endpoints that state
+	// loads more than the slots only waits; the others have a queue that is needed while
+	// routers do not know which of them is free. The figures are those with which the
+	// model of the tests serves most in time.
+	minOccupancyStated   = 0.55
+	minOccupancyUnstated = 1.2
+	startStated          = 0.9
+	maxOccupancyStated   = 0.95
+	startUnstated        = 1.6
+	maxOccupancyUnstated = 2.5
+	occupancyDecrease    = 0.95
+	occupancyIncrease    = 1.015
 	// freeOccupancy is the occupancy below which nothing is refused if nothing waits.
 	freeOccupancy = 0.5
 
 	// Evidence of overload.
-	waitingEvidence      = 0.05 // waiting over slots of endpoints that state loads
-	takenEvidence        = 0.9  // requests in flight over slots of the same
-	takenEvidenceUnknown = 2.0  // requests in flight over slots of the others
-	lateEvidence         = 0.2  // share of results after the latency target
-	rejectedEvidence     = 0.05 // share of attempts that full endpoints reject
-	minResults           = 5.0  // below which shares of results say nothing
+	waitingEvidence       = 0.05 // waiting over slots of endpoints that state loads
+	takenEvidence         = 0.9  // requests in flight over slots of the same
+	takenEvidenceUnstated = 2.0  // requests in flight over slots of the others
+	lateEvidence          = 0.2  // share of results after the latency target
+	rejectedEvidence      = 0.05 // share of attempts that full endpoints reject
+	minResults            = 5.0  // below which shares of results say nothing
 	// lateTolerated and lateNone are the shares of late results above which the occupancy
 	// target is lowered and below which it is raised. Below lateHealthy stated waiting
-	// requests do not count: own results count more than statements.
-	lateTolerated = 0.1
-	lateNone      = 0.05
+	// requests do not count: own results count more than statements. With 0.1 for
+	// lateTolerated, the model of the tests served 0.876 of the throughput at eight times
+	// the capacity in the worst of 8 runs, with 0.05 0.938.
+	lateTolerated = 0.05
+	lateNone      = 0.03
 	lateHealthy   = 0.02
 
 	// fillTime is the time in which requests in flight are to reach the occupancy target.
@@ -210,7 +213,6 @@
 	ended       float64          // their work, decaying
 	work        float64          // mean work of its requests
 	reported    [Classes]float64 // demand as the peers know it
-	reportedAt  time.Time
 	arrived     [Classes]float64 // requests since the last tick
 	rate        [Classes]float64 // requests a second
 	late, onTime,
@@ -322,6 +324,10 @@
 		p.ownFrom = now
 	}
 	if p.share*p.load.Slots >= minOwnSlots && own >= p.varied(p.share*p.evidenceOccupancy()*p.load.Slots) {
+		if !p.active { // the threshold of the last overload is not that of this one
+			p.setAdmitted()
+			p.setFair()
+		}
 		p.active, p.calmFrom = true, time.Time{}
 	}
 }
@@ -331,7 +337,7 @@
 	if p.load.Stated {
 		return takenEvidence
 	}
-	return takenEvidenceUnknown
+	return takenEvidenceUnstated
 }
 
 // free reports whether under half of the slots are taken and nothing waits there. If the
@@ -524,7 +530,7 @@
 		if !loaded && !p.asked() {
 			continue
 		}
-		p.reported, p.reportedAt = p.demand, now
+		p.reported = p.demand
 		report := Report{Pool: p.hash, Loaded: loaded, Overloaded: p.evidence, Occupancy: p.occupancy, Stretch: p.stretch(), Demand: p.demand}
 		if p.fair.mean > 0 {
 			report.HeavyPriority, report.Heavy = p.fair.priority, p.heaviest(p.fair.priority)
@@ -577,9 +583,9 @@
 		if p.load.Slots <= 0 {
 			continue
 		}
-		s := Status{Pool: p.name, Active: p.active, Occupancy: p.occupancy, Taken: p.load.Taken / p.load.Slots, Waiting: p.load.Waiting / p.load.Slots,
+		s := Status{Pool: p.name, Active: p.active && c.enabled, Occupancy: p.occupancy, Taken: p.load.Taken / p.load.Slots, Waiting: p.load.Waiting / p.load.Slots,
 			Late: p.lateShare(), Rejected: p.rejectedShare(), Share: p.share, Peers: len(p.peers), InFlight: len(p.tickets), Threshold: Priorities}
-		if p.active {
+		if s.Active {
 			s.Threshold = p.level()
 		}
 		out = append(out, s)
--- a/internal/admission/threshold.go
+++ b/internal/admission/threshold.go
@@ -12,7 +12,7 @@
 	p.ticked = now
 	p.load = load
 	if first {
-		p.stepped = now
+		p.stepped, p.occupancy = now, startOccupancy(load.Stated)
 		return
 	}
 	if load.Slots <= 0 {
@@ -25,19 +25,13 @@
 		p.countLate(now)
 	}
 	p.expirePeers(now)
-	if p.occupancy == 0 {
-		p.occupancy = startOccupancy(load.Stated)
-	}
 	p.evidence = p.overloaded()
 	p.setFree(now)
-	wasActive := p.active
 	p.setActive(now)
 	if !p.active {
 		p.fair = fairness{}
 		p.setShare(now)
-		if wasActive {
-			p.occupancy = startOccupancy(load.Stated)
-		}
+		p.occupancy = startOccupancy(load.Stated)
 		p.refused = false
 		return
 	}
@@ -135,7 +129,7 @@
 	if l.Stated && (l.Waiting >= waitingEvidence*l.Slots || l.Taken >= takenEvidence*l.Slots) {
 		return true
 	}
-	if !l.Stated && l.Taken >= takenEvidenceUnknown*l.Slots {
+	if !l.Stated && l.Taken >= takenEvidenceUnstated*l.Slots {
 		return true
 	}
 	return l.Taken >= freeOccupancy*l.Slots && (p.lateShare() >= lateEvidence || p.rejectedShare() >= rejectedEvidence)
@@ -199,9 +193,9 @@
 // clamped returns an occupancy target within its bounds.
 func (p *pool) clamped(occupancy float64) float64 {
 	if p.load.Stated {
-		return min(max(occupancy, minOccupancy), maxOccupancyStated)
+		return min(max(occupancy, minOccupancyStated), maxOccupancyStated)
 	}
-	return min(max(occupancy, minOccupancyUnknown), maxOccupancyUnknown)
+	return min(max(occupancy, minOccupancyUnstated), maxOccupancyUnstated)
 }
 
 // step lowers the occupancy target if results are late, endpoints reject, or requests wait
