--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -216,14 +216,8 @@
 // an exchange between routers, or without any overload.
 func TestNothingIsRefusedWhileCapacityIsFree(t *testing.T) {
 	is := is.New(t)
-	for name, load := range map[string]scenario{
-		"low":           {rate: step(0.5)},
-		"low, services": {small: true, rate: step(0.4)},
-	} {
-		s := load.run()
-		is.Equal(s.refusals, 0) // name
-		_ = name
-	}
+	is.Equal(scenario{rate: step(0.5)}.run().refusals, 0)
+	is.Equal(scenario{small: true, rate: step(0.4)}.run().refusals, 0)
 	wrong := func(change func(*sim)) (refused, wrong int) {
 		for _, load := range []scenario{{rate: wave}, {rate: step(2), change: slowQuarter}, {small: true, rate: step(2), change: falseStretch}, {small: true, rate: wave}} {
 			s := scenario{small: load.small, rate: load.rate, change: both(change, orNothing(load.change))}.run()
--- a/internal/router/overload_test.go
+++ b/internal/router/overload_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/router"
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
@@ -67,3 +70,39 @@
 		})
 	}
 }
+
+// Guards against routers that decide each for itself: the one that gets few requests has to
+// refuse by the demand that the other one reports.
+func TestRoutersKnowEachOthersDemand(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 0)
+	f.setFaults("", standin.EndpointFaults{Latency: 500 * time.Millisecond, Load: "8,6,8,100"})
+	var fleet []*process
+	for i := range 2 {
+		fleet = append(fleet, f.start(func(s *router.Settings) {
+			s.Instance, s.FirstStart, s.Contracts, s.Admission = model.InstanceID(fmt.Sprint("router-", i)), true, []string{"pool"}, true
+		}))
+	}
+	for _, p := range fleet {
+		p.await()
+	}
+	ctx, stop := context.WithTimeout(t.Context(), testTimeout)
+	defer stop()
+	var callers sync.WaitGroup
+	for i := range 40 {
+		p := fleet[i/38] // two callers of the second router
+		callers.Go(func() {
+			for ctx.Err() == nil && p.call(ctx, http.MethodPost, "/stream/brief/x", "body", nil).err == nil {
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	for _, p := range fleet {
+		eventually(t, "the router knows the demand of the other one", func() bool {
+			text := p.text()
+			return strings.Contains(text, "pool overloaded") && strings.Contains(text, `"peers":1`)
+		})
+	}
+	stop()
+	callers.Wait()
+}
