--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -209,6 +209,7 @@
 
 	arrivedWork [Classes]float64 // since the last tick, in units of work
 	demand      [Classes]float64 // work a second that arrives at this router
+	steady      [Classes]float64 // the same, averaged over an interval between reports
 	service     float64          // seconds that requests took which ended, decaying
 	ended       float64          // their work, decaying
 	work        float64          // mean work of its requests
@@ -351,7 +352,7 @@
 	if p.ownFrom.IsZero() {
 		return true
 	}
-	return !p.bad() && float64(len(p.tickets)) < p.varied(p.share*p.load.Slots) && now.Sub(p.freeFrom) > p.load.Interval && now.Sub(p.ownFrom) > p.load.Interval+loadDelay
+	return !p.bad() && float64(len(p.tickets)) < p.varied(max(p.share, 1/float64(max(1, p.load.Routers)))*p.load.Slots) && now.Sub(p.freeFrom) > p.load.Interval && now.Sub(p.ownFrom) > p.load.Interval+loadDelay
 }
 
 // loadDelay is the time in which a change of a load is stated or reported, beyond the
@@ -530,8 +531,8 @@
 		if !loaded && !p.asked() {
 			continue
 		}
-		p.reported = p.demand
-		report := Report{Pool: p.hash, Loaded: loaded, Overloaded: p.evidence, Occupancy: p.occupancy, Stretch: p.stretch(), Demand: p.demand}
+		p.reported = p.steady
+		report := Report{Pool: p.hash, Loaded: loaded, Overloaded: p.evidence, Occupancy: p.occupancy, Stretch: p.stretch(), Demand: p.steady}
 		if p.fair.mean > 0 {
 			report.HeavyPriority, report.Heavy = p.fair.priority, p.heaviest(p.fair.priority)
 		}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -310,3 +310,20 @@
 	t.Logf("refused twice: %.3f of all, if told to return at once %.3f", on, off)
 	is.True(on < off)
 }
+
+// Guards against thresholds that follow reports of some seconds ago: with more than 64
+// routers demand is reported rarely, to keep the bytes of a router bounded.
+func TestManyRoutersHoldThroughput(t *testing.T) {
+	is := is.New(t)
+	useful := func(factor float64, control func(*sim)) float64 {
+		s := newSim(65, 33, 128, engineKinds)
+		s.reports = 2600 * time.Millisecond
+		control(s)
+		s.run(simEnd, func(now time.Duration, k *simKind) float64 { return step(factor)(now) * 33 * 60 * k.perSecond / 491 })
+		return s.useful()
+	}
+	once, on, off := useful(1, func(*sim) {}), useful(4, func(*sim) {}), useful(4, noControl)
+	t.Logf("%.3f of the throughput at once the capacity, without the mechanism %.3f", on/once, off/once)
+	is.True(on >= minThroughput*once)
+	is.True(off < minThroughput*once)
+}
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -135,7 +135,7 @@
 		heavy[h.Workspace] += h.Demand
 	}
 	for _, peer := range p.peers {
-		if peer.HeavyPriority == priority && !p.cutOff() {
+		if peer.HeavyPriority == priority && !p.alone() {
 			for _, h := range peer.Heavy {
 				heavy[h.Workspace] += h.Demand
 			}
--- a/internal/admission/sim_test.go
+++ b/internal/admission/sim_test.go
@@ -155,7 +155,8 @@
 	off     bool        // no admission control
 
 	lost     float64       // share of lost reports
-	interval time.Duration // between reports of a router
+	interval time.Duration // between load reports of a router
+	reports  time.Duration // between its reports of demand
 	loads    []Load        // true loads, by simTick
 	falsify  func(Load) Load
 	mute     func(time.Duration) bool
@@ -220,6 +221,7 @@
 	s := &sim{rand: rand.New(rand.NewPCG(1, 2)), start: time.Unix(1000, 0), kinds: kinds, stated: true, extra: 1, skew: 1, lost: 0.05,
 		interval: max(150*time.Millisecond, time.Duration(routers-1)*12*time.Millisecond),
 		offered:  map[model.Route]int{}, inTime: map[model.Route]int{}, late: map[model.Route]int{}, byWorkspace: map[model.Workspace][2]int{}, engineOf: map[*simRequest]*simEngine{}}
+	s.reports = s.interval
 	for range engines {
 		s.engines = append(s.engines, &simEngine{slots: slots, slow: 1})
 	}
@@ -239,7 +241,7 @@
 	if len(s.loads) > 0 {
 		l = s.loads[i]
 	}
-	l.Routers, l.Live, l.Interval = len(s.routers), len(s.routers)-1, s.interval
+	l.Routers, l.Live, l.Interval, l.ReportInterval = len(s.routers), len(s.routers)-1, s.interval, s.reports
 	if s.mute != nil && s.mute(s.now-1500*time.Millisecond) {
 		l.Live = 0
 	}
@@ -294,10 +296,10 @@
 				}
 			}
 			if s.now < end {
-				s.at(s.now+s.interval, report)
+				s.at(s.now+s.reports, report)
 			}
 		}
-		s.at(time.Duration(s.rand.Float64()*float64(s.interval)), report)
+		s.at(time.Duration(s.rand.Float64()*float64(s.reports)), report)
 	}
 	for len(s.events.list) > 0 {
 		ev := heap.Pop(&s.events).(simEvent)
--- a/internal/admission/threshold.go
+++ b/internal/admission/threshold.go
@@ -56,7 +56,10 @@
 		return
 	}
 	keep := math.Exp(-s / demandTime.Seconds())
+	// A report that stands for a long time must not be the sample of a moment.
+	keepLong := math.Exp(-s / max(demandTime, p.load.ReportInterval).Seconds())
 	for i := range Classes {
+		p.steady[i] = keepLong*p.steady[i] + (1-keepLong)*p.arrivedWork[i]/s
 		p.demand[i] = keep*p.demand[i] + (1-keep)*p.arrivedWork[i]/s
 		p.rate[i] = keep*p.rate[i] + (1-keep)*p.arrived[i]/s
 	}
@@ -184,6 +187,16 @@
 // cutOff reports whether this router hears none of its peers.
 func (p *pool) cutOff() bool { return p.load.Live == 0 && p.load.Routers > 1 }
 
+// alone reports whether this router divides its share of the capacity among its own demand:
+// it knows no other, or reports are so rare that a step in demand shows earlier in its own.
+func (p *pool) alone() bool {
+	return len(p.peers) == 0 || p.cutOff() || p.load.ReportInterval > maxReportInterval
+}
+
+// maxReportInterval is the interval between reports up to which the demand that peers report
+// counts for the threshold. Beyond it, it counts for the shares only.
+const maxReportInterval = time.Second
+
 // isolated reports whether this router is cut off for a while. It is then no stricter than
 // before.
 func (p *pool) isolated(now time.Time) bool {
@@ -217,7 +230,7 @@
 // total returns the demand of all routers whose demand is known.
 func (p *pool) total() [Classes]float64 {
 	out := p.demand
-	if p.cutOff() {
+	if p.alone() {
 		return out
 	}
 	for _, h := range p.peers {
@@ -254,8 +267,8 @@
 		least = contradicted * target / stretch
 	}
 	whole := max(least, target/stretch+missing*p.work/within.Seconds())
-	if len(p.peers) == 0 || p.cutOff() {
-		return p.share * whole // for the own demand, which is all that is known
+	if p.alone() {
+		return p.share * whole
 	}
 	return whole
 }
@@ -333,6 +346,10 @@
 // router with few requests a second sees large variations of its demand.
 const shareGain = 0.3
 
+// minShare is the least share of a router, relative to an equal one. Its last report may be
+// from before its callers came.
+const minShare = 0.5
+
 // minWeight is the weight of demand that is not admitted at all, so that shares do not jump
 // when nothing is admitted for a moment.
 const minWeight = 0.01
@@ -372,5 +389,5 @@
 		p.share = even
 		return
 	}
-	p.share += shareGain * (own/total - p.share)
+	p.share += shareGain * (max(own/total, minShare*even) - p.share)
 }
