--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/admission"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
 
@@ -31,7 +32,8 @@
 	flagRelay        = 1 << 4
 	flagStatedLoads  = 1 << 5 // the loads are those that endpoints stated, without flagLoads
 	flagLimits       = 1 << 6 // the loads are limits in limitUnit, without the other two
-	flagWorkTimes    = 1 << 7 // the loads are work times in percent, without the other three
+	flagWorkTimes    = 1 << 7 // without flagLoads: the loads are work times in percent
+	flagDemand       = 1 << 7 // with flagLoads: demand follows the holders
 
 	flagsOffset  = 2
 	headerLen    = 3  // bytes: magic, version and flags
@@ -93,6 +95,9 @@
 	// with either carries no loads, holders or caches.
 	Crashes []Crash
 	Sound   []uint64
+	// Demand is the demand for loaded pools at the sender, MaxDemand pools at most. Only a
+	// message with Loads carries it.
+	Demand []admission.Report
 }
 
 // Crash is a crash of an endpoint at which a request with a property was met.
@@ -135,6 +140,10 @@
 	if m.Relay {
 		flags |= flagRelay
 	}
+	hasDemand := len(m.Demand) > 0 && m.Loads != nil && !m.hasCauses()
+	if hasDemand {
+		flags |= flagDemand
+	}
 	version := byte(formatVersion)
 	if m.hasCauses() {
 		version = causesVersion
@@ -165,6 +174,9 @@
 		b = binary.BigEndian.AppendUint64(b, h.Part)
 		b = binary.BigEndian.AppendUint32(b, h.Endpoint)
 	}
+	if hasDemand {
+		b = appendDemand(b, m.Demand)
+	}
 	for _, engine := range m.CachesRead[:min(len(m.CachesRead), maxCachesRead)] {
 		b = binary.BigEndian.AppendUint32(b, engine)
 	}
@@ -270,6 +282,12 @@
 		m.Holders = append(m.Holders, place.PartHolder{Part: binary.BigEndian.Uint64(b), Endpoint: binary.BigEndian.Uint32(b[8:])})
 		b = b[holderLen:]
 	}
+	if flags&flagLoads != 0 && flags&flagDemand != 0 {
+		var err error
+		if m.Demand, b, err = parseDemand(b); err != nil {
+			return Message{}, err
+		}
+	}
 	for ; len(b) > 0; b = b[cacheReadLen:] {
 		m.CachesRead = append(m.CachesRead, binary.BigEndian.Uint32(b))
 	}
--- a/internal/place/expected.go
+++ b/internal/place/expected.go
@@ -66,14 +66,6 @@
 	return ms * e.slowness(c.endpointState)
 }
 
-// slots returns the number of requests that an endpoint runs at once, or 0 if unknown.
-func (s *endpointState) slots() int {
-	if s.lastStated.Known && s.lastStated.Slots > 0 {
-		return s.lastStated.Slots
-	}
-	return s.Slots
-}
-
 // full reports whether all slots of the endpoint are taken.
 func (c candidate) full() bool {
 	slots := c.slots()
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -58,6 +58,7 @@
 			}
 			labelled[name] = true
 			metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_router_requests_total{result=%q}`, v.result)).Inc()
+			metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_router_workspace_requests_total{workspace=%q,result=%q}`, name, v.result)).Inc()
 			metrics.GetOrCreateHistogram(fmt.Sprintf(`goldcrest_router_request_seconds{workspace=%q}`, name)).Update(v.took.Seconds())
 			if v.remote.sends > 0 {
 				labels := fmt.Sprintf(`{pool=%q,reason=%q}`, v.pool, v.remote.reason)
