slots: demand-based credits for the slots of small pools

A plain service of four endpoints with six slots behind 28 routers rejected 13,062 of 22,802 arrivals. A home router for each small pool now lends credits by demand and urgency; routers queue what has none and use an equal share while the home does not answer.

--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -18,7 +18,7 @@
 // socket or use hidden randomness.
 var purePackages = []string{
 	"admit", "catalog", "choose", "claim", "config", "finding", "hrw", "limit", "lists", "member",
-	"model", "order", "overlay", "pipe", "place", "replay", "retry", "rollout", "summary", "suspect", "timing",
+	"model", "order", "overlay", "pipe", "place", "replay", "retry", "rollout", "slots", "summary", "suspect", "timing",
 }
 
 // bannedImports must not appear outside tests: processes do not start other
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,6 +1,6 @@
 // Package mesh encodes the datagrams in which routers report to their peers their
 // requests in flight, which endpoints hold which prompt parts, what endpoints stated
-// about their load and their limits, and crashes of endpoints. A prompt part is a prefix
+// about their load and their limits, crashes of endpoints, and the use of slots. A prompt part is a prefix
 // of a prompt that requests share. Datagrams are not acknowledged, since the next one
 // makes up for one that is lost.
 package mesh
@@ -23,6 +23,8 @@
 	// properties, which follow the header fields in place of all others. Routers of
 	// versions that do not know them drop these messages.
 	causesVersion = 3
+	// slotsVersion does the same in messages about the slots of a pool.
+	slotsVersion = 4
 
 	flagLoads        = 1 << 0 // the loads are reported; they are all that the sender has in flight
 	flagLeaving      = 1 << 1
@@ -88,6 +90,8 @@
 	// with either carries no loads, holders or caches.
 	Crashes []Crash
 	Sound   []uint64
+	// Slots is about the slots of a pool. A message with it carries nothing else.
+	Slots *Slots
 }
 
 // Crash is a crash of an endpoint at which a request with a property was met.
@@ -128,7 +132,10 @@
 		flags |= flagRelay
 	}
 	version := byte(formatVersion)
-	if m.hasCauses() {
+	switch {
+	case m.Slots != nil:
+		version = slotsVersion
+	case m.hasCauses():
 		version = causesVersion
 	}
 	b = append(b, magic, version, flags)
@@ -138,6 +145,9 @@
 		b = append(b, byte(len(field)))
 		b = append(b, field...)
 	}
+	if m.Slots != nil {
+		return appendSlots(b, *m.Slots)
+	}
 	if m.hasCauses() {
 		return appendCauses(b, m)
 	}
@@ -200,7 +210,7 @@
 // Parse decodes a datagram.
 func Parse(b []byte) (Message, error) {
 	var m Message
-	if len(b) < headerLen || b[0] != magic || b[1] != formatVersion && b[1] != causesVersion {
+	if len(b) < headerLen || b[0] != magic || b[1] < formatVersion || b[1] > slotsVersion {
 		return m, ErrFormat
 	}
 	version, flags := b[1], b[flagsOffset]
@@ -218,8 +228,11 @@
 	m.Name, m.DataCentre = string(fields[0]), string(fields[1])
 	m.Leaving, m.Relay = flags&flagLeaving != 0, flags&flagRelay != 0
 	m.HoldersKnown, m.WantHolders = flags&flagHoldersKnown != 0, flags&flagWantHolders != 0
-	if version == causesVersion {
+	switch version {
+	case causesVersion:
 		return parseCauses(b, m)
+	case slotsVersion:
+		return parseSlots(b, m)
 	}
 	n := int(binary.BigEndian.Uint16(b))
 	b = b[2:]
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/slots"
 )
 
 // Guards against a datagram that decodes to another message than was encoded.
@@ -19,6 +20,8 @@
 		{Name: "router-2", StatedLoads: map[uint32]int{7: 40}},
 		{Name: "router-2", Limits: map[uint32]float64{7: 2.5, 8: 3276.75, 9: -1}},
 		{Name: "router-2", Crashes: []Crash{{Key: 1 << 60, Endpoint: 7, Age: 30 * time.Millisecond}}, Sound: []uint64{5, 6}},
+		{Name: "router-2", Slots: &Slots{Pool: 9, Grant: &slots.Grant{Number: 1 << 31, Demand: 4, Credits: map[uint32]int{7: 2}, Gap: 336 * time.Millisecond, Cut: slots.Levels}}},
+		{Name: "router-2", Slots: &Slots{Pool: 9, Demand: &slots.Demand{Number: 5, Applied: 4, Rejected: 3, Running: map[uint32]int{7: 255}, Levels: [slots.Levels]slots.Level{2: {Running: 255, Waiting: 65535}, 9: {Waiting: 1}}}}},
 		{Name: "router-3", Leaving: true},
 		{Name: "router-5", DataCentre: "dc-a", Address: netip.MustParseAddrPort("10.1.0.7:7340"), Relay: true},
 		{Name: "router-4", HoldersKnown: true, WantHolders: true, CachesRead: []uint32{1, 2}},
@@ -46,6 +49,9 @@
 func FuzzParse(f *testing.F) {
 	f.Add(Append(nil, Message{Name: "router-1", Loads: map[uint32]int{7: 3}, Holders: []place.PartHolder{{Part: 5, Endpoint: 7}}}))
 	f.Add(Append(nil, Message{Name: "router-1", Crashes: []Crash{{Key: 5, Endpoint: 7}}, Sound: []uint64{5}}))
+	f.Add(Append(nil, Message{Name: "router-1", Slots: &Slots{Pool: 9, Grant: &slots.Grant{Number: 3, Demand: 4, Credits: map[uint32]int{7: 2}, Cut: 2}}}))
+	f.Add(Append(nil, Message{Name: "router-1", Slots: &Slots{Pool: 9, Demand: &slots.Demand{Number: 5, Running: map[uint32]int{7: 1}, Levels: [slots.Levels]slots.Level{2: {Waiting: 4}}}}}))
+	f.Add([]byte{magic, slotsVersion, 0, 0, 0, 0, 1, 2, 3})
 	f.Add([]byte{magic, formatVersion, 0, 200})
 	f.Add([]byte{magic, formatVersion, 0, 0, 0, 3, 1, 2, 3})
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -19,6 +19,7 @@
 	Priority int    // 0 is the most urgent
 	Regions  []model.Region
 	Excluded []model.EndpointID // endpoints of earlier attempts
+	Endpoint model.EndpointID   // at which a slot was granted; empty if none
 }
 
 // Choice is the endpoint selected for a request.
@@ -44,6 +45,7 @@
 	HoldersLoaded Reason = "holders_loaded" // the holders are unavailable or over the load bound
 	FirstUse      Reason = "first_use"      // the part has no known holder
 	LeastLoad     Reason = "least_load"     // the request has no part
+	GrantedSlot   Reason = "granted_slot"   // the router may use a slot of it
 )
 
 // Bounds on the load of an endpoint relative to the mean of its pool.
@@ -91,6 +93,9 @@
 		return Choice{}, false
 	}
 	choice := t.selectEndpoint(q, eligible, loadLimit(mean))
+	if i := slices.IndexFunc(eligible, func(c candidate) bool { return c.ID == q.Endpoint }); i >= 0 {
+		choice = selection{eligible[i], GrantedSlot}
+	}
 	if choice.endpointState == nil {
 		return Choice{}, false
 	}
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -104,6 +104,7 @@
 		// holdersKnown says that the sender knows the holders from before its start.
 		holdersKnown bool
 		cachesRead   []uint32 // engines whose caches the sender has read since its start
+		slots        *mesh.Slots
 	}
 	// cacheRead carries the prompt parts in the cache of one engine.
 	cacheRead struct {
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -74,6 +74,7 @@
 
 var choiceCounters = newCounters("goldcrest_router_choices_total", "reason", map[place.Reason]string{
 	place.HoldsPrompt: "holds_prompt", place.HoldersLoaded: "holders_loaded", place.FirstUse: "first_use", place.LeastLoad: "least_load",
+	place.GrantedSlot: "granted_slot",
 })
 
 // newCounters returns a counter for each key of names, labelled with the name.
@@ -138,6 +139,38 @@
 // the store, since too many waited.
 var suspectRecordsDropped = metrics.NewCounter("goldcrest_router_suspect_records_dropped_total")
 
+// slotResult is what became of an attempt that needed a slot.
+type slotResult int
+
+const (
+	slotStarted slotResult = iota
+	slotWaited             // in the queue; counted as started or refused later
+	slotRefused
+)
+
+var slotResults = newCounters("goldcrest_router_slot_requests_total", "result", map[slotResult]string{
+	slotStarted: "started", slotWaited: "waited", slotRefused: "refused",
+})
+
+// slotMessage is a kind of message about slots.
+type slotMessage int
+
+const (
+	slotDemand slotMessage = iota
+	slotGrant
+)
+
+var slotMessages = newCounters("goldcrest_router_slot_messages_total", "kind", map[slotMessage]string{
+	slotDemand: "demand", slotGrant: "grant",
+})
+
+// slotsWaiting is the number of requests that wait for a slot, and slotWaits the time for
+// which attempts waited.
+var (
+	slotsWaiting = metrics.NewGauge("goldcrest_router_slots_waiting", nil)
+	slotWaits    = metrics.NewHistogram("goldcrest_router_slot_wait_seconds")
+)
+
 // answersSkipped counts the answers to other requests that arrived before the answer to a
 // request.
 var answersSkipped = metrics.NewCounter("goldcrest_router_answers_skipped_total")
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
@@ -23,6 +24,7 @@
 		resumeStream{allowRetry: r.allowRetry, log: r.log},
 		retryRequest{allowRetry: r.allowRetry, log: r.log},
 		guardEndpoints{snapshot: r.loop.Snapshot, allowTrial: r.allowTrial},
+		reserveSlot{enabled: r.slotsEnabled, ask: r.askSlot, release: r.releaseSlot},
 		placeRequest{pick: r.pick, broadcastHolder: r.broadcastHolder, random: r.random},
 		send{client: r.client, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, checkKey: r.checkKey, log: r.log},
 	)
@@ -38,6 +40,7 @@
 		placeRequests{broadcast: r.broadcast, log: r.log},
 		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, report: r.suspects.saveReport, log: r.log},
 		budgetRetries{},
+		grantSlots{enabled: r.deps.Features.Slots, send: r.sendToPeer, wake: r.wakeSlots, now: boottime.Now, log: r.log},
 		applySettings{r.log},
 		advanceStop{r.log},
 	}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -30,7 +30,7 @@
 func (placeRequest) Name() string { return "place" }
 
 func (f placeRequest) Handle(ctx context.Context, req *Request, next handler) (*Answer, error) {
-	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Key: xxhash.Sum64String(string(req.ID))}
+	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Endpoint: req.Granted, Key: xxhash.Sum64String(string(req.ID))}
 	if req.Workspace != nil && len(req.Workspace.Regions) > 0 {
 		q.Regions = intersect(q.Regions, req.Workspace.Regions)
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -44,6 +44,7 @@
 	FetchFrom    string             // address of an endpoint from which to fetch the cached prompt
 	PendingPart  uint64             // part that the endpoint holds only once it has received the request
 	Excluded     []model.EndpointID // endpoints picked for this and earlier attempts
+	Granted      model.EndpointID   // at which the attempt holds a slot; empty if none
 	Sends        int                // attempts that may have reached an endpoint
 	Runs         int                // attempts that an endpoint may have run
 	trace        origin.Trace       // of the latest attempt
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,7 +34,9 @@
 	suspects *suspectWriter
 	meter    *meter
 	memory   *memory.Budget
-	random   func() float64 // uniform in [0, 1)
+	// slotWakes asks for a slotTick.
+	slotWakes chan struct{}
+	random    func() float64 // uniform in [0, 1)
 	// membersReady is closed once the list of routers has been read, configReady and
 	// listReady after the result of the first read of the operators' orders and of
 	// the instance list has been applied, even if the read failed, and
@@ -62,7 +64,7 @@
 // New returns a router that exchanges datagrams with its peers over the given
 // connection. Start starts it.
 func New(s Settings, deps Deps, datagrams DatagramConn) *Router {
-	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64,
+	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64, slotWakes: make(chan struct{}, 1),
 		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
@@ -80,7 +82,7 @@
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
 	for _, run := range []func(context.Context){
 		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run, r.followCrashReports,
-		r.queryStoreReaders, r.node.Run, r.meter.run, r.serveMetrics,
+		r.queryStoreReaders, r.node.Run, r.meter.run, r.tickSlots, r.serveMetrics,
 	} {
 		g.Go(func() error { run(ctx); return nil })
 	}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/settings"
+	"github.com/goldcrestturn/goldcrestturn/internal/slots"
 )
 
 // Settings are the settings of one router process.
@@ -30,10 +31,25 @@
 	RetryWindow  time.Duration
 	ListInterval time.Duration // between reads of the instance list
 	Contracts    []string      // terms of the platform for this deployment, from which Features follow
+	Slots        SlotSettings
 	FollowWait   time.Duration // for which a read of the operators' orders waits for changes
 	path         string        // of the settings file
 }
 
+// SlotSettings are the settings of the grants of slots.
+type SlotSettings struct {
+	Enabled    bool
+	Lease      time.Duration // validity of a grant, at least
+	Answer     time.Duration // after which the home of a pool is not waited for
+	Queue      float64       // requests that an endpoint may have waiting, as a multiple of its slots
+	PoolFactor float64       // a pool with fewer slots than this times the routers has few
+}
+
+// config returns the parameters of package slots.
+func (s SlotSettings) config() slots.Config {
+	return slots.Config{Lease: s.Lease, Answer: s.Answer, Queue: s.Queue}
+}
+
 // readsPerDrain is how often the instance list is read within the time after which a
 // leaving endpoint must get no new requests. The ages of the list at a store reader
 // and at the routers that query it add up to about two intervals.
@@ -80,6 +96,13 @@
 		Contracts:    f.List("platform", "contracts"),
 		FollowWait:   f.Duration("platform", "follow", time.Second, minDuration, maxDuration),
 	}
+	s.Slots = SlotSettings{
+		Enabled:    f.Bool("slots", "enabled", true),
+		Lease:      f.Duration("slots", "lease", time.Second, 200*time.Millisecond, 30*time.Second),
+		Answer:     f.Duration("slots", "answer", 60*time.Millisecond, 5*time.Millisecond, time.Second),
+		Queue:      f.Float("slots", "queue", 1.5, 0, 4),
+		PoolFactor: f.Float("slots", "pool_factor", 4, 0, 100),
+	}
 	s.ListInterval = f.Duration("platform", "list_interval", s.Drain/readsPerDrain, minDuration, maxDuration)
 	for _, dc := range f.List("regions", "data_centres") {
 		s.Regions[model.DataCentre(dc)] = model.Region(f.Required("regions", dc))
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -52,6 +52,7 @@
 	members       chan []Member
 	newHolders    chan place.PartHolder
 	messages      chan mesh.Message // other messages to broadcast
+	direct        chan directMessage
 	caches        chan cacheRead
 	peers         *overlay.Peers
 	self          netip.AddrPort
@@ -59,6 +60,12 @@
 	reportedAt    time.Time
 }
 
+// directMessage is a message for one peer.
+type directMessage struct {
+	to      netip.AddrPort
+	message mesh.Message
+}
+
 // datagram is what the send goroutine needs of a received message.
 type datagram struct {
 	sender     netip.AddrPort
@@ -70,7 +77,7 @@
 func newPeerLink(r *Router, conn DatagramConn) *peerLink {
 	self, _ := netip.ParseAddrPort(r.settings.Exchange)
 	return &peerLink{r: r, conn: conn, self: self, received: make(chan datagram, receiveQueue), wantHolders: make(chan datagram, 16),
-		members: make(chan []Member, 1), newHolders: make(chan place.PartHolder, 256), messages: make(chan mesh.Message, 256), caches: make(chan cacheRead), peers: overlay.New(self, r.settings.DataCentre)}
+		members: make(chan []Member, 1), newHolders: make(chan place.PartHolder, 256), messages: make(chan mesh.Message, 256), direct: make(chan directMessage, 256), caches: make(chan cacheRead), peers: overlay.New(self, r.settings.DataCentre)}
 }
 
 // broadcastHolder queues a new holder for broadcast to the peers. If the queue is
@@ -91,6 +98,14 @@
 	}
 }
 
+// sendToPeer queues a message for one peer, or drops it as broadcast does.
+func (r *Router) sendToPeer(to netip.AddrPort, m mesh.Message) {
+	select {
+	case r.peers.direct <- directMessage{to, m}:
+	default:
+	}
+}
+
 // receive posts the messages of peers to the control loop until ctx ends.
 func (p *peerLink) receive(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
@@ -112,7 +127,7 @@
 		if m.Name == string(p.r.settings.Instance) || !m.Address.IsValid() {
 			continue
 		}
-		_ = p.r.loop.Post(ctx, peerMessage{name: m.Name, at: exchangeAddress{m.Address.String(), model.DataCentre(m.DataCentre)}, loads: m.Loads, statedLoads: m.StatedLoads, limits: m.Limits, crashes: m.Crashes, sound: m.Sound, holders: m.Holders, leaving: m.Leaving, holdersKnown: m.HoldersKnown, cachesRead: m.CachesRead})
+		_ = p.r.loop.Post(ctx, peerMessage{name: m.Name, at: exchangeAddress{m.Address.String(), model.DataCentre(m.DataCentre)}, loads: m.Loads, statedLoads: m.StatedLoads, limits: m.Limits, crashes: m.Crashes, sound: m.Sound, holders: m.Holders, leaving: m.Leaving, holdersKnown: m.HoldersKnown, cachesRead: m.CachesRead, slots: m.Slots})
 		d, queue := datagram{sender: m.Address, dataCentre: model.DataCentre(m.DataCentre), leaving: m.Leaving}, p.received
 		if m.Relay {
 			d.relay = mesh.Relayed(buf[:n])
@@ -153,6 +168,8 @@
 			p.broadcast(mesh.Message{Holders: p.batchHolders(h)})
 		case m := <-p.messages:
 			p.broadcast(m)
+		case d := <-p.direct:
+			p.sendTo(d.to, p.encode(d.message))
 		case c := <-p.caches:
 			p.broadcastCache(c)
 		case <-t.C:
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -46,6 +46,8 @@
 	listSent     time.Duration                        // boot time at which the read of list was sent
 	addresses    map[model.InstanceID]exchangeAddress // of the peers
 	members      []model.InstanceID                   // routers whose announcements have not expired, this one included
+	slots        map[model.Pool]*slotPool             // with few slots, to which requests were sent
+	slotTickets  uint64                               // number of attempts that asked for a slot
 	peersUnheard int                                  // announced routers that were not heard, as logged last
 	peersWatched time.Time                            // when that was logged, or first checked
 }
@@ -73,7 +75,7 @@
 
 func newState(s Settings) *State {
 	return &State{settings: s, holdersKnown: s.FirstStart, cachesRead: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), causes: suspect.NewCauses(), evacuated: map[model.DataCentre]bool{}, rollouts: map[model.Pool]model.Version{},
-		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}}
+		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}, slots: map[model.Pool]*slotPool{}}
 }
 
 // publish returns the snapshot of the state.
--- /dev/null
+++ b/internal/slots/home.go
@@ -0,0 +1,228 @@
+package slots
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// rotationTime is how long the credits that do not divide evenly stay with the same
+// routers.
+const rotationTime = time.Second
+
+// maxRouters bounds the routers whose demand is kept, since any host can send one. It is
+// far above the 370 of the target size.
+const maxRouters = 2048
+
+// Home hands out the credits of one pool. Its methods must be called by one goroutine at a
+// time, with the boot time.
+type Home struct {
+	config    Config
+	endpoints map[uint32]int // slots
+	routers   map[string]*holder
+	number    uint32 // of the last grant
+	scale     queueScale
+	pushes    bucket
+	targets   map[string]int
+	cut       int
+}
+
+// holder is a router with a demand.
+type holder struct {
+	demand  Demand
+	heard   time.Duration
+	expires time.Duration
+	grant   uint32         // number of the last grant
+	credits map[uint32]int // of that grant
+	// held are the credits that the router may use by any grant whose lease has not
+	// ended. It is above credits until the router states that it applied the last grant.
+	held map[uint32]int
+}
+
+// NewHome returns a home without endpoints. Its grants are numbered from the boot time, so
+// that those of a process before a restart are older.
+func NewHome(now time.Duration, c Config) *Home {
+	return &Home{config: c, endpoints: map[uint32]int{}, routers: map[string]*holder{}, number: uint32(now / time.Millisecond)}
+}
+
+// SetEndpoints replaces the endpoints of the pool.
+func (h *Home) SetEndpoints(list []Endpoint) {
+	clear(h.endpoints)
+	for _, e := range list {
+		h.endpoints[e.Hash] = e.Slots
+	}
+}
+
+// Routers returns the number of routers whose demand is in force.
+func (h *Home) Routers() int { return len(h.routers) }
+
+// Held returns the credits that routers may use at an endpoint.
+func (h *Home) Held(endpoint uint32) int {
+	n := 0
+	for _, r := range h.routers {
+		n += r.held[endpoint]
+	}
+	return n
+}
+
+// newer reports whether number a comes after b.
+func newer(a, b uint32) bool { return int32(a-b) > 0 }
+
+// Apply applies a demand and returns the grant for it. It returns false if the demand is
+// older than the last one.
+func (h *Home) Apply(now time.Duration, from string, d Demand) (Grant, bool) {
+	h.expire(now)
+	r := h.routers[from]
+	if r == nil {
+		if len(h.routers) >= maxRouters {
+			return Grant{}, false
+		}
+		r = &holder{credits: map[uint32]int{}, held: map[uint32]int{}}
+		h.routers[from] = r
+	} else if !newer(d.Number, r.demand.Number) {
+		return Grant{}, false
+	}
+	r.demand, r.heard = d, now
+	if d.Rejected > 0 {
+		h.scale.reject(now)
+	}
+	if d.Applied == r.grant {
+		r.held = maps.Clone(r.credits)
+	}
+	for e, n := range d.Running {
+		r.held[e] = max(r.held[e], n)
+	}
+	h.divide(now)
+	h.adjust(now, from, r)
+	return h.grant(r), true
+}
+
+// Push returns grants for routers that did not ask: those that get credits for waiting
+// requests, and those that hold unused credits for which others wait. Their number is
+// bounded, since the next demand of a router has the same effect.
+func (h *Home) Push(now time.Duration) map[string]Grant {
+	h.expire(now)
+	if !h.waiting() {
+		return nil
+	}
+	h.divide(now)
+	out := map[string]Grant{}
+	for _, name := range h.names() {
+		r := h.routers[name]
+		_, waiting := r.demand.total()
+		before := sum(r.credits)
+		unused := before > 0 && waiting == 0 && before > h.targets[name]
+		needs := waiting > 0 && before < h.targets[name] && h.free(now) > 0
+		if !unused && !needs || !h.pushes.take(now, gapPerRouter, float64(len(h.routers))) {
+			continue
+		}
+		h.adjust(now, name, r)
+		if sum(r.credits) != before {
+			out[name] = h.grant(r)
+		}
+	}
+	return out
+}
+
+// waiting reports whether a router has waiting requests and less than its part.
+func (h *Home) waiting() bool {
+	for _, r := range h.routers {
+		if all, waiting := r.demand.total(); waiting > 0 && sum(r.credits) < all {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Home) names() []string { return slices.Sorted(maps.Keys(h.routers)) }
+
+// expire removes the routers whose lease has ended.
+func (h *Home) expire(now time.Duration) {
+	maps.DeleteFunc(h.routers, func(_ string, r *holder) bool { return now >= r.expires })
+}
+
+// divide sets the targets of all routers.
+func (h *Home) divide(now time.Duration) {
+	names := h.names()
+	demands := make([]Demand, len(names))
+	for i, name := range names {
+		demands[i] = h.routers[name].demand
+	}
+	credits := 0
+	for _, slots := range h.endpoints {
+		credits += h.config.capacity(slots, h.scale.at(now))
+	}
+	parts, cut := divide(credits, demands, int(now/rotationTime))
+	h.cut, h.targets = cut, make(map[string]int, len(names))
+	for i, name := range names {
+		h.targets[name] = parts[i]
+	}
+}
+
+// free returns the credits that no router may use.
+func (h *Home) free(now time.Duration) int {
+	n := 0
+	for e, slots := range h.endpoints {
+		n += max(0, h.config.capacity(slots, h.scale.at(now))-h.Held(e))
+	}
+	return n
+}
+
+// adjust moves the credits of a router towards its target. It adds those that are free
+// and removes those that are not in use first.
+func (h *Home) adjust(now time.Duration, name string, r *holder) {
+	credits := map[uint32]int{}
+	for e, n := range r.credits {
+		if h.endpoints[e] > 0 {
+			credits[e] = n
+		}
+	}
+	target := h.targets[name]
+	for n := sum(credits); n > target; n-- {
+		e := best(credits, func(e uint32) int { return 1000*(credits[e]-r.demand.Running[e]) + h.Held(e) })
+		if credits[e]--; credits[e] == 0 {
+			delete(credits, e)
+		}
+	}
+	for n := sum(credits); n < target; n++ {
+		e := best(h.endpoints, func(e uint32) int {
+			return h.config.capacity(h.endpoints[e], h.scale.at(now)) - h.Held(e) + max(0, r.held[e]-credits[e])
+		})
+		// A credit that the router may still use by an earlier grant takes none that is free.
+		if credits[e] >= r.held[e] && h.config.capacity(h.endpoints[e], h.scale.at(now)) <= h.Held(e) {
+			break
+		}
+		credits[e]++
+		r.held[e] = max(r.held[e], credits[e])
+	}
+	r.credits = credits
+}
+
+// best returns the key with the highest value, the lowest of several.
+func best(keys map[uint32]int, value func(uint32) int) uint32 {
+	var out uint32
+	top, found := 0, false
+	for e := range keys {
+		if v := value(e); !found || v > top || v == top && e < out {
+			out, top, found = e, v, true
+		}
+	}
+	return out
+}
+
+// grant returns the next grant for a router.
+func (h *Home) grant(r *holder) Grant {
+	h.number++
+	gap := gapFor(len(h.routers))
+	// The router counts its lease from when it sent the demand, which is earlier.
+	r.grant, r.expires = h.number, r.heard+h.config.leaseFor(gap)
+	return Grant{Number: h.number, Demand: r.demand.Number, Credits: maps.Clone(r.credits), Gap: gap, Cut: h.cut}
+}
+
+func sum(m map[uint32]int) int {
+	n := 0
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
--- /dev/null
+++ b/internal/slots/slots.go
@@ -0,0 +1,145 @@
+// Package slots decides which router may use the slots of a pool that has few of them
+// relative to the number of routers. One router, the home of the pool, hands out credits:
+// a credit lets a router keep one request at an endpoint for as long as its lease lasts.
+// Routers state their demand to the home, queue what they have no credit for, and use a
+// fixed share of the slots while the home does not answer. Credits exceed the slots by
+// the queue of the endpoint, so a slot does not wait for an exchange between routers.
+//
+// A credit is a hint for order: an endpoint rejects what it has no room for, whatever the
+// credits say.
+package slots
+
+import "time"
+
+// Levels is the number of priority levels. Less urgent requests count in the last one.
+const Levels = 10
+
+// Level is the number of requests of one priority that a router has.
+type Level struct{ Running, Waiting int }
+
+// Demand is what a router states to the home of a pool. Each demand replaces the one
+// before, so a lost one needs no repetition of its own.
+type Demand struct {
+	Number   uint32 // increases with each demand of the router
+	Applied  uint32 // number of the grant that is in force at the router
+	Rejected int    // requests that full endpoints rejected since the last demand
+	Running  map[uint32]int
+	Levels   [Levels]Level
+}
+
+// total returns the requests that the router has at endpoints or waiting, and those
+// waiting.
+func (d Demand) total() (all, waiting int) {
+	for _, l := range d.Levels {
+		all += l.Running + l.Waiting
+		waiting += l.Waiting
+	}
+	return all, waiting
+}
+
+// Grant is what the home lets a router use.
+type Grant struct {
+	Number  uint32
+	Demand  uint32         // number of the last demand of the receiver
+	Credits map[uint32]int // requests that it may keep at each endpoint, by endpoint hash
+	// Gap is the average time between two demands of a router, so that the messages of
+	// the home do not grow with the number of routers.
+	Gap time.Duration
+	// Cut is the most urgent level whose demand the credits do not meet, or Levels if
+	// there is none. Less urgent requests may use credits only, and no share of the
+	// router's own.
+	Cut int
+}
+
+// contended reports whether the demand of all routers exceeds the credits.
+func (g Grant) contended() bool { return g.Cut < Levels }
+
+// Config holds the parameters of a home and its routers.
+type Config struct {
+	Lease  time.Duration // validity of a grant, at least
+	Answer time.Duration // after which a router no longer waits for the home
+	Queue  float64       // credits beyond the slots of an endpoint, as a multiple of them
+}
+
+// Endpoint is an endpoint of the pool.
+type Endpoint struct {
+	Hash  uint32
+	Slots int
+	Avoid bool // it failed or rejected a request of this router lately
+}
+
+const (
+	// gapPerRouter times the number of routers that state a demand is the average time
+	// between two demands of one of them. With 12 ms the home receives and sends 83
+	// datagrams of about 80 bytes a second each, 6.6 KB, whatever the number of routers.
+	gapPerRouter = 12 * time.Millisecond
+	minGap       = 50 * time.Millisecond
+	// leaseGaps is the length of a lease in gaps, and renewShare the part of a lease
+	// after which a router renews it. So a renewal may be lost twice, and half of a
+	// router's demands are left for changes.
+	leaseGaps  = 6
+	renewShare = 3
+	// messageBurst is the number of demands that a router may send at once.
+	messageBurst = 3
+)
+
+// leaseFor returns the length of a lease for a gap.
+func (c Config) leaseFor(gap time.Duration) time.Duration { return max(c.Lease, leaseGaps*gap) }
+
+// gapFor returns the gap for a number of routers.
+func gapFor(routers int) time.Duration {
+	return max(minGap, time.Duration(routers)*gapPerRouter)
+}
+
+// bucket bounds the rate of messages.
+type bucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+// take takes a token if there is one. A token comes every gap, up to burst.
+func (b *bucket) take(now, gap time.Duration, burst float64) bool {
+	b.tokens = min(burst, b.tokens+float64(now-b.at)/float64(gap))
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+const (
+	// rejectionPause is the shortest time between two cuts of the credits. Requests that
+	// are on their way when a cut is made are rejected too.
+	rejectionPause = 500 * time.Millisecond
+	// queueRecovery is the time in which a queue that was cut to nothing is used again.
+	queueRecovery = 10 * time.Second
+)
+
+// queueScale is the part of the configured queue of an endpoint that is used. Rejections
+// halve it, since an endpoint may have a shorter queue than configured or requests of
+// routers without credits.
+type queueScale struct {
+	cut   time.Duration // when it was cut last
+	value float64       // after that cut
+	known bool
+}
+
+func (q *queueScale) at(now time.Duration) float64 {
+	if !q.known {
+		return 1
+	}
+	return min(1, q.value+float64(now-q.cut)/float64(queueRecovery))
+}
+
+func (q *queueScale) reject(now time.Duration) {
+	if q.known && now-q.cut < rejectionPause {
+		return
+	}
+	q.value, q.cut, q.known = q.at(now)/2, now, true
+}
+
+// capacity returns the credits of an endpoint.
+func (c Config) capacity(slots int, scale float64) int {
+	return slots + int(c.Queue*float64(slots)*scale+0.5)
+}
