--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -20,7 +20,7 @@
 		{Name: "router-2", StatedLoads: map[uint32]int{7: 40}},
 		{Name: "router-2", Limits: map[uint32]float64{7: 2.5, 8: 3276.75, 9: -1}},
 		{Name: "router-2", Crashes: []Crash{{Key: 1 << 60, Endpoint: 7, Age: 30 * time.Millisecond}}, Sound: []uint64{5, 6}},
-		{Name: "router-2", Slots: &Slots{Pool: 9, Grant: &slots.Grant{Number: 1 << 31, Demand: 4, Credits: map[uint32]int{7: 2}, Gap: 336 * time.Millisecond, Cut: slots.Levels}}},
+		{Name: "router-2", Slots: &Slots{Pool: 9, Grant: &slots.Grant{Number: 1 << 31, Demand: 4, Credits: map[uint32]int{7: 2}, Gap: 336 * time.Millisecond, Cut: slots.Levels, Spare: 255, Queue: 100}}},
 		{Name: "router-2", Slots: &Slots{Pool: 9, Demand: &slots.Demand{Number: 5, Applied: 4, Rejected: 3, Running: map[uint32]int{7: 255}, Levels: [slots.Levels]slots.Level{2: {Running: 255, Waiting: 65535}, 9: {Waiting: 1}}}}},
 		{Name: "router-3", Leaving: true},
 		{Name: "router-5", DataCentre: "dc-a", Address: netip.MustParseAddrPort("10.1.0.7:7340"), Relay: true},
@@ -44,6 +44,19 @@
 	is.Equal(got, m)
 }
 
+// Guards against messages about slots that take more of the bytes of a router than the
+// rate of the home allows for: 100 a second of 110 bytes, 28 of them of UDP and IP.
+func TestMessagesAboutSlotsAreSmall(t *testing.T) {
+	credits := map[uint32]int{1: 2, 2: 2, 3: 2, 4: 2}
+	m := Message{Name: "kauri-edge-17", DataCentre: "akl-a", Address: netip.MustParseAddrPort("10.1.0.7:7340")}
+	m.Slots = &Slots{Grant: &slots.Grant{Credits: credits}}
+	grant := len(Append(nil, m))
+	m.Slots = &Slots{Demand: &slots.Demand{Running: credits, Levels: [slots.Levels]slots.Level{{Waiting: 1}, {Waiting: 1}}}}
+	demand := len(Append(nil, m))
+	t.Logf("grant %d, demand %d bytes", grant, demand)
+	is.New(t).True(max(grant, demand)+28 <= 110)
+}
+
 // Guards against malformed datagrams, which any host can send, that make the
 // decoder panic, and against messages that do not survive a second round trip.
 func FuzzParse(f *testing.F) {
--- a/internal/mesh/slots.go
+++ b/internal/mesh/slots.go
@@ -12,7 +12,7 @@
 	kindGrant  = 2
 
 	demandLen  = 13 // bytes: pool, number, applied grant and rejected requests
-	grantLen   = 15 // bytes: pool, number, demand, gap and cut
+	grantLen   = 17 // bytes: pool, number, demand, gap, cut, spare credits and queue
 	perSlotLen = 5  // bytes: endpoint hash and requests
 	levelLen   = 4  // bytes: level, running and waiting
 	// maxSlotEndpoints keeps a datagram below the smallest common MTU. Pools with few slots
@@ -36,7 +36,7 @@
 		b = binary.BigEndian.AppendUint32(b, g.Number)
 		b = binary.BigEndian.AppendUint32(b, g.Demand)
 		b = binary.BigEndian.AppendUint16(b, uint16(min(max(g.Gap.Milliseconds(), 0), 1<<16-1)))
-		b = append(b, byte(min(max(g.Cut, 0), slots.Levels)))
+		b = append(b, byte(min(max(g.Cut, 0), slots.Levels)), byte(min(max(g.Spare, 0), 255)), byte(min(max(g.Queue, 0), 100)))
 		return appendPerEndpoint(b, g.Credits)
 	}
 	d := s.Demand
@@ -105,9 +105,9 @@
 
 func parseGrant(b []byte, m Message) (Message, error) {
 	g := &slots.Grant{Number: binary.BigEndian.Uint32(b[4:]), Demand: binary.BigEndian.Uint32(b[8:]),
-		Gap: time.Duration(binary.BigEndian.Uint16(b[12:])) * time.Millisecond, Cut: int(b[14])}
+		Gap: time.Duration(binary.BigEndian.Uint16(b[12:])) * time.Millisecond, Cut: int(b[14]), Spare: int(b[15]), Queue: int(b[16])}
 	credits, rest, ok := parsePerEndpoint(b[grantLen:])
-	if !ok || len(rest) > 0 || g.Cut > slots.Levels {
+	if !ok || len(rest) > 0 || g.Cut > slots.Levels || g.Queue > 100 {
 		return Message{}, ErrFormat
 	}
 	g.Credits = credits
--- a/internal/router/slots.go
+++ b/internal/router/slots.go
@@ -197,6 +197,7 @@
 		p.home = slots.NewHome(at, s.settings.Slots.config())
 	}
 	if p.home != nil {
+		p.home.SetConfig(s.settings.Slots.config())
 		p.home.SetEndpoints(endpoints)
 	}
 	if n > 0 && load >= slotLoadShare*float64(n) {
@@ -253,8 +254,8 @@
 	at := f.now()
 	f.step(s, p, at)
 	if p.home != nil {
-		for name, g := range p.home.Push(at) {
-			f.sendGrant(s, p, name, g)
+		for _, push := range p.home.Push(at) {
+			f.sendGrant(s, p, push.To, push.Grant)
 		}
 		f.step(s, p, at) // with what the home granted to this router
 	}
--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -31,6 +31,9 @@
 	minRate = 0.05
 	// sentDemands is the number of sent demands whose times are kept.
 	sentDemands = 16
+	// shrinkMargin is the number of requests by which the demand has to be lower than stated
+	// before that is worth a message.
+	shrinkMargin = 2
 	// demandPause is the shortest time between two demands. A request that arrives while
 	// the answer to one is on its way is stated in the next one.
 	demandPause = 10 * time.Millisecond
@@ -93,9 +96,10 @@
 	rejected   int           // since the last demand
 	scale      queueScale
 	workTime   time.Duration
-	arriving   [Levels]arrivalRate
-	nextOwn    time.Duration // when a router whose share is below one may start a request
-	nextReturn time.Duration // when the next refused caller may come back
+	arriving   [Levels]recent
+	refused    [Levels]recent // requests
+	nextOwn    time.Duration  // when a router whose share is below one may start a request
+	nextReturn time.Duration  // when the next refused caller may come back
 }
 
 // placed is a running request.
@@ -105,20 +109,31 @@
 	at       time.Duration
 }
 
-// arrivalRate is a number of arrivals that decays over rateTime, and so their rate.
-type arrivalRate struct {
+// recent is a number of events that decays with the time over.
+type recent struct {
 	count float64
 	at    time.Duration
 }
 
-const rateTime = time.Second
+func (r *recent) decay(now, over time.Duration) float64 {
+	r.count *= math.Exp(-float64(now-r.at) / float64(over))
+	r.at = now
+	return r.count
+}
 
-func (a *arrivalRate) perSecond(now time.Duration) float64 {
-	a.count *= math.Exp(-float64(now-a.at) / float64(rateTime))
-	a.at = now
-	return a.count / rateTime.Seconds()
+func (r *recent) add(now, over time.Duration) {
+	r.decay(now, over)
+	r.count++
 }
 
+const (
+	// rateTime is the time over which arrivals are counted.
+	rateTime = time.Second
+	// refusedTime is the time over which refused requests count as demand. Without them a
+	// pool that refuses most requests would look as if nobody waited for it.
+	refusedTime = 200 * time.Millisecond
+)
+
 type sentDemand struct {
 	number uint32
 	at     time.Duration
@@ -127,7 +142,7 @@
 // NewClient returns a client without endpoints. Its demands are numbered from the boot
 // time, so that those of a process before a restart are older.
 func NewClient(now time.Duration, c Config) *Client {
-	return &Client{config: c, running: map[uint64]placed{}, counts: map[uint32]int{}, credits: map[uint32]int{},
+	return &Client{config: c, routers: 1, running: map[uint64]placed{}, counts: map[uint32]int{}, credits: map[uint32]int{},
 		number: uint32(now / time.Millisecond), workTime: firstWorkTime, messages: bucket{tokens: messageBurst, at: now}}
 }
 
@@ -168,9 +183,7 @@
 // Arrive adds a request. The step that follows starts it, refuses it, or leaves it in the
 // queue.
 func (c *Client) Arrive(now time.Duration, r Request) []Refusal {
-	a := &c.arriving[level(r.Priority)]
-	a.perSecond(now)
-	a.count++
+	c.arriving[level(r.Priority)].add(now, rateTime)
 	at, _ := slices.BinarySearchFunc(c.queue, r, before)
 	c.queue = slices.Insert(c.queue, at, r)
 	if !c.Engaged(now) {
@@ -253,9 +266,12 @@
 
 // total returns the credits of the pool.
 func (c *Client) total(now time.Duration) int {
-	n := 0
+	n, scale := 0, c.scale.at(now)
+	if c.leased(now) {
+		scale = float64(c.grant.Queue) / 100
+	}
 	for _, e := range c.endpoints {
-		n += c.config.capacity(e.Slots, c.scale.at(now))
+		n += c.config.capacity(e.Slots, scale)
 	}
 	return n
 }
@@ -274,8 +290,8 @@
 		}
 	}
 	share := c.ownShare(now)
-	if c.leased(now) && !c.grant.contended() {
-		share++ // the home has credits that no router needs
+	if c.leased(now) {
+		share += c.grant.Spare
 	}
 	switch {
 	case len(c.running) < share:
@@ -346,7 +362,7 @@
 		_, starts := c.place(now, r)
 		left := rate // what more urgent requests leave
 		for l := range level(r.Priority) {
-			left -= c.arriving[l].perSecond(now)
+			left -= c.arriving[l].decay(now, rateTime) / rateTime.Seconds()
 		}
 		wait := time.Duration(float64(len(kept)+1) / max(left, minRate) * float64(time.Second))
 		if starts && len(kept) == 0 || now+wait+c.workTime <= r.Limit {
@@ -362,6 +378,7 @@
 // refuse returns the refusal of a request. Refused callers come back one after the other
 // at the rate at which this router starts requests.
 func (c *Client) refuse(now time.Duration, r Request, rate float64) Refusal {
+	c.refused[level(r.Priority)].add(now, refusedTime)
 	c.nextReturn = min(max(c.nextReturn, now+minReturn)+time.Duration(float64(time.Second)/rate), now+maxReturn)
 	return Refusal{ID: r.ID, RetryAfter: c.nextReturn - now}
 }
@@ -423,13 +440,17 @@
 	c.nextOwn = now + time.Duration(float64(c.workTime)*float64(c.routers)/float64(max(1, c.total(now))))
 }
 
-// summary returns the demand without its numbers.
-func (c *Client) summary() Demand {
+// summary returns the demand without its numbers. Requests that were refused lately count
+// as waiting.
+func (c *Client) summary(now time.Duration) Demand {
 	d := Demand{Rejected: c.rejected, Running: maps.Clone(c.counts)}
 	delete(d.Running, 0) // started without an endpoint
 	for l, n := range c.levels {
 		d.Levels[l].Running = n
 	}
+	for l := range d.Levels {
+		d.Levels[l].Waiting = int(c.refused[l].decay(now, refusedTime) + 0.5)
+	}
 	for _, r := range c.queue {
 		d.Levels[level(r.Priority)].Waiting++
 	}
@@ -447,7 +468,8 @@
 	}
 	lease := c.config.leaseFor(gap)
 	renew := now-c.statedAt >= lease/renewShare
-	if !renew && !c.changed(now) {
+	c.messages.fill(now, gap, messageBurst)
+	if !renew && !c.changed(now) && !(c.shrunk(now) && c.messages.tokens >= 2) {
 		return false
 	}
 	return c.messages.take(now, gap, messageBurst)
@@ -455,13 +477,15 @@
 
 // changed reports whether the home should know more than was stated last.
 func (c *Client) changed(now time.Duration) bool {
-	d := c.summary()
+	d := c.summary(now)
 	all, waiting := d.total()
 	stated, _ := c.stated.total()
 	switch {
 	case !c.leased(now) || c.silent(now):
 		return now-c.statedAt >= c.config.Answer
-	case waiting > 0 && all > stated: // and no credit for them
+	case c.rejected > 0:
+		return true // the home cuts the credits of all
+	case waiting > 0 && all > stated:
 		return true
 	case waiting > 0 && c.stated.Levels != d.Levels && c.moreUrgent(d):
 		return true
@@ -471,6 +495,14 @@
 	return c.grant.contended() && c.grant.Number != c.stated.Applied && c.within()
 }
 
+// shrunk reports whether the router needs much less than was stated. The home would take a
+// peak that is over for demand. It is less urgent than what changed reports.
+func (c *Client) shrunk(now time.Duration) bool {
+	all, waiting := c.summary(now).total()
+	stated, _ := c.stated.total()
+	return waiting == 0 && all+shrinkMargin <= stated
+}
+
 // moreUrgent reports whether more urgent requests wait than were stated.
 func (c *Client) moreUrgent(d Demand) bool {
 	for l := range Levels {
@@ -494,7 +526,7 @@
 
 // demand returns the next demand and records it as sent.
 func (c *Client) demand(now time.Duration) *Demand {
-	d := c.summary()
+	d := c.summary(now)
 	c.number++
 	d.Number = c.number
 	if c.leased(now) {
--- a/internal/slots/home.go
+++ b/internal/slots/home.go
@@ -14,6 +14,16 @@
 // far above the 370 of the target size.
 const maxRouters = 2048
 
+// spareParts divides the credits that no router needs for the use of those that suddenly
+// need some. More than one router may use them until the home has heard of it.
+const spareParts = 4
+
+// maxSpare bounds what each router gets of them, since demand is stated with a delay.
+const maxSpare = 3
+
+// pushGap is the average time between two grants that were not asked for.
+const pushGap = 2 * gapPerRouter
+
 // Home hands out the credits of one pool. Its methods must be called by one goroutine at a
 // time, with the boot time.
 type Home struct {
@@ -25,6 +35,7 @@
 	pushes    bucket
 	targets   map[string]int
 	cut       int
+	spare     int
 }
 
 // holder is a router with a demand.
@@ -53,6 +64,9 @@
 	}
 }
 
+// SetConfig sets the parameters.
+func (h *Home) SetConfig(config Config) { h.config = config }
+
 // Routers returns the number of routers whose demand is in force.
 func (h *Home) Routers() int { return len(h.routers) }
 
@@ -94,31 +108,36 @@
 	}
 	h.divide(now)
 	h.adjust(now, from, r)
-	return h.grant(r), true
+	return h.grant(now, r), true
+}
+
+// Push is a grant for a router that did not ask.
+type Push struct {
+	To    string
+	Grant Grant
 }
 
 // Push returns grants for routers that did not ask: those that get credits for waiting
 // requests, and those that hold unused credits for which others wait. Their number is
 // bounded, since the next demand of a router has the same effect.
-func (h *Home) Push(now time.Duration) map[string]Grant {
+func (h *Home) Push(now time.Duration) (out []Push) {
 	h.expire(now)
 	if !h.waiting() {
 		return nil
 	}
 	h.divide(now)
-	out := map[string]Grant{}
 	for _, name := range h.names() {
 		r := h.routers[name]
 		_, waiting := r.demand.total()
 		before := sum(r.credits)
 		unused := before > 0 && waiting == 0 && before > h.targets[name]
 		needs := waiting > 0 && before < h.targets[name] && h.free(now) > 0
-		if !unused && !needs || !h.pushes.take(now, gapPerRouter, float64(len(h.routers))) {
+		if !unused && !needs || !h.pushes.take(now, pushGap, float64(len(h.routers))) {
 			continue
 		}
 		h.adjust(now, name, r)
 		if sum(r.credits) != before {
-			out[name] = h.grant(r)
+			out = append(out, Push{name, h.grant(now, r)})
 		}
 	}
 	return out
@@ -152,8 +171,8 @@
 	for _, slots := range h.endpoints {
 		credits += h.config.capacity(slots, h.scale.at(now))
 	}
-	parts, cut := divide(credits, demands, int(now/rotationTime))
-	h.cut, h.targets = cut, make(map[string]int, len(names))
+	parts, cut, unused := divide(credits, demands, int(now/rotationTime))
+	h.cut, h.spare, h.targets = cut, min(maxSpare, unused/spareParts), make(map[string]int, len(names))
 	for i, name := range names {
 		h.targets[name] = parts[i]
 	}
@@ -184,12 +203,16 @@
 			delete(credits, e)
 		}
 	}
+	room := func(e uint32) int { // after one more credit
+		n := h.config.capacity(h.endpoints[e], h.scale.at(now)) - h.Held(e)
+		if credits[e] >= r.held[e] {
+			n-- // one that the router may not use already by an earlier grant
+		}
+		return n
+	}
 	for n := sum(credits); n < target; n++ {
-		e := best(h.endpoints, func(e uint32) int {
-			return h.config.capacity(h.endpoints[e], h.scale.at(now)) - h.Held(e) + max(0, r.held[e]-credits[e])
-		})
-		// A credit that the router may still use by an earlier grant takes none that is free.
-		if credits[e] >= r.held[e] && h.config.capacity(h.endpoints[e], h.scale.at(now)) <= h.Held(e) {
+		e := best(h.endpoints, room)
+		if room(e) < 0 {
 			break
 		}
 		credits[e]++
@@ -211,12 +234,14 @@
 }
 
 // grant returns the next grant for a router.
-func (h *Home) grant(r *holder) Grant {
+func (h *Home) grant(now time.Duration, r *holder) Grant {
 	h.number++
 	gap := gapFor(len(h.routers))
-	// The router counts its lease from when it sent the demand, which is earlier.
-	r.grant, r.expires = h.number, r.heard+h.config.leaseFor(gap)
-	return Grant{Number: h.number, Demand: r.demand.Number, Credits: maps.Clone(r.credits), Gap: gap, Cut: h.cut}
+	// The router counts its lease from when it sent the demand, which is earlier. It may
+	// have got only a grant with a longer lease.
+	r.grant, r.expires = h.number, max(r.expires, r.heard+h.config.leaseFor(gap))
+	return Grant{Number: h.number, Demand: r.demand.Number, Credits: maps.Clone(r.credits), Gap: gap, Cut: h.cut, Spare: h.spare,
+		Queue: int(100 * h.scale.at(now))}
 }
 
 func sum(m map[uint32]int) int {
--- a/internal/slots/share.go
+++ b/internal/slots/share.go
@@ -8,11 +8,12 @@
 // More urgent levels come first; within a level the routers with the least get theirs
 // first (max-min fairness). What no router demands is spread evenly, so that a request
 // finds a credit where it arrives. rotation selects which routers get the credits that do
-// not divide evenly. cut is the most urgent level whose demand is not met, or Levels.
-func divide(credits int, demands []Demand, rotation int) (out []int, cut int) {
+// not divide evenly. cut is the most urgent level whose demand is not met, or Levels, and unused
+// the number of credits that no router demands.
+func divide(credits int, demands []Demand, rotation int) (out []int, cut, unused int) {
 	out, cut = make([]int, len(demands)), Levels
 	if len(demands) == 0 {
-		return out, cut
+		return out, cut, credits
 	}
 	all := 0
 	for _, d := range demands {
@@ -35,14 +36,14 @@
 		left -= fill(out, wants, min(sum, left-reserve), rotation)
 	}
 	if left == 0 {
-		return out, cut
+		return out, cut, 0
 	}
 	spare := make([]int, len(demands))
 	for i := range spare {
 		spare[i] = left
 	}
 	fill(out, spare, left, rotation)
-	return out, cut
+	return out, cut, left
 }
 
 // fill adds n credits to out, one after the other to the routers whose wants are not
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -49,6 +49,12 @@
 	// there is none. Less urgent requests may use credits only, and no share of the
 	// router's own.
 	Cut int
+	// Spare is the number of requests that a router may keep at endpoints beyond its
+	// credits and its share, from credits that no router needs.
+	Spare int
+	// Queue is the percentage of the configured queue of the endpoints that is used, since
+	// rejections cut it.
+	Queue int
 }
 
 // contended reports whether the demand of all routers exceeds the credits.
@@ -72,7 +78,7 @@
 	// gapPerRouter times the number of routers that state a demand is the average time
 	// between two demands of one of them. With 12 ms the home receives and sends 83
 	// datagrams of about 80 bytes a second each, 6.6 KB, whatever the number of routers.
-	gapPerRouter = 12 * time.Millisecond
+	gapPerRouter = 15 * time.Millisecond
 	minGap       = 50 * time.Millisecond
 	// leaseGaps is the length of a lease in gaps, and renewShare the part of a lease
 	// after which a router renews it. So a renewal may be lost twice, and half of a
@@ -97,10 +103,15 @@
 	at     time.Duration
 }
 
-// take takes a token if there is one. A token comes every gap, up to burst.
-func (b *bucket) take(now, gap time.Duration, burst float64) bool {
+// fill adds the tokens that came since the last call: one every gap, up to burst.
+func (b *bucket) fill(now, gap time.Duration, burst float64) {
 	b.tokens = min(burst, b.tokens+float64(now-b.at)/float64(gap))
 	b.at = now
+}
+
+// take takes a token if there is one.
+func (b *bucket) take(now, gap time.Duration, burst float64) bool {
+	b.fill(now, gap, burst)
 	if b.tokens < 1 {
 		return false
 	}
@@ -114,10 +125,12 @@
 	rejectionPause = 500 * time.Millisecond
 	// queueRecovery is the time in which a queue that was cut to nothing is used again.
 	queueRecovery = 10 * time.Second
+	// queueCut is what a cut leaves of the queue.
+	queueCut = 0.5
 )
 
 // queueScale is the part of the configured queue of an endpoint that is used. Rejections
-// halve it, since an endpoint may have a shorter queue than configured or requests of
+// reduce it, since an endpoint may have a shorter queue than configured or requests of
 // routers without credits.
 type queueScale struct {
 	cut   time.Duration // when it was cut last
@@ -136,7 +149,7 @@
 	if q.known && now-q.cut < rejectionPause {
 		return
 	}
-	q.value, q.cut, q.known = q.at(now)/2, now, true
+	q.value, q.cut, q.known = q.at(now)*queueCut, now, true
 }
 
 // capacity returns the credits of an endpoint.
