--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -19,6 +19,7 @@
 	Priority     int         // 0 is the most urgent
 	Regions      []model.Region
 	Excluded     []model.EndpointID // endpoints of earlier attempts
+	Endpoint     model.EndpointID   // at which a slot was granted; empty if none
 }
 
 // Choice is the endpoint selected for a request.
@@ -50,6 +51,7 @@
 	HoldersSlow   Reason = "holders_slow"   // the holders are slow, and reading or fetching the prompt elsewhere takes less time
 	FirstUse      Reason = "first_use"      // the part has no known holder
 	LeastLoad     Reason = "least_load"     // the request has no part
+	GrantedSlot   Reason = "granted_slot"   // the router may use a slot of it
 )
 
 // Bounds on the load of an endpoint relative to the mean of its pool.
@@ -97,8 +99,7 @@
 		return Choice{}, false
 	}
 	expected := t.expect(now, q, mean)
-	eligible, remoteReason, spill := t.localize(now, q, expected, eligible, mean, loadLimit(mean))
-	choice := t.selectEndpoint(q, expected, eligible, loadLimit(mean))
+	choice, remoteReason, spill := t.choose(now, q, expected, eligible, mean)
 	if choice.endpointState == nil {
 		return Choice{}, false
 	}
@@ -129,6 +130,16 @@
 	return out, true
 }
 
+// choose selects the endpoint at which a slot was granted if it is eligible, and otherwise
+// one in a data centre that may take the request.
+func (t *Table) choose(now time.Time, q Query, expected expectation, eligible []candidate, mean float64) (selection, RemoteReason, *SpillChange) {
+	if i := slices.IndexFunc(eligible, func(c candidate) bool { return c.ID == q.Endpoint }); i >= 0 {
+		return selection{eligible[i], GrantedSlot}, RemoteGranted, nil
+	}
+	eligible, reason, spill := t.localize(now, q, expected, eligible, mean, loadLimit(mean))
+	return t.selectEndpoint(q, expected, eligible, loadLimit(mean)), reason, spill
+}
+
 const (
 	// prefillRate is the number of prompt tokens that an engine of the first users
 	// processes in a millisecond, reduced by a tenth for concurrent requests. It is
--- a/internal/place/spill.go
+++ b/internal/place/spill.go
@@ -13,11 +13,12 @@
 
 // The reasons for other data centres.
 const (
-	RemoteLoad   RemoteReason = "load"     // no price is set, so data centres are compared by load
-	RemoteSpill  RemoteReason = "spill"    // it pays: the own endpoints are too few
-	RemoteHolder RemoteReason = "holder"   // the prompt is cached there, which saves more than the way costs
-	RemoteBound  RemoteReason = "bound"    // the own endpoints are at the load bound
-	RemoteNone   RemoteReason = "no_local" // no own endpoint may take the request
+	RemoteLoad    RemoteReason = "load"         // no price is set, so data centres are compared by load
+	RemoteSpill   RemoteReason = "spill"        // it pays: the own endpoints are too few
+	RemoteHolder  RemoteReason = "holder"       // the prompt is cached there, which saves more than the way costs
+	RemoteBound   RemoteReason = "bound"        // the own endpoints are at the load bound
+	RemoteNone    RemoteReason = "no_local"     // no own endpoint may take the request
+	RemoteGranted RemoteReason = "granted_slot" // a slot was granted there
 )
 
 // SpillChange says that requests of a pool begin to go to other data centres because the own
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -120,6 +120,7 @@
 		holdersKnown bool
 		cachesRead   []uint32 // engines whose caches the sender has read since its start
 		demand       []admission.Report
+		slots        *mesh.Slots
 	}
 	// cacheRead carries the prompt parts in the cache of one engine.
 	cacheRead struct {
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -32,6 +32,7 @@
 	t         *testing.T
 	store     *standin.Store
 	endpoints []*standin.Endpoint
+	features  router.Features
 	ids       atomic.Int64
 }
 
@@ -176,6 +177,14 @@
 	return out
 }
 
+// featuresOf returns the features that a test set, or those that the contracts call for.
+func (f *fleet) featuresOf(s router.Settings) router.Features {
+	if f.features != (router.Features{}) {
+		return f.features
+	}
+	return platform.Features(s.Contracts)
+}
+
 // start starts a router whose settings are modified by change, if not nil.
 func (f *fleet) start(change func(*router.Settings)) *process {
 	f.t.Helper()
@@ -202,7 +211,7 @@
 	if s.Store == "" {
 		s.Store = f.store.Address()
 	}
-	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Features: platform.Features(s.Contracts), Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()}, link)
+	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Features: f.featuresOf(s), Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()}, link)
 	go func() { p.ended <- r.Serve(ctx, callers, readiness, cutListener{rpc, link}) }()
 	f.t.Cleanup(stop)
 	return p
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/boottime"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
@@ -24,6 +25,7 @@
 		resumeStream{allowRetry: r.allowResume, log: r.log},
 		retryRequest{allowRetry: r.allowRetry, log: r.log},
 		guardEndpoints{snapshot: r.loop.Snapshot, allowTrial: r.allowTrial},
+		reserveSlot{enabled: r.slotsEnabled, ask: r.askSlot, release: r.releaseSlot},
 		placeRequest{pick: r.pick, broadcastHolder: r.broadcastHolder, random: r.random},
 		send{client: r.client, hasAlternative: r.hasAlternative, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordTimes: r.recordTimes, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, checkKey: r.checkKey, log: r.log},
 	)
@@ -40,6 +42,7 @@
 		admitRequests{r.log},
 		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, report: r.suspects.saveReport, log: r.log},
 		budgetRetries{},
+		grantSlots{enabled: r.deps.Features.Slots, send: r.sendToPeer, wake: r.wakeSlots, now: boottime.Now, log: r.log},
 		applySettings{r.log},
 		advanceStop{r.log},
 	}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -62,7 +62,7 @@
 
 // placeQuery describes req for the selection of its endpoint.
 func placeQuery(req *Request) place.Query {
-	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Kind: req.Route.Name, Key: xxhash.Sum64String(string(req.ID))}
+	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Endpoint: req.Granted, Kind: req.Route.Name, Key: xxhash.Sum64String(string(req.ID))}
 	if req.Workspace != nil && len(req.Workspace.Regions) > 0 {
 		q.Regions = intersect(q.Regions, req.Workspace.Regions)
 	}
