--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -192,7 +192,7 @@
 			"cause", err.Error(), "sends", req.Sends, "took_ms", took)
 	default:
 		r.log.Info("request answered", "request", req.ID, "route", route, "workspace", workspace, "endpoint", req.Endpoint.ID,
-			"status", answer.Status, "part", formatPart(req.sharedPart()), "chosen", req.ChoiceReason, "fetched_from", req.FetchFrom, "connection", req.trace.Connection, "sends", req.Sends, "took_ms", took)
+			"status", answer.Status, "part", formatPart(req.sharedPart()), "chosen", req.ChoiceReason, "fetched_from", req.FetchFrom, "connection", req.trace.Connection, "sends", req.Sends, "first_event_ms", req.FirstEvent.Milliseconds(), "took_ms", took)
 	}
 }
 
