--- a/internal/router/control_admission.go
+++ b/internal/router/control_admission.go
@@ -87,6 +87,10 @@
 	}
 	switch e := ev.(type) {
 	case admissionAsked:
+		if s.grantsSlots(e.request.Pool) {
+			e.Reply(admission.Decision{Admit: true, Reason: admission.SlotsGranted})
+			return false
+		}
 		e.Reply(a.Decide(now, e.request))
 		f.show(s, now)
 	case returnAsked:
--- a/internal/router/slots.go
+++ b/internal/router/slots.go
@@ -163,6 +163,14 @@
 	return p
 }
 
+// grantsSlots reports whether the requests for a pool queue for its slots. The queue refuses
+// what cannot be answered in time, so a second decision on the same requests would refuse
+// some that the queue can still serve.
+func (s *State) grantsSlots(pool model.Pool) bool {
+	p := s.slots[pool]
+	return p != nil && len(p.names) > 0
+}
+
 // few reports whether a pool has few slots relative to the number of routers.
 func few(s *State, now time.Time, pool model.Pool) bool {
 	_, n, _ := s.table.Slots(now, pool)
