--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -20,7 +20,10 @@
 	Exchange    string // address for peers, UDP and TCP
 	Store       string // address of the platform's store
 	ReadyPath   string // path of the readiness check
-	MemoryLimit int64  // bytes
+	MemoryLimit int64  // bytes; 0 means the default
+	MaxFDs      int64  // descriptors that the process may have open; 0 means the default
+	MaxFields   int64  // of the head of a caller's request; 0 means the default
+	MinRate     int64  // bytes a second that a caller sends or takes while the router waits for it
 	FirstStart  bool   // first start of the whole system, so the caches of engines are empty
 
 	Grace        time.Duration // from SIGTERM until the platform kills the process
@@ -58,6 +61,17 @@
 // and at the routers that query it add up to about two intervals.
 const readsPerDrain = 4
 
+// Defaults from which the bounds on callers follow.
+const (
+	defaultMemoryMB = 256
+	defaultMaxFDs   = 4096
+	minDescriptors  = 384 // leaves some to callers beside those in reserve
+	// defaultMaxFields is what the usual MaxHeaderBytes of 16,384 can hold, so no caller
+	// within it meets this bound. What many fields cost counts towards the memory.
+	defaultMaxFields = 4096
+	defaultMinRate   = 512 // bytes a second; 2,400 transfers at once on a link of 10 Mbit/s have that
+)
+
 // Allowed range of settings that are durations.
 const (
 	minDuration = time.Millisecond
@@ -87,7 +101,10 @@
 		Metrics:      f.OptionalAddress("router", "metrics"),
 		Exchange:     f.Address("router", "exchange"),
 		Store:        f.Address("platform", "store"),
-		MemoryLimit:  f.Int("router", "memory_mb", 256, 16, 1<<20) << 20,
+		MemoryLimit:  f.Int("router", "memory_mb", defaultMemoryMB, 16, 1<<20) << 20,
+		MaxFDs:       f.Int("router", "max_fds", defaultMaxFDs, minDescriptors, 1<<20),
+		MaxFields:    f.Int("router", "max_header_fields", defaultMaxFields, 16, 1<<16),
+		MinRate:      f.Int("router", "min_rate", defaultMinRate, 0, 1<<20),
 		FirstStart:   f.Bool("router", "first_start", false),
 		Grace:        f.Duration("bounds", "grace", 8*time.Second, minDuration, maxDuration),
 		Revoke:       f.Duration("bounds", "revoke", 5*time.Second, minDuration, maxDuration),
