--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -17,7 +17,7 @@
 // purePackages contain decision logic. They must not read the clock, open a
 // socket or use hidden randomness.
 var purePackages = []string{
-	"admit", "catalog", "choose", "claim", "config", "finding", "hrw", "limit", "lists", "member",
+	"admit", "catalog", "choose", "claim", "config", "duty", "finding", "hrw", "limit", "lists", "member",
 	"model", "order", "overlay", "pipe", "place", "replay", "retry", "rollout", "summary", "suspect", "timing",
 }
 
--- /dev/null
+++ b/internal/duty/lease.go
@@ -0,0 +1,226 @@
+package duty
+
+import "time"
+
+// Position is the end of the log of leases in one era of the store. Offsets are given out
+// again in a later era.
+type Position struct {
+	Era uint64
+	End int64
+}
+
+// Token is a fencing number. It consists of the era and the offset of the record with
+// which the lease was taken: the store gives an offset to one record in an era and raises
+// the era when it loses records, so no token is used twice, whatever was lost.
+type Token uint64
+
+// offsetBits is the number of bits of a token that hold the offset. A token stays below
+// 2^53, which JSON numbers hold exactly, up to era 2^21.
+const offsetBits = 32
+
+func tokenAt(at Position) Token { return Token(at.Era<<offsetBits) + Token(at.End) + 1 }
+
+// Lease is the record of a lease in the store. The zero value means that there is none.
+type Lease struct {
+	Holder   string
+	Process  uint64 // distinguishes processes with one name
+	Token    Token
+	Era      uint64 // in which the record was sent
+	Released bool   // the holder has ended its calls
+}
+
+// Timing are the times of a lease.
+type Timing struct {
+	Lease  time.Duration // from the sending of a renewal to the end of the lease
+	Renew  time.Duration // between renewals
+	Flight time.Duration // longest time that a call may be on its way
+	Margin time.Duration // added to Lease before a successor takes over
+	Step   time.Duration // added for each rank of the successor, so that they try in turn
+}
+
+// unset is before all times.
+const unset = time.Duration(-1 << 62)
+
+// Keeper is the state machine of one router for the lease. All times are of the boot-time
+// clock of its machine. A lease is held from the sending of the append that the store
+// confirmed; a successor waits from the receipt of the first reply that shows the record,
+// so no two clocks are compared.
+type Keeper struct {
+	self    string
+	process uint64
+	timing  Timing
+	started time.Duration
+
+	known bool // seen and lease are current, as far as this router knows
+	seen  Position
+	lease Lease
+	since time.Duration // receipt of the first reply with seen
+
+	held      Token         // 0 if the lease is not held
+	until     time.Duration // no call may be sent from then on
+	renewed   time.Duration // sending of the last renewal
+	lastHeld  time.Duration // before which the last call was sent
+	carried   bool          // the lease was held when the store was restored
+	attemptAt Position      // of the last attempt to take the lease
+	attempted time.Duration // sending of the first attempt there
+}
+
+// NewKeeper returns a keeper for the process of the named router that starts now.
+func NewKeeper(self string, process uint64, timing Timing, now time.Duration) *Keeper {
+	return &Keeper{self: self, process: process, timing: timing, started: now, seen: Position{End: -1}, lastHeld: unset}
+}
+
+// Append is an append of a lease record that the caller is to make.
+type Append struct {
+	At     Position
+	Lease  Lease
+	Taking bool // the lease is not held yet
+	// Carried says that the lease was held without a gap when the store was restored, so
+	// this process knows what was done under it until then.
+	Carried bool
+}
+
+// Known reports whether the keeper knows the position and the lease in the store. If not,
+// the caller has to read them and call Observe.
+func (k *Keeper) Known() bool { return k.known }
+
+// Seen returns the last known position and lease.
+func (k *Keeper) Seen() (Position, Lease) { return k.seen, k.lease }
+
+// Observe applies a read of the store whose reply was received at the given time.
+func (k *Keeper) Observe(received time.Duration, at Position, l Lease) {
+	if at.Era < k.seen.Era {
+		return // a late reply from before the store was restored
+	}
+	k.enterEra(received, at.Era)
+	if !k.known || at != k.seen {
+		if at != k.seen {
+			k.since = received
+		}
+		k.known, k.seen, k.lease = true, at, l
+	}
+	own := l.Holder == k.self && l.Process == k.process && !l.Released
+	switch {
+	case k.held != 0 && (!own || l.Token != k.held):
+		k.lose(received)
+	case k.held == 0 && own && k.attemptAt.Era == at.Era && l.Token == tokenAt(k.attemptAt) && l.Era == at.Era && k.lastHeld < k.attempted:
+		// The reply to the append that took the lease was lost.
+		k.hold(l.Token, k.attempted)
+	}
+}
+
+// enterEra drops what was known of an earlier era.
+func (k *Keeper) enterEra(received time.Duration, era uint64) {
+	if era <= k.seen.Era {
+		return
+	}
+	// Nobody else can have taken the lease before the store was restored, nor since then.
+	if k.held != 0 && received < k.until && k.seen.Era != 0 {
+		k.carried = true
+	}
+	if k.held != 0 {
+		k.lose(received)
+	}
+	k.known, k.seen, k.lease, k.since = false, Position{Era: era, End: -1}, Lease{}, received
+}
+
+// hold holds the lease from the time at which the append that the store confirmed was sent.
+func (k *Keeper) hold(t Token, sent time.Duration) {
+	k.held, k.until, k.renewed = t, sent+k.timing.Lease-k.timing.Flight, sent
+	k.carried = false
+}
+
+func (k *Keeper) lose(now time.Duration) {
+	k.held, k.lastHeld = 0, min(now, k.until)
+}
+
+// Holds returns the token of the lease and the time from which on no call may be sent, and
+// whether the lease is held.
+func (k *Keeper) Holds(now time.Duration) (t Token, until time.Duration, ok bool) {
+	return k.held, k.until, k.held != 0 && now < k.until
+}
+
+// CallsFrom returns the time before which no call may be sent: one with an earlier token of
+// this router may still be on its way.
+func (k *Keeper) CallsFrom() time.Duration {
+	if k.lastHeld == unset {
+		return unset
+	}
+	return k.lastHeld + k.timing.Flight
+}
+
+// Next returns the append that is due: a renewal, or one that takes the lease. rank is the
+// position of this router among those that may take it.
+func (k *Keeper) Next(now time.Duration, rank int) (Append, bool) {
+	if k.held != 0 && now >= k.until {
+		k.lose(now)
+	}
+	if !k.known {
+		return Append{}, false
+	}
+	if k.held != 0 {
+		return k.Renewal(), now >= k.renewed+k.timing.Renew
+	}
+	carried := k.carried && now < k.until
+	if !carried && now < k.TakeAt(rank) {
+		return Append{}, false
+	}
+	if k.attemptAt != k.seen {
+		k.attemptAt, k.attempted = k.seen, now
+	}
+	l := Lease{Holder: k.self, Process: k.process, Token: tokenAt(k.seen), Era: k.seen.Era}
+	return Append{At: k.seen, Lease: l, Taking: true, Carried: carried}, true
+}
+
+// TakeAt returns the time at which this router may take the lease if nothing changes.
+func (k *Keeper) TakeAt(rank int) time.Duration {
+	wait := k.timing.Lease + k.timing.Margin
+	due := k.since + wait + time.Duration(rank)*k.timing.Step
+	if k.lease.Released && k.lease.Era == k.seen.Era {
+		// The former holder has ended its calls. A released lease of an earlier era may
+		// have been taken in a record that the store has lost.
+		due = max(k.since+time.Duration(rank)*k.timing.Step, k.started+wait)
+	}
+	// A router that takes the lease again too early could be seen to alternate with the
+	// one that succeeded it.
+	if k.lastHeld != unset {
+		due = max(due, k.lastHeld+wait)
+	}
+	return due
+}
+
+// Renewal returns an append that renews the lease, which must be held.
+func (k *Keeper) Renewal() Append {
+	return Append{At: k.seen, Lease: Lease{Holder: k.self, Process: k.process, Token: k.held, Era: k.seen.Era}}
+}
+
+// Release ends the lease and returns the append that tells so. All calls must have ended.
+func (k *Keeper) Release(now time.Duration) Append {
+	a := k.Renewal()
+	a.Lease.Released = true
+	k.lose(now)
+	return a
+}
+
+// Succeeded applies the confirmation of an append that was sent and confirmed at the given
+// times, by a reply from the given era, and reports whether the lease is held. end is the
+// end of the log after the append.
+func (k *Keeper) Succeeded(a Append, sent, received time.Duration, at Position) bool {
+	if at.Era != a.At.Era || a.At.Era != k.seen.Era {
+		// The store was restored since the position was read, so the record may follow
+		// others than those that were read.
+		k.Failed()
+		k.enterEra(received, at.Era)
+		return false
+	}
+	k.known, k.seen, k.lease, k.since = true, at, a.Lease, received
+	if a.Lease.Released {
+		return false
+	}
+	k.hold(a.Lease.Token, sent)
+	return received < k.until
+}
+
+// Failed applies an append that was refused or whose outcome is unknown. It may still be
+// executed, so the position has to be read before the next one.
+func (k *Keeper) Failed() { k.known = false }
--- /dev/null
+++ b/internal/duty/ledger.go
@@ -0,0 +1,186 @@
+package duty
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Origin is a process that counts requests.
+type Origin struct {
+	Router  string
+	Process uint64
+}
+
+// Row holds the requests of each workspace that one process counted in one window so far.
+type Row struct {
+	Origin Origin
+	Window int64
+	Counts map[string]int64
+}
+
+// Bounds of what a ledger takes from others, since any host can send rows.
+const (
+	maxOrigins    = 2048
+	maxWorkspaces = 20_000 // of one row; the target is 16,000
+	maxNameBytes  = 256
+	// keptWindows is the number of windows that are kept. The report of a window is due
+	// two windows after its end, and the next holder needs one more.
+	keptWindows = 8
+)
+
+// Ledger holds the counts of this process and those that others sent.
+type Ledger struct {
+	self    Origin
+	rows    map[int64]map[Origin]map[string]int64
+	heard   map[Origin]time.Duration    // when a process last sent its own rows
+	through map[string]time.Duration    // true time up to which a router sent all its counts
+	acked   map[string]map[rowKey]int64 // sums of the rows that a router has
+	process map[string]uint64           // process of that router
+	newest  int64                       // window
+}
+
+type rowKey struct {
+	origin Origin
+	window int64
+}
+
+// NewLedger returns an empty ledger of the process self.
+func NewLedger(self Origin) *Ledger {
+	return &Ledger{self: self, rows: map[int64]map[Origin]map[string]int64{}, heard: map[Origin]time.Duration{},
+		through: map[string]time.Duration{}, acked: map[string]map[rowKey]int64{}, process: map[string]uint64{}}
+}
+
+// Count counts a request of this process.
+func (l *Ledger) Count(window int64, workspace string) {
+	if row := l.row(window, l.self); row != nil {
+		row[workspace]++
+	}
+}
+
+// Advance drops the windows that are too old once the given window has begun.
+func (l *Ledger) Advance(window int64) {
+	l.newest = window
+	for w := range l.rows {
+		if !l.keeps(w) {
+			delete(l.rows, w)
+		}
+	}
+	for _, sums := range l.acked {
+		maps.DeleteFunc(sums, func(k rowKey, _ int64) bool { return !l.keeps(k.window) })
+	}
+	maps.DeleteFunc(l.heard, func(o Origin, _ time.Duration) bool { return !l.hasRows(o) })
+}
+
+func (l *Ledger) hasRows(o Origin) bool {
+	for _, rows := range l.rows {
+		if rows[o] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// keeps reports whether a window is one of those that are kept.
+func (l *Ledger) keeps(window int64) bool {
+	return window > l.newest-keptWindows && window <= l.newest+1
+}
+
+// row returns the counts of a process in a window, or nil if the window is not kept.
+func (l *Ledger) row(window int64, o Origin) map[string]int64 {
+	if !l.keeps(window) {
+		return nil
+	}
+	rows := l.rows[window]
+	if rows == nil {
+		rows = map[Origin]map[string]int64{}
+		l.rows[window] = rows
+	}
+	if rows[o] == nil {
+		if len(rows) >= maxOrigins {
+			return nil
+		}
+		rows[o] = map[string]int64{}
+	}
+	return rows[o]
+}
+
+// Merge adds a row that another process sent. Counts only grow, so rows may arrive
+// repeatedly and in any order.
+func (l *Ledger) Merge(r Row) {
+	if r.Origin == l.self || len(r.Counts) > maxWorkspaces || len(r.Origin.Router) > maxNameBytes {
+		return
+	}
+	row := l.row(r.Window, r.Origin)
+	if row == nil {
+		return
+	}
+	for name, n := range r.Counts {
+		if len(name) <= maxNameBytes {
+			row[name] = max(row[name], n)
+		}
+	}
+}
+
+// Heard records that a process sent its own rows at the given boot time, with all that it
+// counted up to the true time through.
+func (l *Ledger) Heard(o Origin, now, through time.Duration) {
+	if _, known := l.through[o.Router]; !known && len(l.through) >= maxOrigins {
+		return
+	}
+	l.heard[o] = now
+	l.through[o.Router] = through
+}
+
+// Outgoing returns the rows that the named router does not have yet: those of this process
+// and, if all is set, those of processes that have not been heard for the time silent,
+// since these may have ended.
+func (l *Ledger) Outgoing(router string, all bool, now, silent time.Duration) []Row {
+	var out []Row
+	for window, rows := range l.rows {
+		for o, counts := range rows {
+			at, heard := l.heard[o]
+			if o != l.self && (!all || heard && now-at < silent) {
+				continue
+			}
+			if l.acked[router][rowKey{o, window}] != sum(counts) {
+				out = append(out, Row{o, window, maps.Clone(counts)})
+			}
+		}
+	}
+	return out
+}
+
+// Acked records that a process of the named router has taken the rows.
+func (l *Ledger) Acked(router string, process uint64, rows []Row) {
+	if l.acked[router] == nil || l.process[router] != process {
+		l.process[router], l.acked[router] = process, map[rowKey]int64{}
+	}
+	for _, r := range rows {
+		l.acked[router][rowKey{r.Origin, r.Window}] = sum(r.Counts)
+	}
+}
+
+func sum(counts map[string]int64) (n int64) {
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
+// Complete reports whether the named routers have sent all that they counted up to the true
+// time end.
+func (l *Ledger) Complete(end time.Duration, routers []string) bool {
+	return !slices.ContainsFunc(routers, func(name string) bool { return l.through[name] < end })
+}
+
+// Totals returns the requests of each workspace in a window over all processes.
+func (l *Ledger) Totals(window int64) map[string]int64 {
+	out := map[string]int64{}
+	for _, counts := range l.rows[window] {
+		for name, n := range counts {
+			out[name] += n
+		}
+	}
+	return out
+}
