--- a/cmd/goldcrest-router/main.go
+++ b/cmd/goldcrest-router/main.go
@@ -17,5 +17,6 @@
 }
 
 func run(ctx context.Context, log *slog.Logger, s router.Settings) error {
-	return router.Run(ctx, s, router.Deps{Log: log, Features: platform.Features(s.Contracts), Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()})
+	store := platform.NewStore(s.Store)
+	return router.Run(ctx, s, router.Deps{Log: log, Features: platform.Features(s.Contracts), Protocol: platform.Protocol{}, Store: store, Caches: platform.NewCacheLists(), Duties: platform.Duties(s.Duties), DutyStore: store})
 }
--- a/internal/duty/ledger.go
+++ b/internal/duty/ledger.go
@@ -60,6 +60,9 @@
 
 // Advance drops the windows that are too old once the given window has begun.
 func (l *Ledger) Advance(window int64) {
+	if window == l.newest {
+		return
+	}
 	l.newest = window
 	for w := range l.rows {
 		if !l.keeps(w) {
@@ -174,6 +177,19 @@
 	return !slices.ContainsFunc(routers, func(name string) bool { return l.through[name] < end })
 }
 
+// Routers returns the other routers that counted requests in a window.
+func (l *Ledger) Routers(window int64) (out []string) {
+	for o := range l.rows[window] {
+		if o.Router != l.self.Router {
+			out = append(out, o.Router)
+		}
+	}
+	return out
+}
+
+// Oldest returns the oldest window that is kept.
+func (l *Ledger) Oldest() int64 { return l.newest - keptWindows + 1 }
+
 // Totals returns the requests of each workspace in a window over all processes.
 func (l *Ledger) Totals(window int64) map[string]int64 {
 	out := map[string]int64{}
--- a/internal/router/deploy_test.go
+++ b/internal/router/deploy_test.go
@@ -23,7 +23,9 @@
 	s := fillTemplate(t, map[string]string{
 		"Bounds.GraceS": "8", "Bounds.RevokeMs": "5000", "Bounds.StrictRevoke": "true", "Bounds.RetryRatio": "0.2",
 		"Bounds.RetryBurst": "58", "Bounds.RetryWindowS": "10", "Bounds.DrainMs": "4000",
+		"CloudApi.Address": "10.200.1.8:8070", "CloudApi.Duties": "metering,autoscale", "Bounds.LeaseMs": "3000", "Bounds.ThawMs": "300", "Bounds.ReportWindowS": "5", "Bounds.UsageDelayS": "10",
 	})
+	is.Equal(s.Duties, router.DutySettings{Address: "10.200.1.8:8070", Names: []string{"metering", "autoscale"}, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, Window: 5 * time.Second, Delay: 10 * time.Second})
 	is.Equal(s.Grace, 8*time.Second)
 	is.Equal(s.Revoke, 5*time.Second)
 	is.Equal(s.RetryBurst, 58.0)
@@ -43,7 +45,10 @@
 func TestSettingsFromTemplateWithOtherBounds(t *testing.T) {
 	is := is.New(t)
 	is.Equal(fillTemplate(t, map[string]string{"Bounds.GraceS": "8.5", "Bounds.RetryWindowS": "2.5"}).Grace, 8500*time.Millisecond)
-	is.Equal(fillTemplate(t, nil).Grace, 8*time.Second)
+	s := fillTemplate(t, nil)
+	is.Equal(s.Grace, 8*time.Second)
+	is.Equal(s.Duties.Address, "")
+	is.Equal(s.Duties.Lease, 3*time.Second)
 }
 
 // fillTemplate fills in the template as the platform does and loads the result.
@@ -57,7 +62,8 @@
 	values := map[string]string{
 		"NodeName": "edge-a-1", "Zone": "a", "Listen.Frontend": "10.1.0.1:8227", "Listen.Ready": "10.1.0.1:8220", "Ip": "10.1.0.1",
 		"InternalPorts.0": "7340", "Bootstrap": "true", "Limits.MemoryMb": "184", "Platform.Address": "10.200.1.7:8065",
-		"Contracts": "base,pool,platform",
+		"Contracts": "base,pool,platform", "CloudApi.Address": "", "CloudApi.Duties": "",
+		"Bounds.LeaseMs": "", "Bounds.ThawMs": "", "Bounds.ReportWindowS": "", "Bounds.UsageDelayS": "",
 		"Bounds.GraceS": "", "Bounds.RevokeMs": "", "Bounds.StrictRevoke": "", "Bounds.RetryRatio": "",
 		"Bounds.RetryBurst": "", "Bounds.RetryWindowS": "", "Bounds.DrainMs": "",
 	}
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/catalog"
+	"github.com/goldcrestturn/goldcrestturn/internal/duty"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
@@ -122,6 +123,41 @@
 	CrashReportChanges(ctx context.Context, from int64, wait time.Duration) ([]suspect.Report, int64, error)
 }
 
+// DutyStore is the part of the platform's store that holds the records of the duties.
+type DutyStore interface {
+	// Duties returns the records and the position after them. DutyChanges does so for
+	// changes since last was read at position from, and waits up to wait for the first
+	// one. It returns ErrIncomplete if Duties is to be called.
+	// PutDuties stores the lease, and the journal unless it is empty, and returns the
+	// position after them. It returns ErrConflict if records were stored after position.
+	Duties(ctx context.Context) (DutyRecords, duty.Position, error)
+	DutyChanges(ctx context.Context, last DutyRecords, from duty.Position, wait time.Duration) (DutyRecords, duty.Position, error)
+	PutDuties(ctx context.Context, r DutyRecords, position duty.Position) (duty.Position, error)
+}
+
+// DutyRecords are the records of the duties in the store.
+type DutyRecords struct {
+	Lease   duty.Lease
+	Journal duty.Journal
+}
+
+// DutyCall says in whose name a call is made that is the duty of one router at a time.
+type DutyCall struct {
+	Holder model.InstanceID
+	Token  duty.Token
+	// Allowed reports whether the call may still be sent. It is asked right before each
+	// write.
+	Allowed func() bool
+}
+
+// DutyAPI is the platform's interface for calls that are the duty of one router at a time.
+// Nothing can be read from it.
+type DutyAPI interface {
+	// ReportUsage reports the requests of each workspace in a window. The error says why
+	// the outcome is not duty.Accepted.
+	ReportUsage(ctx context.Context, c DutyCall, r duty.Report) (duty.Outcome, error)
+}
+
 // CacheReader asks engines which prompt parts they have cached.
 type CacheReader interface {
 	// CachedParts returns the prompt parts in the cache of the engine at address.
@@ -143,4 +179,8 @@
 	Protocol Protocol
 	Store    Store
 	Caches   CacheReader
+	// Duties is nil if the deployment has no duties of one router at a time. DutyStore
+	// keeps their records.
+	Duties    DutyAPI
+	DutyStore DutyStore
 }
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -32,6 +32,7 @@
 	t         *testing.T
 	store     *standin.Store
 	endpoints []*standin.Endpoint
+	cloud     *standin.CloudAPI // nil if there are no duties
 	ids       atomic.Int64
 }
 
@@ -202,7 +203,12 @@
 	if s.Store == "" {
 		s.Store = f.store.Address()
 	}
-	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()}, link)
+	store := platform.NewStore(s.Store)
+	deps := router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: store, Caches: platform.NewCacheLists()}
+	if f.cloud != nil {
+		deps.Features.Duties, deps.DutyStore, deps.Duties = true, store, platform.NewCloudAPI(f.cloud.Address(), s.Duties.Flight())
+	}
+	r := router.New(s, deps, link)
 	go func() { p.ended <- r.Serve(ctx, callers, readiness, cutListener{rpc, link}) }()
 	f.t.Cleanup(stop)
 	return p
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -90,6 +90,7 @@
 	"instance list":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="list"}`),
 	"router list":       metrics.NewCounter(`goldcrest_router_store_failures_total{read="routers"}`),
 	"crash reports":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="crash_reports"}`),
+	"duties":            metrics.NewCounter(`goldcrest_router_store_failures_total{read="duties"}`),
 	"suspects":          metrics.NewCounter(`goldcrest_router_store_failures_total{read="suspects"}`),
 }
 
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -24,7 +24,7 @@
 		retryRequest{allowRetry: r.allowRetry, log: r.log},
 		guardEndpoints{snapshot: r.loop.Snapshot, allowTrial: r.allowTrial},
 		placeRequest{pick: r.pick, broadcastHolder: r.broadcastHolder, random: r.random},
-		send{client: r.client, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, checkKey: r.checkKey, log: r.log},
+		send{client: r.client, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, recordBegan: r.recordBegan, checkKey: r.checkKey, log: r.log},
 	)
 }
 
@@ -38,6 +38,7 @@
 		placeRequests{broadcast: r.broadcast, log: r.log},
 		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, report: r.suspects.saveReport, log: r.log},
 		budgetRetries{},
+		performDuties{r.log},
 		applySettings{r.log},
 		advanceStop{r.log},
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -48,6 +48,7 @@
 	Runs         int                // attempts that an endpoint may have run
 	trace        origin.Trace       // of the latest attempt
 	connections  []uint64           // that carried attempts, by their numbers
+	began        bool               // an endpoint began to run it, which is counted for the usage report
 	// FirstEvent is the time from the arrival to the first event of a stream.
 	FirstEvent time.Duration
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,6 +32,7 @@
 	node     *exchange.Node
 	gate     *storeGate
 	suspects *suspectWriter
+	duties   *dutyLink // nil if the deployment has no duties of one router at a time
 	meter    *meter
 	memory   *memory.Budget
 	random   func() float64 // uniform in [0, 1)
@@ -70,18 +71,24 @@
 	r.node = exchange.New(exchange.Config{Key: exchangeKey, AcceptFailed: func(err error) {
 		r.log.Warn("connections of peers cannot be accepted", "error", err.Error())
 	}})
+	state := newState(s)
+	r.duties = newDutyLink(r, state.duties.self.Process)
 	r.loop = control.New(control.Config[State, Snapshot]{
-		State: newState(s), Stages: r.controlPipeline(), Publish: publish,
+		State: state, Stages: r.controlPipeline(), Publish: publish,
 	})
 	return r
 }
 
 // Start starts the control loop and its sources, which run until ctx ends.
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
-	for _, run := range []func(context.Context){
+	runs := []func(context.Context){
 		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run, r.followCrashReports,
 		r.queryStoreReaders, r.node.Run, r.meter.run, r.serveMetrics,
-	} {
+	}
+	if r.duties != nil {
+		runs = append(runs, r.duties.follow, r.duties.call, r.sendCounts)
+	}
+	for _, run := range runs {
 		g.Go(func() error { run(ctx); return nil })
 	}
 }
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -48,6 +48,7 @@
 	recordCrash     func(context.Context, *Request)
 	recordAbandoned func(*Request)
 	recordSound     func(*Request)
+	recordBegan     func(*Request)
 	checkKey        func(*Request) *model.Refusal
 	log             *slog.Logger
 }
@@ -153,9 +154,12 @@
 	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, EndpointError: res.Status >= http.StatusInternalServerError}
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
 		answer.Events = &stream{req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), recordResult: f.recordResult,
-			recordCrash: f.recordCrash, recordAbandoned: f.recordAbandoned, recordSound: f.recordSound}
+			recordCrash: f.recordCrash, recordAbandoned: f.recordAbandoned, recordSound: f.recordSound, recordBegan: f.recordBegan}
 		return answer, nil
 	}
+	if req.Route.Semantics != catalog.Stream && !answer.EndpointError {
+		f.recordBegan(req)
+	}
 	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
 	res.Release(err == nil)
 	if err != nil {
@@ -201,6 +205,7 @@
 	recordCrash     func(context.Context, *Request)
 	recordAbandoned func(*Request)
 	recordSound     func(*Request)
+	recordBegan     func(*Request)
 	begun           bool // an event has arrived
 	waiting         bool // the read timeout of the next event runs
 	finished        bool
@@ -214,7 +219,10 @@
 	if err == nil {
 		// A stalled endpoint may still send comments, which are no progress.
 		s.waiting = isComment(event)
-		s.begun = s.begun || !s.waiting
+		if !s.waiting && !s.begun {
+			s.begun = true
+			s.recordBegan(s.req)
+		}
 		return event, nil
 	}
 	if errors.Is(err, io.EOF) && !s.begun && !s.res.Framed() {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -52,6 +52,11 @@
 	}
 	background, stopAll := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopAll()
+	if r.duties != nil {
+		if err := r.node.Register(countsService, &countsServer{background, r.loop}); err != nil {
+			return err
+		}
+	}
 	var g errgroup.Group
 	r.Start(background, &g)
 	g.Go(func() error { return r.node.Serve(background, rpc) })
@@ -130,6 +135,7 @@
 		r.log.Warn("requests were cut at the end of the grace time", "count", active.Load())
 		_ = srv.Close()
 	}
+	r.flushCounts(ctx)
 }
 
 // countActive counts the requests in flight in n.
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -31,7 +31,18 @@
 	ListInterval time.Duration // between reads of the instance list
 	Contracts    []string      // terms of the platform for this deployment, from which Features follow
 	FollowWait   time.Duration // for which a read of the operators' orders waits for changes
-	path         string        // of the settings file
+	Duties       DutySettings
+	path         string // of the settings file
+}
+
+// DutySettings are the settings of the duties of one router at a time.
+type DutySettings struct {
+	Address string        // of the platform's interface for duties; empty means none
+	Names   []string      // duties to perform, by the platform's names
+	Lease   time.Duration // after which another router may take over
+	Thaw    time.Duration // after a suspension, in which the platform does not count calls
+	Window  time.Duration // of a usage report
+	Delay   time.Duration // from the end of a window until its report is due
 }
 
 // readsPerDrain is how often the instance list is read within the time after which a
@@ -80,6 +91,14 @@
 		Contracts:    f.List("platform", "contracts"),
 		FollowWait:   f.Duration("platform", "follow", time.Second, minDuration, maxDuration),
 	}
+	s.Duties = DutySettings{
+		Address: f.OptionalAddress("duties", "address"),
+		Names:   f.List("duties", "names"),
+		Lease:   f.Duration("duties", "lease", 3*time.Second, time.Second, maxDuration),
+		Thaw:    f.Duration("duties", "thaw", 300*time.Millisecond, 0, maxDuration),
+		Window:  f.Duration("duties", "report_window", 5*time.Second, time.Second, maxDuration),
+		Delay:   f.Duration("duties", "report_delay", 10*time.Second, time.Second, maxDuration),
+	}
 	s.ListInterval = f.Duration("platform", "list_interval", s.Drain/readsPerDrain, minDuration, maxDuration)
 	for _, dc := range f.List("regions", "data_centres") {
 		s.Regions[model.DataCentre(dc)] = model.Region(f.Required("regions", dc))
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -48,6 +48,7 @@
 	members      []model.InstanceID                   // routers whose announcements have not expired, this one included
 	peersUnheard int                                  // announced routers that were not heard, as logged last
 	peersWatched time.Time                            // when that was logged, or first checked
+	duties       *dutyState
 }
 
 // Snapshot is the part of the state that other goroutines read. It is immutable.
@@ -73,7 +74,7 @@
 
 func newState(s Settings) *State {
 	return &State{settings: s, holdersKnown: s.FirstStart, cachesRead: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), causes: suspect.NewCauses(), evacuated: map[model.DataCentre]bool{}, rollouts: map[model.Pool]model.Version{},
-		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}}
+		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}, duties: newDutyState(s)}
 }
 
 // publish returns the snapshot of the state.
