--- a/internal/duty/ledger.go
+++ b/internal/duty/ledger.go
@@ -33,7 +33,7 @@
 type Ledger struct {
 	self    Origin
 	rows    map[int64]map[Origin]map[string]int64
-	heard   map[Origin]time.Duration    // when a process last sent its own rows
+	current map[string]uint64           // process of a router that last sent its own rows
 	through map[string]time.Duration    // true time up to which a router sent all its counts
 	acked   map[string]map[rowKey]int64 // sums of the rows that a router has
 	process map[string]uint64           // process of that router
@@ -47,7 +47,7 @@
 
 // NewLedger returns an empty ledger of the process self.
 func NewLedger(self Origin) *Ledger {
-	return &Ledger{self: self, rows: map[int64]map[Origin]map[string]int64{}, heard: map[Origin]time.Duration{},
+	return &Ledger{self: self, rows: map[int64]map[Origin]map[string]int64{}, current: map[string]uint64{},
 		through: map[string]time.Duration{}, acked: map[string]map[rowKey]int64{}, process: map[string]uint64{}}
 }
 
@@ -72,16 +72,6 @@
 	for _, sums := range l.acked {
 		maps.DeleteFunc(sums, func(k rowKey, _ int64) bool { return !l.keeps(k.window) })
 	}
-	maps.DeleteFunc(l.heard, func(o Origin, _ time.Duration) bool { return !l.hasRows(o) })
-}
-
-func (l *Ledger) hasRows(o Origin) bool {
-	for _, rows := range l.rows {
-		if rows[o] != nil {
-			return true
-		}
-	}
-	return false
 }
 
 // keeps reports whether a window is one of those that are kept.
@@ -125,25 +115,25 @@
 	}
 }
 
-// Heard records that a process sent its own rows at the given boot time, with all that it
-// counted up to the true time through.
-func (l *Ledger) Heard(o Origin, now, through time.Duration) {
+// Heard records that a process sent its own rows, with all that it counted up to the true
+// time through.
+func (l *Ledger) Heard(o Origin, through time.Duration) {
 	if _, known := l.through[o.Router]; !known && len(l.through) >= maxOrigins {
 		return
 	}
-	l.heard[o] = now
+	l.current[o.Router] = o.Process
 	l.through[o.Router] = through
 }
 
 // Outgoing returns the rows that the named router does not have yet: those of this process
-// and, if all is set, those of processes that have not been heard for the time silent,
-// since these may have ended.
-func (l *Ledger) Outgoing(router string, all bool, now, silent time.Duration) []Row {
+// and those of processes that have ended as far as is known: their routers are gone or have
+// started again.
+func (l *Ledger) Outgoing(router string, gone func(router string) bool) []Row {
 	var out []Row
 	for window, rows := range l.rows {
 		for o, counts := range rows {
-			at, heard := l.heard[o]
-			if o != l.self && (!all || heard && now-at < silent) {
+			process, heard := l.current[o.Router]
+			if o != l.self && !gone(o.Router) && (!heard || process == o.Process) {
 				continue
 			}
 			if l.acked[router][rowKey{o, window}] != sum(counts) {
--- a/internal/router/duties_test.go
+++ b/internal/router/duties_test.go
@@ -128,3 +128,29 @@
 	is.Equal(len(f.cloud.Broken()), 0) // rules that calls broke
 	is.True(f.cloud.Holders() >= 3)
 }
+
+// Guards against a holder that hears no other router and reports its own counts as those of
+// all.
+func TestAHolderThatHearsNobodyStepsDown(t *testing.T) {
+	is := is.New(t)
+	f, _, fleet := dutyFleet(t, 4)
+	eventually(t, "a router holds the duties", func() bool { return holder(fleet) >= 0 })
+	want := map[int64]int64{}
+	nextWindow() // all are known to each other
+	first := holder(fleet)
+	fleet[first].link.deaf.Store(true)
+	fleet[first].link.mute.Store(true)
+	others := append(fleet[:first:first], fleet[first+1:]...)
+	for range 4 {
+		w := nextWindow()
+		want[w] = callAll(t, others, 3)
+	}
+	is.True(holder(fleet) != first)
+	for w, n := range want {
+		eventually(t, fmt.Sprintf("window %d is reported", w), func() bool { _, ok := f.cloud.Reports()[w]; return ok })
+		rep := f.cloud.Reports()[w]
+		t.Logf("window %d: %v of %d requests by %s", w, rep.Counts, n, rep.Holder)
+		is.Equal(rep.Counts["studio"], n)
+	}
+	is.Equal(len(f.cloud.Broken()), 0) // rules that calls broke
+}
--- a/internal/router/duty_events.go
+++ b/internal/router/duty_events.go
@@ -72,10 +72,12 @@
 type dutyTurnReply struct {
 	at      time.Duration // boot time
 	phase   Phase
-	rank    int           // of this router among the live ones, which is the order of taking over
+	rank    int           // of this router among the live ones
+	order   int           // in which this router may take over
 	window  int64         // the current one
 	ready   []duty.Report // in the order of their windows, which follow each other
 	skip    int64         // the windows before it are no longer known
-	clocks  int           // from which the true time follows
 	routers int           // live ones, this one included
+	// isolated says that this router hears less than half of the announced routers.
+	isolated bool
 }
--- a/internal/router/source_counts.go
+++ b/internal/router/source_counts.go
@@ -28,8 +28,15 @@
 // sendCounts sends usage counts to the peers until ctx ends.
 func (r *Router) sendCounts(ctx context.Context) {
 	for {
-		pause := r.sendCountsOnce(ctx, false)
-		if !control.Pause(ctx, max(pause, countsSettle)) {
+		t := time.NewTimer(max(r.sendCountsOnce(ctx, false), countsSettle))
+		select {
+		case <-t.C:
+		case <-r.duties.announce:
+			r.sendCountsOnce(ctx, true)
+		case <-ctx.Done():
+		}
+		t.Stop()
+		if ctx.Err() != nil {
 			return
 		}
 	}
--- a/internal/router/source_duties.go
+++ b/internal/router/source_duties.go
@@ -28,6 +28,9 @@
 	// maxTurnAge is below reportDelay, so that the window that was the current one when a
 	// step began cannot have been started by another router when the lease is taken.
 	maxTurnAge = reportDelay / 2
+	// isolatedTime is how long the holder goes on while it hears few of the others. Load
+	// reports of peers may be late by a second and a half.
+	isolatedTime = 1500 * time.Millisecond
 	// takeoverMargin allows for the drift of clocks while a successor waits, and
 	// takeoverStep lets the routers that may take over try in turn.
 	takeoverMargin = 300 * time.Millisecond
@@ -83,8 +86,11 @@
 	r       *Router
 	process uint64
 	grant   atomic.Pointer[dutyGrant]
-	jobs    chan dutyJob
-	results chan dutyResult
+	// announce wakes the goroutine that sends counts to tell all that this router holds the
+	// duties.
+	announce chan struct{}
+	jobs     chan dutyJob
+	results  chan dutyResult
 
 	keeper  *duty.Keeper
 	reports *duty.Reports
@@ -94,6 +100,9 @@
 	busy    bool          // a call is being made
 	ended   time.Duration // boot time at which the last call ended
 	dep     *dependency
+	// heardMany is when this router last heard half of the others, steppedDown when it
+	// last gave up the lease since it did not.
+	heardMany, steppedDown time.Duration
 }
 
 // newDutyLink returns nil if the deployment has no duties.
@@ -102,7 +111,7 @@
 		return nil
 	}
 	s := r.settings.Duties
-	return &dutyLink{r: r, process: process, jobs: make(chan dutyJob, 1), results: make(chan dutyResult, 1),
+	return &dutyLink{r: r, process: process, announce: make(chan struct{}, 1), jobs: make(chan dutyJob, 1), results: make(chan dutyResult, 1),
 		keeper:  duty.NewKeeper(string(r.settings.Instance), process, s.timing(), boottime.Now()),
 		reports: duty.NewReports(s.Thaw + maxConfirmPause), dep: &dependency{r: r, name: "duties"}}
 }
@@ -139,9 +148,13 @@
 		d.update(ctx)
 		switch {
 		case turn.phase != Serving:
-			if d.stop(ctx) {
+			if d.handOver(ctx) {
 				return
 			}
+		case d.token != 0 && d.keeper.Known() && d.isolated(turn):
+			if d.handOver(ctx) {
+				d.steppedDown = boottime.Now()
+			}
 		case d.token != 0:
 			err = d.perform(ctx, turn)
 		case turn.rank < dutyWatchers:
@@ -152,14 +165,24 @@
 		if err != nil {
 			d.keeper.Failed()
 			d.update(ctx)
-			if !errors.Is(err, ErrConflict) && !d.dep.failed(ctx, err) {
-				return
-			}
-			continue
+			d.backOff(ctx, err)
 		}
 	}
 }
 
+// backOff waits after a failed call to the store. The holder tries again soon, before its
+// lease ends.
+func (d *dutyLink) backOff(ctx context.Context, err error) {
+	if errors.Is(err, ErrConflict) {
+		return
+	}
+	pause := d.dep.recordFailure(err)
+	if d.token != 0 {
+		pause = minBackoff
+	}
+	control.Pause(ctx, pause)
+}
+
 // update publishes until when calls are allowed, and notes that the lease was taken or lost.
 func (d *dutyLink) update(ctx context.Context) {
 	token, until, holds := d.keeper.Holds(boottime.Now())
@@ -181,7 +204,7 @@
 	dutyTaken.Inc()
 	d.r.log.Info("lease of the duties taken", "token", uint64(token), "next_window", d.reports.Next())
 	_ = d.r.loop.Post(ctx, holderSeen{d.r.settings.Instance, token})
-	d.r.sendCountsOnce(ctx, true)
+	wake(d.announce)
 }
 
 // observe applies what was read of the store.
@@ -222,11 +245,11 @@
 		return d.read(ctx, turn)
 	}
 	now := boottime.Now()
-	if a, due := d.keeper.Next(now, turn.rank); due {
+	if a, due := d.keeper.Next(now, turn.order); due {
 		return d.put(ctx, turn, a, nil)
 	}
 	at, _ := d.keeper.Seen()
-	wait := max(d.keeper.TakeAt(turn.rank)-now, minBackoff)
+	wait := max(d.keeper.TakeAt(turn.order)-now, minBackoff)
 	dutyStoreCalls[false].Inc()
 	records, next, err := d.r.deps.DutyStore.DutyChanges(ctx, d.records, at, min(wait, d.r.settings.Duties.Lease))
 	if errors.Is(err, ErrIncomplete) {
@@ -291,7 +314,7 @@
 		}
 	}
 	now := boottime.Now()
-	a, due := d.keeper.Next(now, turn.rank)
+	a, due := d.keeper.Next(now, turn.order)
 	if a.Taking {
 		return d.put(ctx, turn, a, nil)
 	}
@@ -325,9 +348,19 @@
 	}
 }
 
-// stop hands the lease over at a planned stop, once the last call has arrived or cannot
+// isolated reports whether this router has heard few others for some time, so that another
+// one is to take over. It does so rarely, since announcements of routers that ended last
+// for a while.
+func (d *dutyLink) isolated(turn dutyTurnReply) bool {
+	if !turn.isolated {
+		d.heardMany = turn.at
+	}
+	return turn.at-d.heardMany > isolatedTime && (d.steppedDown == 0 || turn.at-d.steppedDown > memberTTL)
+}
+
+// handOver releases the lease, once the last call has arrived or cannot
 // arrive any more, and reports whether that is done.
-func (d *dutyLink) stop(ctx context.Context) (done bool) {
+func (d *dutyLink) handOver(ctx context.Context) (done bool) {
 	if d.token == 0 {
 		return true
 	}
@@ -347,6 +380,8 @@
 		return true
 	}
 	d.r.log.Info("lease of the duties handed over", "token", uint64(d.token))
+	d.token, d.takenAt = 0, 0
+	d.keeper.Failed()
 	dutyHeld.Set(0)
 	return true
 }
--- a/internal/router/stage_duties.go
+++ b/internal/router/stage_duties.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,9 +27,6 @@
 	// that began at the end is counted a few milliseconds later, and clocks differ by as
 	// much.
 	countsSettle = 250 * time.Millisecond
-	// silentRouter is how long a router sends no counts until another one that has them
-	// passes them on.
-	silentRouter = 2500 * time.Millisecond
 	// reportDelay is the least time from the end of a window to its report, so that no
 	// difference of clocks makes two routers start one window in turn.
 	reportDelay = time.Second
@@ -40,6 +38,9 @@
 	// randomPeers is the number of peers beyond holder and second router that are sent a
 	// message without counts, by which the routers compare their clocks.
 	randomPeers = 1
+	// isolatedRank is added to the order of a router that hears few of the others, so that
+	// it takes over only if none of those that hear more does so for three seconds.
+	isolatedRank = 8
 	// minClocks is the number of clocks from which the true time must follow before a
 	// report is made, if there are as many routers: the median of three is right although
 	// one is off.
@@ -51,13 +52,14 @@
 	ledger *duty.Ledger
 	clock  *duty.Clock
 	self   duty.Origin
-	holder model.InstanceID // of the duties; empty if not known
-	token  duty.Token       // of the holder
+	holder model.InstanceID          // of the duties; empty if not known
+	token  duty.Token                // of the holder
+	left   map[model.InstanceID]bool // routers that said that they leave
 }
 
 func newDutyState(s Settings) *dutyState {
 	self := duty.Origin{Router: string(s.Instance), Process: rand.Uint64() >> 1}
-	return &dutyState{ledger: duty.NewLedger(self), clock: duty.NewClock(), self: self}
+	return &dutyState{ledger: duty.NewLedger(self), clock: duty.NewClock(), self: self, left: map[model.InstanceID]bool{}}
 }
 
 // performDuties counts the requests that began, exchanges the counts with peers and says
@@ -68,6 +70,14 @@
 
 func (f performDuties) Apply(s *State, now time.Time, ev control.Event) bool {
 	switch e := ev.(type) {
+	case peerMessage:
+		if name := model.InstanceID(e.name); e.leaving {
+			s.duties.left[name] = true
+		} else {
+			delete(s.duties.left, name)
+		}
+	case membersRead:
+		maps.DeleteFunc(s.duties.left, func(name model.InstanceID, _ bool) bool { _, ok := s.addresses[name]; return !ok })
 	case requestBegan:
 		d, at := s.duties, e.at
 		d.clock.Sample(d.self.Router, sinceEpoch(now), boottime.Now())
@@ -122,7 +132,7 @@
 			d.ledger.Merge(duty.Row{Origin: duty.Origin{Router: r.Router, Process: r.Process}, Window: r.Window, Counts: r.Counts})
 		}
 		if a.Through > 0 {
-			d.ledger.Heard(duty.Origin{Router: a.Router, Process: a.Process}, boot, time.Duration(a.Through))
+			d.ledger.Heard(duty.Origin{Router: a.Router, Process: a.Process}, time.Duration(a.Through))
 		}
 		f.learnHolder(s, model.InstanceID(a.Holder), duty.Token(a.Token))
 	}
@@ -135,7 +145,7 @@
 // plan returns the messages that are due: to the holder of the duties with all counts that
 // it lacks, to a second router with those of this one, and to a random one for its clock.
 func (f performDuties) plan(s *State, now time.Time, all bool) countsPlanReply {
-	boot, at, _ := f.trueTime(s, now)
+	_, at, _ := f.trueTime(s, now)
 	d := s.duties
 	live := s.table.LivePeers(now)
 	reply := countsPlanReply{holder: d.holder, token: d.token}
@@ -151,13 +161,19 @@
 		return cmp.Compare(pairRank(d.self.Router, b), pairRank(d.self.Router, a))
 	})
 	var random []model.InstanceID
+	if d.holder != "" && d.holder != s.settings.Instance && !slices.Contains(live, d.holder) {
+		live = append(live, d.holder) // calls may reach a router whose datagrams do not arrive
+	}
+	gone := func(router string) bool {
+		return router != d.self.Router && !slices.Contains(live, model.InstanceID(router))
+	}
 	second := true
-	for i, name := range live {
+	for _, name := range live {
 		switch {
 		case name == d.holder || all:
-			reply.messages = f.appendMessage(reply.messages, s, name, boot, at, true)
+			reply.messages = f.appendMessage(reply.messages, s, name, at, gone)
 		case second:
-			reply.messages = f.appendMessage(reply.messages, s, name, boot, at, d.holder == "" && i == 0)
+			reply.messages = f.appendMessage(reply.messages, s, name, at, func(string) bool { return false })
 			second = false
 		default:
 			random = append(random, name)
@@ -178,14 +194,14 @@
 	return xxhash.Sum64String(self + "\x00" + string(peer))
 }
 
-func (f performDuties) appendMessage(list []countsMessage, s *State, name model.InstanceID, boot, at time.Duration, all bool) []countsMessage {
+func (f performDuties) appendMessage(list []countsMessage, s *State, name model.InstanceID, at time.Duration, gone func(router string) bool) []countsMessage {
 	a, ok := s.addresses[name]
 	if !ok {
 		return list
 	}
 	m := countsMessage{router: name, address: a.address, through: int64(at)}
 	counts := 0
-	for _, row := range s.duties.ledger.Outgoing(string(name), all, boot, silentRouter) {
+	for _, row := range s.duties.ledger.Outgoing(string(name), gone) {
 		if counts += len(row.Counts); counts > maxCountsInMessage && len(m.rows) > 0 {
 			m.through = 0
 			break
@@ -200,38 +216,51 @@
 	boot, at, clocks := f.trueTime(s, now)
 	live := s.table.LivePeers(now)
 	window := s.settings.Duties.Window
-	reply := dutyTurnReply{at: boot, phase: s.phase, window: int64(at / window), clocks: clocks, routers: 1 + len(live)}
+	reply := dutyTurnReply{at: boot, phase: s.phase, window: int64(at / window), routers: 1 + len(live)}
 	own := takeoverRank(s.settings.Instance)
 	for _, name := range live {
 		if takeoverRank(name) > own {
 			reply.rank++
 		}
 	}
+	// A router that hears few of the others does not know their counts.
+	known := f.known(s)
+	reply.order = reply.rank
+	if reply.isolated = 2*reply.routers < 1+len(known); reply.isolated {
+		reply.order += isolatedRank
+	}
 	if e.takenAt == 0 || clocks < min(minClocks, reply.routers) {
 		return reply
 	}
 	reply.skip = s.duties.ledger.Oldest()
-	names := make([]string, 0, len(live))
-	for _, name := range live {
-		names = append(names, string(name))
-	}
 	for w := max(e.next, reply.skip); ; w++ {
 		end := time.Duration(w+1) * window
-		if at < end+reportDelay || !f.ready(s, w, names, boot, at, e.takenAt) {
+		if at < end+reportDelay || !f.ready(s, w, known, boot, at, e.takenAt, reply.isolated) {
 			return reply
 		}
 		reply.ready = append(reply.ready, duty.Report{Window: w, Counts: s.duties.ledger.Totals(w)})
 	}
 }
 
-// ready reports whether a window that has ended can be reported: all routers have sent
-// their counts of it, or it cannot wait for them.
-func (f performDuties) ready(s *State, w int64, live []string, boot, at, takenAt time.Duration) bool {
+// known returns the other routers that were heard or are announced, without those that said
+// that they leave.
+func (f performDuties) known(s *State) (out []string) {
+	for name := range s.addresses {
+		if name != s.settings.Instance && !s.duties.left[name] {
+			out = append(out, string(name))
+		}
+	}
+	return out
+}
+
+// ready reports whether a window that has ended can be reported: all routers that are heard
+// or announced have sent their counts of it, or it cannot wait for them.
+func (f performDuties) ready(s *State, w int64, routers []string, boot, at, takenAt time.Duration, isolated bool) bool {
 	end := time.Duration(w+1) * s.settings.Duties.Window
-	if boot >= takenAt+gatherTime && s.duties.ledger.Complete(end, append(s.duties.ledger.Routers(w), live...)) {
+	if !isolated && boot >= takenAt+gatherTime && s.duties.ledger.Complete(end, append(s.duties.ledger.Routers(w), routers...)) {
 		return true
 	}
-	limit := end + s.settings.Duties.Delay*2/5
+	limit := end + s.settings.Duties.Delay/2
 	taken := takenAt + at - boot
 	if gathered := taken + gatherTime; gathered > limit {
 		limit = gathered
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -364,6 +364,7 @@
 	if !ok {
 		return false
 	}
+	e.settings.Duties = s.settings.Duties // windows that are being counted keep their length
 	s.settings = e.settings
 	f.log.Info("settings reloaded")
 	return true
