--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -65,6 +65,14 @@
 	ColdTime time.Duration // how long an endpoint is cold after its start
 	ColdRate float64       // requests a second that a cold endpoint tolerates
 	Engine   bool          // the endpoints are engines
+	Scaling  Scaling
+}
+
+// Scaling says how many endpoints of a pool may be ordered in each data centre. A Max of 0
+// means that none may.
+type Scaling struct {
+	Min, Max int
+	Boot     time.Duration // until an ordered endpoint serves
 }
 
 // Catalog is one version of the configuration. It is immutable once published.
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -99,7 +99,7 @@
 		}
 		k.known, k.seen, k.lease = true, at, l
 	}
-	own := l.Holder == k.self && l.Process == k.process && !l.Released
+	own := k.mine(l)
 	switch {
 	case k.held != 0 && (!own || l.Token != k.held):
 		k.lose(received)
@@ -109,6 +109,11 @@
 	}
 }
 
+// mine reports whether this process sent a record that takes or renews the lease.
+func (k *Keeper) mine(l Lease) bool {
+	return l.Holder == k.self && l.Process == k.process && !l.Released
+}
+
 // enterEra drops what was known of an earlier era.
 func (k *Keeper) enterEra(received time.Duration, era uint64) {
 	if era <= k.seen.Era {
@@ -174,6 +179,11 @@
 
 // TakeAt returns the time at which this router may take the lease if nothing changes.
 func (k *Keeper) TakeAt(rank int) time.Duration {
+	if k.mine(k.lease) && k.lease.Era == k.seen.Era {
+		// The newest record is of this process: after an outage of the store nobody has
+		// taken the lease, which the condition of the append ensures.
+		return k.since
+	}
 	wait := k.timing.Lease + k.timing.Margin
 	due := k.since + wait + time.Duration(rank)*k.timing.Step
 	if k.lease.Released && k.lease.Era == k.seen.Era {
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -210,14 +210,22 @@
 	default:
 		holds = n.keeper.Succeeded(op.add, op.sent, m.now, op.at)
 		carried = op.add.Carried
-		if holds && op.record.journal.Next > 0 {
+		if !n.keeper.Known() {
+			return
+		}
+		if holds && !before {
+			n.reports.Take(n.found.journal, op.at.Era, carried, int64(m.now/testWindow))
+		}
+		if op.record.journal.Next > 0 {
+			n.found.journal = op.record.journal
 			n.reports.Merge(op.record.journal, op.at.Era)
 		}
+		return
 	}
 	if holds && !before {
 		// Windows are reported after their end, so the first one that nobody can have
 		// started is the current one.
-		n.reports.Take(n.found.journal, op.at.Era, carried, int64(m.now/testWindow))
+		n.reports.Take(n.found.journal, op.at.Era, false, int64(m.now/testWindow))
 	}
 }
 
--- a/internal/duty/report.go
+++ b/internal/duty/report.go
@@ -19,6 +19,7 @@
 	Era     uint64   // in which the record was sent
 	Next    int64    // the windows before it must not be started
 	Started []Report // not known to have been accepted
+	Orders  []Order  // the last ones of endpoints
 }
 
 // Outcome is what is known of a call.
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -156,6 +156,10 @@
 	// ReportUsage reports the requests of each workspace in a window. The error says why
 	// the outcome is not duty.Accepted.
 	ReportUsage(ctx context.Context, c DutyCall, r duty.Report) (duty.Outcome, error)
+	// OrderEndpoints orders the number of endpoints of a pool in a data centre.
+	OrderEndpoints(ctx context.Context, c DutyCall, o duty.Order) (duty.Outcome, error)
+	// Performs returns which duties the deployment has.
+	Performs() (usage, scaling bool)
 }
 
 // CacheReader asks engines which prompt parts they have cached.
--- a/internal/router/duties_test.go
+++ b/internal/router/duties_test.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	dutyLease  = 1200 * time.Millisecond
+	dutyLease  = 1500 * time.Millisecond
 	dutyWindow = 2 * time.Second
+	// countsSent is longer than the time between two messages with counts.
+	countsSent = 1300 * time.Millisecond
 )
 
 // dutyFleet starts routers that perform the duties of one router at a time.
@@ -26,7 +28,7 @@
 	t.Cleanup(f.cloud.Close)
 	listeners, fleet := f.startBehindListeners(routers, func(s *router.Settings) {
 		s.Grace = 4 * time.Second
-		s.Duties = router.DutySettings{Lease: dutyLease, Thaw: 50 * time.Millisecond, Window: dutyWindow, Delay: 2 * dutyWindow}
+		s.Duties = router.DutySettings{Names: []string{"metering", "autoscale"}, Lease: dutyLease, Thaw: 50 * time.Millisecond, Window: dutyWindow, Delay: 2 * dutyWindow}
 	})
 	return f, listeners, fleet
 }
@@ -43,6 +45,13 @@
 	return -1
 }
 
+// awaitHolder waits until a router holds the duties and returns its index.
+func awaitHolder(t *testing.T, fleet []*process) (i int) {
+	t.Helper()
+	eventually(t, "a router holds the duties", func() bool { i = holder(fleet); return i >= 0 })
+	return i
+}
+
 // nextWindow waits until a new window has begun and returns it.
 func nextWindow() int64 {
 	window := time.Now().UnixNano()/int64(dutyWindow) + 1
@@ -75,7 +84,7 @@
 func TestUsageIsReportedOnceForEachWindow(t *testing.T) {
 	is := is.New(t)
 	f, listeners, fleet := dutyFleet(t, 4)
-	eventually(t, "a router holds the duties", func() bool { return holder(fleet) >= 0 })
+	awaitHolder(t, fleet)
 	want := map[int64]int64{}
 	window := func(n int) {
 		w := nextWindow()
@@ -87,18 +96,18 @@
 	window(2)
 	window(4)
 	// The holder ends without handing over. Its counts are known to others.
-	first := holder(fleet)
+	first := awaitHolder(t, fleet)
 	ended := fleet[first]
 	window(3)
-	time.Sleep(1200 * time.Millisecond) // the holder and a second router have got the counts
+	time.Sleep(countsSent) // the holder and a second router have got the counts
 	listeners[first].SetFaults(standin.StoreFaults{Reset: true})
 	ended.stop()
 	remove(first)
 	window(5)
-	eventually(t, "another router holds the duties", func() bool { return holder(fleet) >= 0 })
+	awaitHolder(t, fleet)
 	window(2)
 	// A planned stop.
-	second := holder(fleet)
+	second := awaitHolder(t, fleet)
 	stopped := fleet[second]
 	stopped.stop()
 	remove(second)
@@ -134,10 +143,10 @@
 func TestAHolderThatHearsNobodyStepsDown(t *testing.T) {
 	is := is.New(t)
 	f, _, fleet := dutyFleet(t, 4)
-	eventually(t, "a router holds the duties", func() bool { return holder(fleet) >= 0 })
+	awaitHolder(t, fleet)
 	want := map[int64]int64{}
 	nextWindow() // all are known to each other
-	first := holder(fleet)
+	first := awaitHolder(t, fleet)
 	fleet[first].link.deaf.Store(true)
 	fleet[first].link.mute.Store(true)
 	others := append(fleet[:first:first], fleet[first+1:]...)
@@ -154,3 +163,31 @@
 	}
 	is.Equal(len(f.cloud.Broken()), 0) // rules that calls broke
 }
+
+// Guards against orders of endpoints that are not made while the load stays high, that come
+// in a burst, or that are made outside the limits of the configuration.
+func TestEndpointsAreOrdered(t *testing.T) {
+	is := is.New(t)
+	f, _, fleet := dutyFleet(t, 2)
+	config := routes(2)
+	for _, s := range config["Services"].([]any) {
+		if service := s.(map[string]any); service["Name"] == "engines" {
+			service["Scaling"] = map[string]any{"Min": 1, "Max": 3, "BootS": 20}
+		}
+	}
+	f.store.SetConfig(config)
+	i := awaitHolder(t, fleet)
+	f.setFaults("engine", standin.EndpointFaults{Events: 200, EventInterval: 50 * time.Millisecond})
+	done := make(chan reply, 20)
+	for n := range cap(done) { // its engine has 8 slots
+		go func() { done <- fleet[n%2].post("/stream/brief/x") }()
+	}
+	eventually(t, "endpoints are ordered", func() bool { return len(f.cloud.Orders()) > 0 })
+	for range cap(done) {
+		<-done
+	}
+	is.Equal(f.cloud.Orders(), []standin.ScaleOrder{{Pool: "engines", DataCentre: "dc-a", Holder: f.cloud.Orders()[0].Holder, Desired: 3}})
+	eventually(t, "the order is logged", func() bool { return strings.Contains(fleet[i].text(), `"endpoints ordered"`) })
+	is.True(strings.Contains(fleet[i].text(), `"reason":"load_high"`))
+	is.Equal(len(f.cloud.Broken()), 0) // rules that calls broke
+}
--- a/internal/router/duty_events.go
+++ b/internal/router/duty_events.go
@@ -80,4 +80,5 @@
 	routers int           // live ones, this one included
 	// isolated says that this router hears less than half of the announced routers.
 	isolated bool
+	demand   []duty.Demand // of the pools whose endpoints can be ordered
 }
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -206,7 +206,8 @@
 	store := platform.NewStore(s.Store)
 	deps := router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: store, Caches: platform.NewCacheLists()}
 	if f.cloud != nil {
-		deps.Features.Duties, deps.DutyStore, deps.Duties = true, store, platform.NewCloudAPI(f.cloud.Address(), s.Duties.Flight())
+		s.Duties.Address = f.cloud.Address()
+		deps.Features.Duties, deps.DutyStore, deps.Duties = true, store, platform.Duties(s.Duties)
 	}
 	r := router.New(s, deps, link)
 	go func() { p.ended <- r.Serve(ctx, callers, readiness, cutListener{rpc, link}) }()
--- a/internal/router/source_duties.go
+++ b/internal/router/source_duties.go
@@ -49,6 +49,9 @@
 	usageCalls   = newCounters("goldcrest_router_usage_calls_total", "result", map[duty.Outcome]string{
 		duty.Accepted: "accepted", duty.Unknown: "unknown", duty.NotSent: "not_sent", duty.Rejected: "rejected",
 	})
+	scaleCalls = newCounters("goldcrest_router_scale_calls_total", "result", map[duty.Outcome]string{
+		duty.Accepted: "accepted", duty.Unknown: "unknown", duty.NotSent: "not_sent", duty.Rejected: "rejected",
+	})
 	dutyStoreCalls = newCounters("goldcrest_router_duty_store_calls_total", "call", map[bool]string{false: "read", true: "write"})
 )
 
@@ -72,9 +75,10 @@
 	dutyJob struct {
 		token  duty.Token
 		report duty.Report
+		order  *duty.Order // in place of the report, if not nil
 	}
 	dutyResult struct {
-		report  duty.Report
+		job     dutyJob
 		outcome duty.Outcome
 		err     error
 	}
@@ -94,6 +98,9 @@
 
 	keeper  *duty.Keeper
 	reports *duty.Reports
+	orders  dutyOrders
+	meters  bool          // usage is a duty of the deployment
+	scales  bool          // so are orders of endpoints
 	records DutyRecords   // as read last
 	takenAt time.Duration // boot time; 0 if the lease is not held
 	token   duty.Token    // of the lease that is held
@@ -111,7 +118,8 @@
 		return nil
 	}
 	s := r.settings.Duties
-	return &dutyLink{r: r, process: process, announce: make(chan struct{}, 1), jobs: make(chan dutyJob, 1), results: make(chan dutyResult, 1),
+	meters, scales := r.deps.Duties.Performs()
+	return &dutyLink{meters: meters, scales: scales, r: r, process: process, announce: make(chan struct{}, 1), jobs: make(chan dutyJob, 1), results: make(chan dutyResult, 1),
 		keeper:  duty.NewKeeper(string(r.settings.Instance), process, s.timing(), boottime.Now()),
 		reports: duty.NewReports(s.Thaw + maxConfirmPause), dep: &dependency{r: r, name: "duties"}}
 }
@@ -124,8 +132,14 @@
 			return
 		case job := <-d.jobs:
 			c := DutyCall{Holder: d.r.settings.Instance, Token: job.token, Allowed: func() bool { return d.allowed(job.token) }}
-			outcome, err := d.r.deps.Duties.ReportUsage(ctx, c, job.report)
-			d.results <- dutyResult{job.report, outcome, err}
+			var res dutyResult
+			if job.order != nil {
+				res.outcome, res.err = d.r.deps.Duties.OrderEndpoints(ctx, c, *job.order)
+			} else {
+				res.outcome, res.err = d.r.deps.Duties.ReportUsage(ctx, c, job.report)
+			}
+			res.job = job
+			d.results <- res
 		}
 	}
 }
@@ -145,6 +159,9 @@
 		if err != nil {
 			return
 		}
+		if !turn.isolated {
+			d.heardMany = turn.at
+		}
 		d.update(ctx)
 		switch {
 		case turn.phase != Serving:
@@ -200,6 +217,7 @@
 		return
 	}
 	d.token, d.takenAt = token, boottime.Now()
+	d.orders = dutyOrders{scaler: duty.NewScaler(d.records.Journal.Orders, d.takenAt)}
 	dutyHeld.Set(1)
 	dutyTaken.Inc()
 	d.r.log.Info("lease of the duties taken", "token", uint64(token), "next_window", d.reports.Next())
@@ -269,8 +287,10 @@
 		return nil // turn.window may have ended
 	}
 	records := DutyRecords{Lease: a.Lease}
-	if len(more) > 0 || a.Carried {
+	ordering := d.orders.unwritten()
+	if len(more) > 0 || a.Carried || ordering {
 		records.Journal = d.reports.Journal(a.At.Era, more)
+		records.Journal.Orders = d.orders.journal(d.records.Journal.Orders)
 	}
 	dutyStoreCalls[true].Inc()
 	sent := boottime.Now()
@@ -286,6 +306,9 @@
 	if holds && a.Taking {
 		d.reports.Take(d.records.Journal, at.Era, a.Carried, turn.window)
 	}
+	if holds && ordering {
+		d.orders.written = true
+	}
 	d.records.Lease = a.Lease
 	if records.Journal.Next > 0 {
 		d.records.Journal = records.Journal
@@ -301,7 +324,7 @@
 	if !d.keeper.Known() {
 		return d.read(ctx, turn)
 	}
-	if turn.skip > d.reports.Next() {
+	if d.meters && turn.skip > d.reports.Next() {
 		d.r.log.Warn("usage of windows is not reported", "from", d.reports.Next(), "to", turn.skip-1)
 		usageSkipped.Add(int(turn.skip - d.reports.Next()))
 		d.reports.Skip(turn.skip)
@@ -309,7 +332,7 @@
 	d.reports.Forget(turn.skip)
 	var ready []duty.Report
 	for _, rep := range turn.ready {
-		if rep.Window >= d.reports.Next() {
+		if d.meters && rep.Window >= d.reports.Next() {
 			ready = append(ready, rep)
 		}
 	}
@@ -318,12 +341,18 @@
 	if a.Taking {
 		return d.put(ctx, turn, a, nil)
 	}
-	if _, _, holds := d.keeper.Holds(now); holds && (due || len(ready) > 0) {
+	if d.scales {
+		d.decide(now, turn.demand)
+	}
+	if _, _, holds := d.keeper.Holds(now); holds && (due || len(ready) > 0 || d.orders.unwritten()) {
 		return d.put(ctx, turn, a, ready)
 	}
 	if rep, due := d.reports.Due(now); due && !d.busy && now >= d.keeper.CallsFrom() {
 		d.busy = true
-		d.jobs <- dutyJob{d.token, rep}
+		d.jobs <- dutyJob{token: d.token, report: rep}
+	} else if o, due := d.orders.due(now); due && !d.busy && now >= d.keeper.CallsFrom() {
+		d.busy = true
+		d.jobs <- dutyJob{token: d.token, order: &o}
 	}
 	d.await(ctx, dutyStepPause)
 	return nil
@@ -338,13 +367,18 @@
 	case <-t.C:
 	case res := <-d.results:
 		d.busy, d.ended = false, boottime.Now()
-		d.reports.Apply(res.report.Window, res.outcome, d.ended)
+		if res.job.order != nil {
+			d.applyOrderResult(res)
+			return
+		}
+		rep := res.job.report
+		d.reports.Apply(rep.Window, res.outcome, d.ended)
 		usageCalls[res.outcome].Inc()
 		if res.outcome == duty.Accepted {
-			d.r.log.Info("usage reported", "window", res.report.Window, "workspaces", len(res.report.Counts), "token", uint64(d.token))
+			d.r.log.Info("usage reported", "window", rep.Window, "workspaces", len(rep.Counts), "token", uint64(res.job.token))
 			return
 		}
-		d.r.log.Warn("usage report failed", "window", res.report.Window, "error", res.err.Error(), "token", uint64(d.token))
+		d.r.log.Warn("usage report failed", "window", rep.Window, "error", res.err.Error(), "token", uint64(res.job.token))
 	}
 }
 
@@ -352,9 +386,6 @@
 // one is to take over. It does so rarely, since announcements of routers that ended last
 // for a while.
 func (d *dutyLink) isolated(turn dutyTurnReply) bool {
-	if !turn.isolated {
-		d.heardMany = turn.at
-	}
 	return turn.at-d.heardMany > isolatedTime && (d.steppedDown == 0 || turn.at-d.steppedDown > memberTTL)
 }
 
--- a/internal/router/stage_duties.go
+++ b/internal/router/stage_duties.go
@@ -229,6 +229,9 @@
 	if reply.isolated = 2*reply.routers < 1+len(known); reply.isolated {
 		reply.order += isolatedRank
 	}
+	if e.takenAt != 0 && !reply.isolated {
+		reply.demand = f.demand(s, now)
+	}
 	if e.takenAt == 0 || clocks < min(minClocks, reply.routers) {
 		return reply
 	}
@@ -242,6 +245,24 @@
 	}
 }
 
+// demand returns the demand of the pools whose endpoints can be ordered. During a roll-out
+// endpoints of two versions are listed, so nothing is ordered.
+func (f performDuties) demand(s *State, now time.Time) (out []duty.Demand) {
+	if s.catalog == nil || !s.listed {
+		return nil
+	}
+	for name, p := range s.catalog.Pools {
+		if p.Scaling.Max == 0 || s.rollouts[name] != "" {
+			continue
+		}
+		for _, d := range s.table.Demand(now, name) {
+			out = append(out, duty.Demand{Subject: duty.Subject{Pool: string(name), DataCentre: string(d.DataCentre)},
+				Endpoints: d.Endpoints, Slots: d.Slots, Load: d.Load, Min: p.Scaling.Min, Max: p.Scaling.Max, Boot: p.Scaling.Boot})
+		}
+	}
+	return out
+}
+
 // known returns the other routers that were heard or are announced, without those that said
 // that they leave.
 func (f performDuties) known(s *State) (out []string) {
