--- a/internal/duty/ledger.go
+++ b/internal/duty/ledger.go
@@ -33,11 +33,11 @@
 type Ledger struct {
 	self    Origin
 	rows    map[int64]map[Origin]map[string]int64
-	current map[string]uint64           // process of a router that last sent its own rows
-	through map[string]time.Duration    // true time up to which a router sent all its counts
-	acked   map[string]map[rowKey]int64 // sums of the rows that a router has
-	process map[string]uint64           // process of that router
-	newest  int64                       // window
+	current map[string]uint64                      // process of a router that last sent its own rows
+	through map[string]time.Duration               // true time up to which a router sent all its counts
+	acked   map[string]map[rowKey]map[string]int64 // counts that a router has
+	process map[string]uint64                      // process of that router
+	newest  int64                                  // window
 }
 
 type rowKey struct {
@@ -48,7 +48,7 @@
 // NewLedger returns an empty ledger of the process self.
 func NewLedger(self Origin) *Ledger {
 	return &Ledger{self: self, rows: map[int64]map[Origin]map[string]int64{}, current: map[string]uint64{},
-		through: map[string]time.Duration{}, acked: map[string]map[rowKey]int64{}, process: map[string]uint64{}}
+		through: map[string]time.Duration{}, acked: map[string]map[rowKey]map[string]int64{}, process: map[string]uint64{}}
 }
 
 // Count counts a request of this process.
@@ -69,8 +69,8 @@
 			delete(l.rows, w)
 		}
 	}
-	for _, sums := range l.acked {
-		maps.DeleteFunc(sums, func(k rowKey, _ int64) bool { return !l.keeps(k.window) })
+	for _, rows := range l.acked {
+		maps.DeleteFunc(rows, func(k rowKey, _ map[string]int64) bool { return !l.keeps(k.window) })
 	}
 }
 
@@ -125,7 +125,7 @@
 	l.through[o.Router] = through
 }
 
-// Outgoing returns the rows that the named router does not have yet: those of this process
+// Outgoing returns the counts that the named router does not have yet: those of this process
 // and those of processes that have ended as far as is known: their routers are gone or have
 // started again.
 func (l *Ledger) Outgoing(router string, gone func(router string) bool) []Row {
@@ -136,8 +136,14 @@
 			if o != l.self && !gone(o.Router) && (!heard || process == o.Process) {
 				continue
 			}
-			if l.acked[router][rowKey{o, window}] != sum(counts) {
-				out = append(out, Row{o, window, maps.Clone(counts)})
+			acked, changed := l.acked[router][rowKey{o, window}], map[string]int64{}
+			for name, n := range counts {
+				if acked[name] != n {
+					changed[name] = n
+				}
+			}
+			if len(changed) > 0 {
+				out = append(out, Row{o, window, changed})
 			}
 		}
 	}
@@ -147,18 +153,15 @@
 // Acked records that a process of the named router has taken the rows.
 func (l *Ledger) Acked(router string, process uint64, rows []Row) {
 	if l.acked[router] == nil || l.process[router] != process {
-		l.process[router], l.acked[router] = process, map[rowKey]int64{}
+		l.process[router], l.acked[router] = process, map[rowKey]map[string]int64{}
 	}
 	for _, r := range rows {
-		l.acked[router][rowKey{r.Origin, r.Window}] = sum(r.Counts)
-	}
-}
-
-func sum(counts map[string]int64) (n int64) {
-	for _, c := range counts {
-		n += c
+		key := rowKey{r.Origin, r.Window}
+		if l.acked[router][key] == nil {
+			l.acked[router][key] = map[string]int64{}
+		}
+		maps.Copy(l.acked[router][key], r.Counts)
 	}
-	return n
 }
 
 // Complete reports whether the named routers have sent all that they counted up to the true
--- a/internal/router/duties_test.go
+++ b/internal/router/duties_test.go
@@ -115,9 +115,13 @@
 		return strings.Contains(stopped.text(), "lease of the duties handed over") && holder(fleet) >= 0
 	})
 	window(4)
-	// Answers of the platform are lost, then the store is away for longer than the lease.
+	// Answers of the platform are lost, it rejects calls, and then the store is away for
+	// longer than the lease.
 	f.cloud.SetFaults(standin.CloudAPIFaults{Lose: true})
 	window(3)
+	f.cloud.SetFaults(standin.CloudAPIFaults{Status: http.StatusServiceUnavailable})
+	window(1)
+	time.Sleep(countsSent)
 	f.cloud.SetFaults(standin.CloudAPIFaults{})
 	for _, l := range listeners {
 		l.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
