--- a/internal/duty/ledger.go
+++ b/internal/duty/ledger.go
@@ -98,21 +98,25 @@
 	return rows[o]
 }
 
-// Merge adds a row that another process sent. Counts only grow, so rows may arrive
-// repeatedly and in any order.
-func (l *Ledger) Merge(r Row) {
-	if r.Origin == l.self || len(r.Counts) > maxWorkspaces || len(r.Origin.Router) > maxNameBytes {
-		return
+// Merge adds a row that another process sent, and reports whether its window is kept.
+// Counts only grow, so rows may arrive repeatedly and in any order.
+func (l *Ledger) Merge(r Row) bool {
+	if r.Origin == l.self {
+		return true
+	}
+	if len(r.Counts) > maxWorkspaces || len(r.Origin.Router) > maxNameBytes {
+		return false
 	}
 	row := l.row(r.Window, r.Origin)
 	if row == nil {
-		return
+		return false
 	}
 	for name, n := range r.Counts {
 		if len(name) <= maxNameBytes {
 			row[name] = max(row[name], n)
 		}
 	}
+	return true
 }
 
 // Heard records that a process sent its own rows, with all that it counted up to the true
--- a/internal/duty/ledger_test.go
+++ b/internal/duty/ledger_test.go
@@ -82,7 +82,7 @@
 	l.Heard(Origin{"b", 1}, 3505*time.Second)
 	is.True(l.Complete(3505*time.Second, []string{"a", "b"}))
 	for _, window := range []int64{-1, 0, 702, 1 << 60} {
-		l.Merge(Row{Origin{"a", 1}, window, map[string]int64{"w": 1}})
+		is.True(!l.Merge(Row{Origin{"a", 1}, window, map[string]int64{"w": 1}}))
 	}
 	is.Equal(len(l.rows), 0)
 	l.Count(693, "w")
--- a/internal/router/duty_server.go
+++ b/internal/router/duty_server.go
@@ -34,8 +34,9 @@
 	Counts  map[string]int64 // by workspace
 }
 
-// CountsReply confirms that all rows were taken.
+// CountsReply is the reply to CountsArgs.
 type CountsReply struct {
+	Taken   bool // all rows; the clock of a router that starts may show another window
 	Process uint64
 	Wall    int64
 	Holder  string
--- a/internal/router/source_duties.go
+++ b/internal/router/source_duties.go
@@ -287,7 +287,9 @@
 		return nil // turn.window may have ended
 	}
 	records := DutyRecords{Lease: a.Lease}
-	ordering := d.orders.unwritten()
+	// The journal that is written when the lease is taken would replace reports that are
+	// not taken over yet.
+	ordering := !a.Taking && d.orders.unwritten()
 	if len(more) > 0 || a.Carried || ordering {
 		records.Journal = d.reports.Journal(a.At.Era, more)
 		records.Journal.Orders = d.orders.journal(d.records.Journal.Orders)
@@ -389,8 +391,8 @@
 	return turn.at-d.heardMany > isolatedTime && (d.steppedDown == 0 || turn.at-d.steppedDown > memberTTL)
 }
 
-// handOver releases the lease, once the last call has arrived or cannot
-// arrive any more, and reports whether that is done.
+// handOver releases the lease, once the last call has arrived or cannot arrive any more,
+// and reports whether that is done.
 func (d *dutyLink) handOver(ctx context.Context) (done bool) {
 	if d.token == 0 {
 		return true
--- a/internal/router/stage_duties.go
+++ b/internal/router/stage_duties.go
@@ -89,7 +89,9 @@
 		e.Reply(f.receive(s, now, e.args))
 	case countsAnswered:
 		s.duties.clock.Sample(string(e.router), time.Duration(e.reply.Wall), e.at)
-		s.duties.ledger.Acked(string(e.router), e.reply.Process, e.rows)
+		if e.reply.Taken {
+			s.duties.ledger.Acked(string(e.router), e.reply.Process, e.rows)
+		}
 		f.learnHolder(s, model.InstanceID(e.reply.Holder), duty.Token(e.reply.Token))
 	case countsPlan:
 		e.Reply(f.plan(s, now, e.all))
@@ -125,18 +127,18 @@
 // receive applies the message of a peer.
 func (f performDuties) receive(s *State, now time.Time, a CountsArgs) CountsReply {
 	boot, _, _ := f.trueTime(s, now)
-	d := s.duties
+	d, taken := s.duties, true
 	if a.Router != d.self.Router && len(a.Router) <= maxRouterName {
 		d.clock.Sample(a.Router, time.Duration(a.Wall), boot)
 		for _, r := range a.Rows {
-			d.ledger.Merge(duty.Row{Origin: duty.Origin{Router: r.Router, Process: r.Process}, Window: r.Window, Counts: r.Counts})
+			taken = d.ledger.Merge(duty.Row{Origin: duty.Origin{Router: r.Router, Process: r.Process}, Window: r.Window, Counts: r.Counts}) && taken
 		}
 		if a.Through > 0 {
 			d.ledger.Heard(duty.Origin{Router: a.Router, Process: a.Process}, time.Duration(a.Through))
 		}
 		f.learnHolder(s, model.InstanceID(a.Holder), duty.Token(a.Token))
 	}
-	return CountsReply{Process: d.self.Process, Wall: int64(sinceEpoch(now)), Holder: string(d.holder), Token: uint64(d.token)}
+	return CountsReply{Taken: taken, Process: d.self.Process, Wall: int64(sinceEpoch(now)), Holder: string(d.holder), Token: uint64(d.token)}
 }
 
 // maxRouterName bounds the names of routers in messages.
@@ -170,7 +172,11 @@
 	second := true
 	for _, name := range live {
 		switch {
-		case name == d.holder || all:
+		case all:
+			if a, ok := s.addresses[name]; ok {
+				reply.messages = append(reply.messages, countsMessage{router: name, address: a.address})
+			}
+		case name == d.holder:
 			reply.messages = f.appendMessage(reply.messages, s, name, at, gone)
 		case second:
 			reply.messages = f.appendMessage(reply.messages, s, name, at, func(string) bool { return false })
@@ -232,7 +238,7 @@
 	if e.takenAt != 0 && !reply.isolated {
 		reply.demand = f.demand(s, now)
 	}
-	if e.takenAt == 0 || clocks < min(minClocks, reply.routers) {
+	if e.takenAt == 0 || clocks < min(minClocks, 1+len(known)) {
 		return reply
 	}
 	reply.skip = s.duties.ledger.Oldest()
