--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -301,7 +301,7 @@
 // end of the lease, it must find one.
 func TestTheSearchFindsFaults(t *testing.T) {
 	is := is.New(t)
-	fault, calls, changes := search(10_000, testTiming)
+	fault, calls, changes := search(20_000, testTiming)
 	is.Equal(fault, "")
 	t.Logf("%d calls, %d changes of the holder", calls, changes)
 	is.True(calls > 10_000)
