--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -17,7 +17,7 @@
 // purePackages contain decision logic. They must not read the clock, open a
 // socket or use hidden randomness.
 var purePackages = []string{
-	"admission", "admit", "catalog", "choose", "claim", "config", "finding", "hrw", "inbound", "limit", "lists",
+	"admission", "admit", "catalog", "choose", "claim", "config", "duty", "finding", "hrw", "inbound", "limit", "lists",
 	"locality", "member", "model", "order", "overlay", "pipe", "place", "replay", "retry", "rollout", "slots",
 	"summary", "suspect", "timing",
 }
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -33,6 +33,7 @@
 	store     *standin.Store
 	endpoints []*standin.Endpoint
 	features  router.Features
+	cloud     *standin.CloudAPI // nil if there are no duties
 	ids       atomic.Int64
 }
 
@@ -211,7 +212,13 @@
 	if s.Store == "" {
 		s.Store = f.store.Address()
 	}
-	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Features: f.featuresOf(s), Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()}, link)
+	store := platform.NewStore(s.Store)
+	deps := router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Features: f.featuresOf(s), Protocol: platform.Protocol{}, Store: store, Caches: platform.NewCacheLists()}
+	if f.cloud != nil {
+		s.Duties.Address = f.cloud.Address()
+		deps.Features.Duties, deps.DutyStore, deps.Duties = true, store, platform.Duties(s.Duties)
+	}
+	r := router.New(s, deps, link)
 	go func() { p.ended <- r.Serve(ctx, callers, readiness, cutListener{rpc, link}) }()
 	f.t.Cleanup(stop)
 	return p
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -27,7 +27,7 @@
 		guardEndpoints{snapshot: r.loop.Snapshot, allowTrial: r.allowTrial},
 		reserveSlot{enabled: r.slotsEnabled, ask: r.askSlot, release: r.releaseSlot},
 		placeRequest{pick: r.pick, broadcastHolder: r.broadcastHolder, random: r.random},
-		send{client: r.client, hasAlternative: r.hasAlternative, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordTimes: r.recordTimes, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, checkKey: r.checkKey, log: r.log},
+		send{client: r.client, hasAlternative: r.hasAlternative, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordTimes: r.recordTimes, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, recordBegan: r.recordBegan, checkKey: r.checkKey, log: r.log},
 	)
 }
 
@@ -43,6 +43,7 @@
 		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, report: r.suspects.saveReport, log: r.log},
 		budgetRetries{},
 		grantSlots{enabled: r.deps.Features.Slots, send: r.sendToPeer, wake: r.wakeSlots, now: boottime.Now, log: r.log},
+		performDuties{r.log},
 		applySettings{r.log},
 		advanceStop{r.log},
 	}
--- a/internal/router/reserve_test.go
+++ b/internal/router/reserve_test.go
@@ -14,9 +14,9 @@
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
-// callAll sends requests to the routers from n callers at once, for the given time. It
+// callAtOnce sends requests to the routers from n callers at once, for the given time. It
 // returns the answers by status. A refused caller waits for a moment.
-func callAll(routers []*process, n int, length time.Duration) map[int]int {
+func callAtOnce(routers []*process, n int, length time.Duration) map[int]int {
 	out, results, wait := map[int]int{}, make(chan int, 1<<16), sync.WaitGroup{}
 	end := time.Now().Add(length)
 	for i := range n {
@@ -72,8 +72,8 @@
 	}
 	// The endpoint has 8 slots by the list and a queue of three times as many.
 	f.setFaults("", standin.EndpointFaults{Latency: 60 * time.Millisecond, MaxRunning: 32})
-	callAll(routers, 10, 500*time.Millisecond) // load near the slots
-	results := callAll(routers, 120, 1500*time.Millisecond)
+	callAtOnce(routers, 10, 500*time.Millisecond) // load near the slots
+	results := callAtOnce(routers, 120, 1500*time.Millisecond)
 	received, rejected := f.rejected()
 	t.Logf("answers by status %v, %d received, %d rejected", results, received, rejected)
 	is.True(rejected*20 < received)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,6 +34,7 @@
 	node     *exchange.Node
 	gate     *storeGate
 	suspects *suspectWriter
+	duties   *dutyLink // nil if the deployment has no duties of one router at a time
 	meter    *meter
 	memory   *memory.Budget
 	// slotWakes asks for a slotTick.
@@ -81,6 +82,7 @@
 		state.admission = newAdmission(state)
 		state.admission.SetEnabled(s.Admission)
 	}
+	r.duties = newDutyLink(r, state.duties.self.Process)
 	r.loop = control.New(control.Config[State, Snapshot]{
 		State: state, Stages: r.controlPipeline(), Publish: publish,
 	})
@@ -89,10 +91,14 @@
 
 // Start starts the control loop and its sources, which run until ctx ends.
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
-	for _, run := range []func(context.Context){
+	runs := []func(context.Context){
 		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run, r.followCrashReports,
 		r.queryStoreReaders, r.node.Run, r.meter.run, r.tickSlots, r.serveMetrics,
-	} {
+	}
+	if r.duties != nil {
+		runs = append(runs, r.duties.follow, r.duties.call, r.sendCounts)
+	}
+	for _, run := range runs {
 		g.Go(func() error { run(ctx); return nil })
 	}
 }
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -49,6 +49,7 @@
 	recordCrash     func(context.Context, *Request)
 	recordAbandoned func(*Request)
 	recordSound     func(*Request)
+	recordBegan     func(*Request)
 	checkKey        func(*Request) *model.Refusal
 	hasAlternative  func(*Request) bool // another endpoint may take over the request
 	log             *slog.Logger
@@ -175,6 +176,9 @@
 			sent: sent, times: answerTime(req, class), resumed: req.LastEvent != ""}
 		return answer, nil
 	}
+	if req.Route.Semantics != catalog.Stream && !answer.EndpointError {
+		f.recordBegan(req)
+	}
 	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
 	res.Release(err == nil)
 	if err == nil && mayBeKilled && f.client.Refuses(ctx, req.Endpoint.Address) {
@@ -258,6 +262,7 @@
 		s.req.countBytes(len(event))
 		if !s.begun && !s.waiting {
 			s.begun, s.times.FirstEvent = true, time.Since(s.sent)
+			s.filter.recordBegan(s.req)
 		}
 		return event, nil
 	}
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -407,6 +407,7 @@
 	if !ok {
 		return false
 	}
+	e.settings.Duties = s.settings.Duties // windows that are being counted keep their length
 	s.settings = e.settings
 	s.table.SetLocality(e.settings.Price)
 	f.log.Info("settings reloaded")
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -51,6 +51,7 @@
 	slotTickets  uint64                               // number of attempts that asked for a slot
 	peersUnheard int                                  // announced routers that were not heard, as logged last
 	peersWatched time.Time                            // when that was logged, or first checked
+	duties       *dutyState
 }
 
 // Snapshot is the part of the state that other goroutines read. It is immutable.
@@ -76,7 +77,7 @@
 
 func newState(s Settings) *State {
 	state := &State{settings: s, holdersKnown: s.FirstStart, cachesRead: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), causes: suspect.NewCauses(), evacuated: map[model.DataCentre]bool{}, rollouts: map[model.Pool]model.Version{},
-		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}, slots: map[model.Pool]*slotPool{}}
+		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}, slots: map[model.Pool]*slotPool{}, duties: newDutyState(s)}
 	state.table.SetLocality(s.Price)
 	return state
 }
