platform, router: readers start over when the store was restored from an older copy

Positions carry the era of the store, and an answer of another era than the position's, or than the highest one seen, fails with ErrRestored, so that a conditional append of an earlier era is neither a success nor a conflict. Routers that read through others get the era in the reply.

On a higher era the orders, the instance list, the refused properties and the crash reports are read in full, routers announce themselves and write crashes and refused properties again, trials pause for 5 s, and orders and endpoints' states that the restored store lacks stay for 30 s unless they are written again.

The soak test draws the drill.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -77,7 +77,7 @@
 	if err != nil || !trial.due {
 		return false
 	}
-	stored, claimed, err := r.deps.Store.ClaimTrial(ctx, trial.records)
+	stored, claimed, err := r.deps.Store.ClaimTrial(ctx, trial.records, trial.era)
 	if err != nil {
 		r.log.Info("trial of a refused property not claimed", "property", suspect.Name(causes[0]), "properties", len(causes), "error", err.Error())
 		return false
@@ -152,10 +152,18 @@
 			f.addCrash(s, now, failure)
 		}
 		return len(crashes) > 0
+	case eraSeen:
+		if e.restored {
+			f.saveAfterRestore(s, now)
+		}
 	case causesSound:
 		return f.answered(s, now, e.causes)
 	case trialAsked:
-		var reply trialReply
+		reply := trialReply{era: s.era}
+		if s.trialsPaused(now) {
+			e.Reply(reply)
+			return false
+		}
 		reply.records, reply.due = s.causes.DueTrial(now, e.causes, s.table.Rank(uint32(e.causes[0])))
 		e.Reply(reply)
 	case peerMessage:
--- a/internal/router/config_delta.go
+++ b/internal/router/config_delta.go
@@ -117,7 +117,7 @@
 // offeredOrders is the state of the orders at a position, as the store reader of a
 // router sent it.
 type offeredOrders struct {
-	position  int64
+	position  Position
 	config    uint64        // hash of the encoded configuration
 	deltas    []ConfigDelta // that lead to it; empty if the reader does not have them or the router has it
 	evacuated []model.DataCentre
--- a/internal/router/config_delta_test.go
+++ b/internal/router/config_delta_test.go
@@ -76,8 +76,8 @@
 	is.True(len(list[0].Data) > maxDeltaBytes)
 	is.Equal(len(deltasSince(list, configHash([]byte("base")))), 0)
 
-	f := ordersFollower{position: 1, config: []byte("a")}
-	endless := offeredOrders{position: 2, config: configHash([]byte("b"))}
+	f := ordersFollower{position: Position{Offset: 1}, config: []byte("a")}
+	endless := offeredOrders{position: Position{Offset: 2}, config: configHash([]byte("b"))}
 	for range 10 * maxConfigDeltas {
 		endless.deltas = append(endless.deltas, delta(t, []byte("a"), []byte("a")))
 	}
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -17,7 +17,7 @@
 		orders   Orders
 		current  bool // all current orders rather than changes
 		sent     time.Duration
-		position int64 // after the orders
+		position Position // after the orders
 		// delta leads to the configuration of orders from the one before it, for the
 		// peers that this router supplies; nil if there is none.
 		delta *ConfigDelta
@@ -164,6 +164,7 @@
 type trialReply struct {
 	records []suspect.Record
 	due     bool
+	era     int64 // of the store, as the records are based on it
 }
 
 // pickReply is the reply to pickEndpoint.
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -51,6 +51,20 @@
 // read the full state instead.
 var ErrIncomplete = eris.New("router: changes are incomplete")
 
+// ErrRestored is returned if the store was restored from an older copy since the position of a
+// call was read, or since the answer was sent. Nothing is known of the call.
+var ErrRestored = eris.New("router: the store was restored from an older copy")
+
+// Position is a position in a topic of the store. The era grows each time that the store is
+// restored from an older copy, after which it gives out offsets again; it is 0 for a store that
+// does not state it.
+type Position struct{ Era, Offset int64 }
+
+// After reports whether p is a later position than o.
+func (p Position) After(o Position) bool {
+	return p.Era > o.Era || p.Era == o.Era && p.Offset > o.Offset
+}
+
 // ErrConflict is returned if a record was not stored since another one was stored before.
 var ErrConflict = eris.New("router: another record was stored before")
 
@@ -79,25 +93,31 @@
 
 // Listing is the result of a read of the instance list.
 type Listing struct {
-	place.Delta       // relative to an empty list or to the requested position
-	Skipped     int   // records that do not describe a usable endpoint
-	Position    int64 // after the last record that was read
+	place.Delta          // relative to an empty list or to the requested position
+	Skipped     int      // records that do not describe a usable endpoint
+	Position    Position // after the last record that was read
 }
 
 // Store is the platform's store. Each call has its own timeout: without an answer
 // it fails about a second after the time for which it was asked to wait.
+// A call with a position returns ErrRestored if the store has been restored since.
 type Store interface {
+	// Eras returns a channel with the highest era that the answers of the store have had,
+	// whenever it has grown. ObserveEra records the era that another router has seen: answers
+	// of earlier ones then fail with ErrRestored.
+	Eras() <-chan int64
+	ObserveEra(era int64)
 	// Endpoints returns the full instance list.
 	Endpoints(ctx context.Context) (Listing, error)
 	// EndpointChanges returns the changes of the instance list since a position,
 	// or ErrIncomplete if it cannot return all of them.
-	EndpointChanges(ctx context.Context, from int64) (Listing, error)
+	EndpointChanges(ctx context.Context, from Position) (Listing, error)
 	// CurrentOrders returns all orders in force and the position after them.
-	CurrentOrders(ctx context.Context) (Orders, int64, error)
+	CurrentOrders(ctx context.Context) (Orders, Position, error)
 	// OrderChanges returns the orders since a position and the position after
 	// them. It waits up to wait for the first one and returns ErrIncomplete if it
 	// cannot return all of them.
-	OrderChanges(ctx context.Context, from int64, wait time.Duration) (Orders, int64, error)
+	OrderChanges(ctx context.Context, from Position, wait time.Duration) (Orders, Position, error)
 	// DecodeConfig decodes Orders.Config, also that of another router.
 	DecodeConfig(data []byte) (*catalog.Catalog, error)
 	// Announce publishes m. Members returns the published members.
@@ -106,20 +126,21 @@
 	// Suspects returns the records of all refused properties and the position after them.
 	// PutSuspect stores a record in place of the one with the same key, or removes that
 	// one if it has no crashes. It returns ErrConflict if one was stored after position.
-	Suspects(ctx context.Context) ([]suspect.Record, int64, error)
-	PutSuspect(ctx context.Context, r suspect.Record, position int64) error
+	Suspects(ctx context.Context) ([]suspect.Record, Position, error)
+	PutSuspect(ctx context.Context, r suspect.Record, position Position) error
 	// ClaimTrial stores records with one more trial each, all or none: none if a stored
 	// one has as many already. It returns the records that are stored then. It fails if
-	// another router stores a record at the same time.
-	ClaimTrial(ctx context.Context, records []suspect.Record) (stored []suspect.Record, claimed bool, err error)
+	// another router stores a record at the same time, and with ErrRestored if the store
+	// has another era, since it may lack earlier claims.
+	ClaimTrial(ctx context.Context, records []suspect.Record, era int64) (stored []suspect.Record, claimed bool, err error)
 	// PutCrashReport stores what this router saw of crashes in place of its last report.
 	// CrashReports returns the reports of all routers and the position after them.
 	PutCrashReport(ctx context.Context, r suspect.Report) error
-	CrashReports(ctx context.Context) ([]suspect.Report, int64, error)
+	CrashReports(ctx context.Context) ([]suspect.Report, Position, error)
 	// CrashReportChanges returns the reports since a position and the position after
 	// them. It waits up to wait for the first one and returns ErrIncomplete if it cannot
 	// return all of them.
-	CrashReportChanges(ctx context.Context, from int64, wait time.Duration) ([]suspect.Report, int64, error)
+	CrashReportChanges(ctx context.Context, from Position, wait time.Duration) ([]suspect.Report, Position, error)
 }
 
 // CacheReader asks engines which prompt parts they have cached.
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -85,6 +85,11 @@
 	return out
 }
 
+var (
+	storeEra      = metrics.NewGauge("goldcrest_router_store_era", nil)
+	storeRestores = metrics.NewCounter("goldcrest_router_store_restores_total")
+)
+
 var storeFailures = map[string]*metrics.Counter{
 	"operators' orders": metrics.NewCounter(`goldcrest_router_store_failures_total{read="orders"}`),
 	"instance list":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="list"}`),
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -32,6 +32,7 @@
 // control state.
 func (r *Router) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
+		applyEra{},
 		applyOrders{r.log},
 		applyList{r.log},
 		applyPeers{r.log},
--- /dev/null
+++ b/internal/router/restored.go
@@ -0,0 +1,198 @@
+package router
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/place"
+)
+
+const (
+	// heldOrderTime is how long orders that a restored store lacks stay in force. Operators
+	// write them again within seconds. It also bounds how long one stays in force that they
+	// removed before this router has read the restored store.
+	heldOrderTime = 30 * time.Second
+	// trialPause is how long no trial of a refused property is sent after a restore. Routers
+	// that claimed one write it again meanwhile: they learn of the restore from their next
+	// call to the store, or from their store reader within queryInterval.
+	trialPause = 5 * time.Second
+	// membersAfterRestore is the time from the announcement after a restore until the list of
+	// routers is read again, which lacks those that announce themselves a little later.
+	membersAfterRestore = 3 * time.Second
+)
+
+// eraSeen carries the highest era that answers of the store have had.
+type eraSeen struct {
+	era      int64
+	restored bool // it has grown since this router started
+}
+
+func (eraSeen) EventName() string { return "era_seen" }
+
+// watchEra tells the sources and the control loop when the store has been restored from an
+// older copy, until ctx ends.
+func (r *Router) watchEra(ctx context.Context) {
+	for known := int64(0); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case era := <-r.deps.Store.Eras():
+			restored := known != 0
+			known = era
+			storeEra.Set(float64(era))
+			if restored {
+				r.log.Warn("store was restored from an older copy", "era", era)
+				storeRestores.Inc()
+				wake(r.announceAgain)
+				wake(r.suspects.reload)
+			}
+			_ = r.loop.Post(ctx, eraSeen{era: era, restored: restored})
+		}
+	}
+}
+
+// awaitMemberRead waits until the list of routers is to be read again and returns false if ctx
+// has ended. After a restore of the store that is at once, with a new announcement, and again a
+// little later.
+func (r *Router) awaitMemberRead(ctx context.Context, announced *time.Time, interval *time.Duration) bool {
+	t := time.NewTimer(*interval)
+	defer t.Stop()
+	*interval = memberReadInterval
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.announceAgain:
+		*announced, *interval = time.Time{}, membersAfterRestore
+	case <-t.C:
+	}
+	return true
+}
+
+// applyEra records restores of the store.
+type applyEra struct{}
+
+func (applyEra) Name() string { return "era" }
+
+func (applyEra) Apply(s *State, now time.Time, ev control.Event) bool {
+	e, ok := ev.(eraSeen)
+	if !ok {
+		return false
+	}
+	s.era = e.era
+	if e.restored {
+		s.restoredAt = now
+	}
+	return false
+}
+
+// trialsPaused reports whether the store was restored so recently that it may lack the trials
+// that were claimed before.
+func (s *State) trialsPaused(now time.Time) bool {
+	return !s.restoredAt.IsZero() && now.Sub(s.restoredAt) < trialPause
+}
+
+// saveAfterRestore writes to a restored store what this router knows and the store may have
+// lost: the crashes that it saw, and the refused properties of which it is the first router or
+// knows a trial. The writer leaves out what the store holds.
+func (f judgeCauses) saveAfterRestore(s *State, now time.Time) {
+	if report := s.observed.Report(now, s.settings.Instance, func(key uint64) int { return len(s.causes.Crashes(key)) }); len(report.Crashes)+len(report.Sound) > 0 {
+		f.report(report)
+	}
+	for key, refused := range s.causeView {
+		if rec := s.causes.Record(key); refused && (rec.Trials > 0 || s.table.IsFirst(uint32(key))) {
+			f.save(rec)
+		}
+	}
+}
+
+// heldOrders are orders in force that a restored store lacked when it was read first. Each is
+// held until operators write its key again, or until a time.
+type heldOrders struct {
+	until     time.Time
+	evacuated map[model.DataCentre]bool
+	rollouts  map[model.Pool]model.Version // the versions in force
+	stored    map[model.Pool]model.Version // what the store says in their place; empty if nothing
+}
+
+// update begins to hold orders if e is the first read of a restored store, and ends that for
+// those that operators have written again.
+func (h *heldOrders) update(s *State, now time.Time, e ordersRead) {
+	if e.current && s.position.Era != 0 && e.position.Era > s.position.Era {
+		*h = heldOrders{until: now.Add(heldOrderTime), evacuated: maps.Clone(s.evacuated), rollouts: maps.Clone(s.rollouts), stored: map[model.Pool]model.Version{}}
+		for pool, version := range e.orders.Rollouts {
+			if h.rollouts[pool] == version {
+				delete(h.rollouts, pool)
+			} else if _, held := h.rollouts[pool]; held {
+				h.stored[pool] = version
+			}
+		}
+	} else if !e.current {
+		for pool := range e.orders.Rollouts {
+			delete(h.rollouts, pool)
+		}
+	}
+	for dc, out := range e.orders.Evacuated {
+		if out || !e.current {
+			delete(h.evacuated, dc)
+		}
+	}
+}
+
+// expire removes the orders whose time has passed and returns e with their ends.
+func (h *heldOrders) expire(now time.Time, e ordersRead) ordersRead {
+	if len(h.evacuated)+len(h.rollouts) == 0 || now.Before(h.until) {
+		return e
+	}
+	e.orders.Evacuated, e.orders.Rollouts = maps.Clone(e.orders.Evacuated), maps.Clone(e.orders.Rollouts)
+	if e.orders.Evacuated == nil {
+		e.orders.Evacuated = map[model.DataCentre]bool{}
+	}
+	if e.orders.Rollouts == nil {
+		e.orders.Rollouts = map[model.Pool]model.Version{}
+	}
+	for dc := range h.evacuated {
+		e.orders.Evacuated[dc] = false
+	}
+	for pool := range h.rollouts {
+		e.orders.Rollouts[pool] = h.stored[pool]
+	}
+	*h = heldOrders{}
+	return e
+}
+
+// holdOrders keeps in force what a restored store lacks, and returns e with the orders that are
+// no longer held.
+func (f applyOrders) holdOrders(s *State, now time.Time, e ordersRead) ordersRead {
+	restored := e.current && s.position.Era != 0 && e.position.Era > s.position.Era
+	s.held.update(s, now, e)
+	if n := len(s.held.evacuated) + len(s.held.rollouts); restored && n > 0 {
+		f.log.Warn("orders stay in force although the restored store lacks them", "evacuations", len(s.held.evacuated), "rollouts", len(s.held.rollouts), "for_ms", heldOrderTime.Milliseconds())
+	}
+	return s.held.expire(now, e)
+}
+
+// keepEndpoints returns the endpoints that a restored store lists, together with what the list
+// before says of endpoints that have not written their records again: those that are missing,
+// those that leave, and those that have started since.
+func keepEndpoints(before place.List, read []place.Endpoint) (list []place.Endpoint, kept int) {
+	index := make(map[model.EndpointID]int, len(read))
+	for i, e := range read {
+		index[e.ID] = i
+	}
+	for _, e := range before.Endpoints {
+		i, listed := index[e.ID]
+		switch {
+		case !listed:
+			read = append(read, e)
+		case e.Started > read[i].Started || e.Started == read[i].Started && e.Draining && !read[i].Draining:
+			read[i] = e
+		default:
+			continue
+		}
+		kept++
+	}
+	return read, kept
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,6 +45,7 @@
 	// suspectsReady is closed in the same way after the first read of the refused
 	// properties, and crashesReady after that of the crash reports.
 	suspectsReady, crashesReady *startLatch
+	announceAgain               chan struct{} // the store may have lost the announcement of this router
 }
 
 // exchangeKey distinguishes routers from processes of other programs. It is no
@@ -63,7 +64,7 @@
 // connection. Start starts it.
 func New(s Settings, deps Deps, datagrams DatagramConn) *Router {
 	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64,
-		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
+		announceAgain: make(chan struct{}, 1), membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.memory = memory.NewBudget(int64(requestMemoryShare * float64(s.MemoryLimit)))
@@ -80,7 +81,7 @@
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
 	for _, run := range []func(context.Context){
 		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run, r.followCrashReports,
-		r.queryStoreReaders, r.node.Run, r.meter.run, r.serveMetrics,
+		r.queryStoreReaders, r.watchEra, r.node.Run, r.meter.run, r.serveMetrics,
 	} {
 		g.Go(func() error { run(ctx); return nil })
 	}
--- a/internal/router/source_orders.go
+++ b/internal/router/source_orders.go
@@ -18,7 +18,7 @@
 	r        *Router
 	dep      *dependency
 	known    bool // the orders up to position have been applied
-	position int64
+	position Position
 	config   []byte    // encoding of the configuration in force
 	version  int64     // of config
 	retryAt  time.Time // when the store may be read again after a failure, while a store reader supplies this router
@@ -74,8 +74,8 @@
 	var orders Orders
 	if f.known {
 		orders, next, err = store.OrderChanges(ctx, f.position, wait)
-		if errors.Is(err, ErrIncomplete) {
-			f.r.log.Info("changes of the orders are incomplete, reading all that stand", "position", f.position, "cause", err.Error())
+		if errors.Is(err, ErrIncomplete) || errors.Is(err, ErrRestored) {
+			f.r.log.Info("changes of the orders are incomplete, reading all that stand", "position", f.position.Offset, "cause", err.Error())
 			f.known = false
 		}
 	}
@@ -86,7 +86,7 @@
 		return err
 	}
 	if orders.Skipped > 0 {
-		f.r.log.Warn("records of the orders cannot be read", "count", orders.Skipped, "position", f.position)
+		f.r.log.Warn("records of the orders cannot be read", "count", orders.Skipped, "position", f.position.Offset)
 	}
 	ev := ordersRead{orders: orders, current: !f.known, sent: sent, position: next}
 	if len(f.config) > 0 && f.newer(orders.Catalog) {
@@ -116,7 +116,7 @@
 // applyOffered applies the orders that the store reader sent. It returns false if they
 // have to be read from the store.
 func (f *ordersFollower) applyOffered(ctx context.Context, offered offeredOrders) bool {
-	if offered.position <= f.position {
+	if !offered.position.After(f.position) {
 		return true // offered twice
 	}
 	if offered.config == 0 { // the reader does not send its state
@@ -132,7 +132,7 @@
 		}
 		var err error
 		if orders.Config, orders.Catalog, err = f.decode(offered); err != nil {
-			f.r.log.Warn("orders of another router cannot be read", "position", f.position, "error", err.Error())
+			f.r.log.Warn("orders of another router cannot be read", "position", f.position.Offset, "error", err.Error())
 			return false
 		}
 	}
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -283,6 +283,7 @@
 func (r *Router) followMembers(ctx context.Context) {
 	dep := &dependency{r: r, name: "router list"}
 	var announced time.Time
+	interval := memberReadInterval
 	ready := sync.OnceFunc(func() { close(r.membersReady) })
 	for ctx.Err() == nil {
 		err := r.syncMembers(ctx, &announced)
@@ -294,7 +295,7 @@
 		}
 		dep.succeeded()
 		ready()
-		if !control.Pause(ctx, memberReadInterval) {
+		if !r.awaitMemberRead(ctx, &announced, &interval) {
 			return
 		}
 	}
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -142,6 +142,7 @@
 	if reply.Starting {
 		return readerStarting
 	}
+	r.deps.Store.ObserveEra(reply.Era)
 	// The age of the orders counts from when their read was sent, so it grows to two
 	// waits before the next read returns.
 	if reply.OrdersAge > 2*snap.Settings.FollowWait+staleMargin || reply.ListAge > snap.Settings.ListInterval+staleMargin {
@@ -156,8 +157,9 @@
 	}
 	_ = r.loop.Post(ctx, listRead{list: list, sent: sent - reply.ListAge})
 	r.listKnown(ctx)
-	if reply.Position > snap.Position {
-		r.gate.offerOrders(offeredOrders{position: reply.Position, config: reply.Config, deltas: reply.Deltas, evacuated: reply.Evacuated, rollouts: reply.Rollouts, sent: sent - reply.OrdersAge})
+	position := reply.position(snap.Position.Era)
+	if position.After(snap.Position) {
+		r.gate.offerOrders(offeredOrders{position: position, config: reply.Config, deltas: reply.Deltas, evacuated: reply.Evacuated, rollouts: reply.Rollouts, sent: sent - reply.OrdersAge})
 		return readerFresh
 	}
 	_ = r.loop.Post(ctx, ordersRead{sent: sent - reply.OrdersAge, position: snap.Position})
@@ -166,12 +168,12 @@
 
 // callReader queries the reader at address for a router with the given snapshot.
 func (r *Router) callReader(ctx context.Context, address string, snap *Snapshot) (StateReply, error) {
-	args := StateArgs{List: snap.List.Hash, Position: snap.Position, Config: snap.configHash}
+	args := StateArgs{List: snap.List.Hash, Era: snap.Position.Era, Position: snap.Position.Offset, Config: snap.configHash}
 	reply, err := exchange.CallWithin[StateReply](ctx, r.node, queryTimeout, address, storeMethod, args)
 	if err != nil {
 		return StateReply{}, err
 	}
-	args.WholeConfig = r.gate.ordersUnread.Load() && reply.Position > args.Position && reply.Config != args.Config && len(reply.Deltas) == 0
+	args.WholeConfig = r.gate.ordersUnread.Load() && reply.position(args.Era).After(snap.Position) && reply.Config != args.Config && len(reply.Deltas) == 0
 	if !reply.Unknown && !args.WholeConfig {
 		return reply, nil
 	}
--- a/internal/router/source_shared_test.go
+++ b/internal/router/source_shared_test.go
@@ -42,7 +42,7 @@
 		calls.Go(func() error {
 			r := &Router{node: exchange.New(exchange.Config{Key: exchangeKey}), gate: newStoreGate()}
 			go r.node.Run(t.Context())
-			reply, err := r.callReader(t.Context(), listener.Addr().String(), &Snapshot{Listed: true, Position: delay.Milliseconds()})
+			reply, err := r.callReader(t.Context(), listener.Addr().String(), &Snapshot{Listed: true, Position: Position{Offset: delay.Milliseconds()}})
 			if err != nil && !reflect.DeepEqual(reply, StateReply{}) {
 				t.Error("a failed query returned a reply")
 			}
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -123,7 +123,7 @@
 type listFollower struct {
 	r          *Router
 	list       place.List
-	position   int64
+	position   Position
 	fullReadAt time.Time // time of the last full read; zero if one is due
 	skipped    int       // number of skipped entries that was logged last
 }
@@ -137,8 +137,8 @@
 	full := now.Sub(f.fullReadAt) > fullReadInterval
 	if !full {
 		read, err = f.r.deps.Store.EndpointChanges(ctx, f.position)
-		if errors.Is(err, ErrIncomplete) {
-			f.r.log.Info("changes of the instance list are incomplete, reading the whole list", "position", f.position, "cause", err.Error())
+		if errors.Is(err, ErrIncomplete) || errors.Is(err, ErrRestored) {
+			f.r.log.Info("changes of the instance list are incomplete, reading the whole list", "position", f.position.Offset, "cause", err.Error())
 			full = true
 		}
 	}
@@ -157,6 +157,12 @@
 		e := &read.Changed[i]
 		e.Region = f.r.settings.Regions[e.DataCentre]
 	}
+	if full && f.position.Era != 0 && read.Position.Era > f.position.Era {
+		var kept int
+		if read.Changed, kept = keepEndpoints(f.list, read.Changed); kept > 0 {
+			f.r.log.Warn("endpoints stay listed as before although the restored store lacks their records", "count", kept, "for_ms", fullReadInterval.Milliseconds())
+		}
+	}
 	f.position = read.Position
 	switch {
 	case full:
--- a/internal/router/source_suspects.go
+++ b/internal/router/source_suspects.go
@@ -24,18 +24,19 @@
 
 // suspectWriter keeps in the store the refused properties, so that they outlast the
 // routers that know them, and the crashes that this router saw, so that they reach routers
-// that do not hear it. Its goroutine owns the fields after reports.
+// that do not hear it. Its goroutine owns the fields after reload.
 type suspectWriter struct {
 	r       *Router
 	queue   chan suspect.Record
 	reports chan suspect.Report       // the latest one that was not taken yet
+	reload  chan struct{}             // the store may have lost records
 	pending map[uint64]suspect.Record // by key; not written yet
 	report  *suspect.Report           // not written yet; nil if there is none
 	loaded  bool                      // the records of the store have been read
 }
 
 func newSuspectWriter(r *Router) *suspectWriter {
-	return &suspectWriter{r: r, queue: make(chan suspect.Record, 256), reports: make(chan suspect.Report, 1), pending: map[uint64]suspect.Record{}}
+	return &suspectWriter{r: r, queue: make(chan suspect.Record, 256), reports: make(chan suspect.Report, 1), reload: make(chan struct{}, 1), pending: map[uint64]suspect.Record{}}
 }
 
 // save queues a record, which replaces the one with the same key. If the queue is full
@@ -79,6 +80,8 @@
 			w.add(rec)
 		case rep := <-w.reports:
 			w.report = &rep
+		case <-w.reload:
+			w.loaded = false
 		case <-ctx.Done():
 			return
 		}
@@ -158,7 +161,8 @@
 			return nil
 		}
 		err = w.r.deps.Store.PutSuspect(ctx, next, position)
-		if err == nil || !errors.Is(err, ErrConflict) || conflicts == maxConflicts {
+		again := errors.Is(err, ErrConflict) || errors.Is(err, ErrRestored)
+		if err == nil || !again || conflicts == maxConflicts {
 			return err
 		}
 	}
@@ -169,7 +173,7 @@
 // that hears none is bound by what they know all the same.
 func (r *Router) followCrashReports(ctx context.Context) {
 	dep := &dependency{r: r, name: "crash reports"}
-	var position int64
+	var position Position
 	known := false
 	for ctx.Err() == nil {
 		var reports []suspect.Report
@@ -188,7 +192,7 @@
 		}
 		r.closeWhenApplied(ctx, r.crashesReady)
 		switch {
-		case errors.Is(err, ErrIncomplete):
+		case errors.Is(err, ErrIncomplete) || errors.Is(err, ErrRestored):
 			r.log.Info("changes of the crash reports are incomplete, reading the newest ones", "cause", err.Error())
 		case err != nil:
 			if !dep.failed(ctx, err) {
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -19,12 +19,16 @@
 
 func (applyOrders) Name() string { return "orders" }
 
-func (f applyOrders) Apply(s *State, _ time.Time, ev control.Event) bool {
+func (f applyOrders) Apply(s *State, now time.Time, ev control.Event) bool {
 	e, ok := ev.(ordersRead)
 	if !ok {
 		return false
 	}
-	s.confirmed, s.position = max(s.confirmed, e.sent), max(s.position, e.position)
+	e = f.holdOrders(s, now, e)
+	s.confirmed = max(s.confirmed, e.sent)
+	if e.position.After(s.position) {
+		s.position = e.position
+	}
 	if c := e.orders.Catalog; c != nil && (s.catalog == nil || c.Version > s.catalog.Version) {
 		f.log.Info("configuration in force", "version", c.Version, "routes", c.Routes(), "pools", len(c.Pools))
 		s.catalog, s.config, s.configHash = c, e.orders.Config, configHash(e.orders.Config)
@@ -46,12 +50,16 @@
 		clear(next)
 	}
 	for pool, version := range e.orders.Rollouts {
+		if _, held := s.held.rollouts[pool]; held {
+			continue
+		}
 		if version != "" {
 			next[pool] = version
 		} else {
 			delete(next, pool)
 		}
 	}
+	maps.Copy(next, s.held.rollouts)
 	if maps.Equal(next, s.rollouts) {
 		return
 	}
@@ -77,6 +85,7 @@
 			delete(next, dc)
 		}
 	}
+	maps.Copy(next, s.held.evacuated)
 	if maps.Equal(next, s.evacuated) {
 		return
 	}
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -19,22 +19,25 @@
 // come.
 type startStore struct{}
 
+func (startStore) Eras() <-chan int64 { return nil }
+func (startStore) ObserveEra(int64)   {}
+
 func (startStore) Endpoints(context.Context) (Listing, error) {
 	return Listing{Delta: place.Delta{Changed: []place.Endpoint{{ID: "e", Pool: "p", Address: "127.0.0.1:1"}}}}, nil
 }
 
-func (startStore) EndpointChanges(ctx context.Context, _ int64) (Listing, error) {
+func (startStore) EndpointChanges(ctx context.Context, _ Position) (Listing, error) {
 	<-ctx.Done()
 	return Listing{}, ctx.Err()
 }
 
-func (startStore) CurrentOrders(context.Context) (Orders, int64, error) {
-	return Orders{Catalog: catalog.New(1, nil, nil, 0)}, 1, nil
+func (startStore) CurrentOrders(context.Context) (Orders, Position, error) {
+	return Orders{Catalog: catalog.New(1, nil, nil, 0)}, Position{Offset: 1}, nil
 }
 
-func (startStore) OrderChanges(ctx context.Context, _ int64, _ time.Duration) (Orders, int64, error) {
+func (startStore) OrderChanges(ctx context.Context, _ Position, _ time.Duration) (Orders, Position, error) {
 	<-ctx.Done()
-	return Orders{}, 0, ctx.Err()
+	return Orders{}, Position{}, ctx.Err()
 }
 
 func (startStore) DecodeConfig([]byte) (*catalog.Catalog, error) { return nil, nil }
@@ -42,19 +45,21 @@
 func (startStore) Announce(context.Context, Member) error    { return nil }
 func (startStore) Members(context.Context) ([]Member, error) { return nil, nil }
 
-func (startStore) PutSuspect(context.Context, suspect.Record, int64) error { return nil }
-func (startStore) ClaimTrial(_ context.Context, r []suspect.Record) ([]suspect.Record, bool, error) {
+func (startStore) PutSuspect(context.Context, suspect.Record, Position) error { return nil }
+func (startStore) ClaimTrial(_ context.Context, r []suspect.Record, _ int64) ([]suspect.Record, bool, error) {
 	return r, true, nil
 }
-func (startStore) Suspects(context.Context) ([]suspect.Record, int64, error) { return nil, 0, nil }
-func (startStore) PutCrashReport(context.Context, suspect.Report) error      { return nil }
-func (startStore) CrashReports(context.Context) ([]suspect.Report, int64, error) {
-	return nil, 0, nil
+func (startStore) Suspects(context.Context) ([]suspect.Record, Position, error) {
+	return nil, Position{}, nil
+}
+func (startStore) PutCrashReport(context.Context, suspect.Report) error { return nil }
+func (startStore) CrashReports(context.Context) ([]suspect.Report, Position, error) {
+	return nil, Position{}, nil
 }
 
-func (startStore) CrashReportChanges(ctx context.Context, _ int64, _ time.Duration) ([]suspect.Report, int64, error) {
+func (startStore) CrashReportChanges(ctx context.Context, _ Position, _ time.Duration) ([]suspect.Report, Position, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, Position{}, ctx.Err()
 }
 
 // Guards against a starting router that serves callers when it has read the
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -37,7 +37,10 @@
 	failures     suspect.Failures  // attempts at endpoints that may have crashed
 	observed     suspect.Observed  // what this router reports of crashes
 	retryWindows map[model.Pool]*retry.Window
-	position     int64                                // after the last order that was read
+	position     Position                             // after the last order that was read
+	held         heldOrders                           // in force although the store lacks them
+	era          int64                                // of the store; 0 if it is not known
+	restoredAt   time.Time                            // when this router learned that the store was restored
 	config       []byte                               // encoding of catalog
 	configHash   uint64                               // hash of config
 	deltas       []ConfigDelta                        // the last changes of config, for the peers
@@ -60,7 +63,7 @@
 	causes    suspect.CauseView
 	// The state of the store, from which peers that use this router as store reader
 	// are answered.
-	Position   int64
+	Position   Position
 	config     []byte
 	configHash uint64
 	deltas     []ConfigDelta
--- a/internal/router/store_server.go
+++ b/internal/router/store_server.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -20,7 +21,8 @@
 // StateArgs is the query of a router to its store reader.
 type StateArgs struct {
 	List     uint64 // hash of the instance list that the router has
-	Position int64  // after the last order that the router has
+	Era      int64  // Position.Era of the last order that the router has
+	Position int64  // Position.Offset after it
 	Config   uint64 // hash of the encoded configuration that the router has
 	// WholeConfig asks for the whole configuration, since the router cannot read it
 	// from the store and has no base for the deltas.
@@ -37,7 +39,8 @@
 type StateReply struct {
 	Starting  bool // the reader knows nothing yet; the other fields are empty
 	OrdersAge time.Duration
-	Position  int64  // position after the last order that was read
+	Era       int64  // Position.Era of the last order that was read
+	Position  int64  // Position.Offset after it
 	Config    uint64 // hash of the encoded configuration at Position
 	// Deltas lead from StateArgs.Config to Config. They are empty if the router has the
 	// configuration, and if the reader does not keep them or they are too long.
@@ -51,6 +54,12 @@
 	Replaced  []uint8 // buckets of the list whose endpoints are those in Delta.Changed
 }
 
+// position returns the position of the reader's orders for a router with orders of an era. A
+// reader of a version without eras, and one of a store without, is taken to have the same.
+func (r StateReply) position(era int64) Position {
+	return Position{Era: cmp.Or(r.Era, era), Offset: r.Position}
+}
+
 // storeServer answers the queries of peers from the snapshot.
 type storeServer struct{ snapshot func() *Snapshot }
 
@@ -62,10 +71,10 @@
 		return nil
 	}
 	*reply = StateReply{
-		OrdersAge: now - snap.Confirmed, Position: snap.Position,
+		OrdersAge: now - snap.Confirmed, Era: snap.Position.Era, Position: snap.Position.Offset,
 		ListAge: now - snap.ListSent, List: snap.List.Hash,
 	}
-	if args.Position < snap.Position {
+	if snap.Position.After(Position{Era: cmp.Or(args.Era, snap.Position.Era), Offset: args.Position}) {
 		reply.Config, reply.Evacuated, reply.Rollouts = snap.configHash, slices.Collect(maps.Keys(snap.evacuated)), snap.rollouts
 		switch {
 		case args.Config == snap.configHash:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -209,6 +210,7 @@
 // revocation.
 func (f *fleet) injectFaults(rng *rand.Rand, d time.Duration) time.Time {
 	var pending sync.WaitGroup
+	var restoring atomic.Bool // one drill at a time
 	version := 1
 	revocation := time.Now().Add(d / 2) // the planned time, replaced by the actual one
 	revoked := false
@@ -221,7 +223,7 @@
 			pending.Add(1)
 			time.AfterFunc(duration, func() { finish(); pending.Done() })
 		}
-		switch rng.IntN(10) {
+		switch rng.IntN(11) {
 		case 0:
 			pending.Add(1)
 			go func() { p.restart(syscall.SIGKILL); pending.Done() }()
@@ -248,6 +250,16 @@
 				keys = keys[:1]
 			}
 			f.store.SetConfig(routeConfig(version, keys...))
+		case 10:
+			drill := standin.RestoreDrill{
+				Back:    time.Duration(200+rng.IntN(1800)) * time.Millisecond, // with the rest less than revokeTimeout
+				Outage:  time.Duration(rng.IntN(600)) * time.Millisecond,
+				Rewrite: time.Duration(rng.IntN(500)) * time.Millisecond,
+			}
+			if restoring.CompareAndSwap(false, true) {
+				pending.Add(1)
+				go func() { f.store.Restore(drill); restoring.Store(false); pending.Done() }()
+			}
 		}
 		if !revoked && time.Now().After(revocation) {
 			version++
