--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/summary"
 )
 
 const (
@@ -196,3 +199,67 @@
 	}
 	return read, kept
 }
+
+const (
+	// configPeers is the number of peers that a starting router asks for a newer
+	// configuration than the store's, and configPeerTimeout bounds the time that this adds to
+	// its start, the wait for the list of routers included.
+	configPeers       = 3
+	configPeerTimeout = 300 * time.Millisecond
+)
+
+// newestConfig returns orders with the configuration of a peer in place of the store's if that
+// is newer. A starting router cannot know whether the store has just been restored from an older
+// copy, which may hold keys that have been revoked since.
+func (r *Router) newestConfig(ctx context.Context, orders Orders) Orders {
+	ctx, cancel := context.WithTimeout(ctx, configPeerTimeout)
+	defer cancel()
+	select {
+	case <-r.membersReady:
+	case <-ctx.Done():
+		return orders
+	}
+	routers, err := control.Ask(ctx, r.loop, storeReadersQuery{Question: control.NewQuestion[map[model.InstanceID]exchangeAddress]()})
+	if err != nil {
+		return orders
+	}
+	delete(routers, r.settings.Instance)
+	peers := summary.Rendezvous(string(r.settings.Instance), slices.Collect(maps.Keys(routers)), configPeers)
+	offered := make(chan Orders, len(peers))
+	for _, name := range peers {
+		go func() {
+			o, err := r.configOfPeer(ctx, routers[name].address, configHash(orders.Config))
+			if err != nil {
+				r.log.Info("router does not tell its configuration", "router", name, "error", err.Error())
+			}
+			offered <- o
+		}()
+	}
+	for range peers {
+		if o := <-offered; o.Catalog != nil && (orders.Catalog == nil || o.Catalog.Version > orders.Catalog.Version) {
+			r.log.Warn("another router has a newer configuration than the store", "version", o.Catalog.Version)
+			orders.Catalog, orders.Config = o.Catalog, o.Config
+		}
+	}
+	return orders
+}
+
+// configOfPeer returns the configuration of the router at address, or none if its hash is the
+// given one or it has none.
+func (r *Router) configOfPeer(ctx context.Context, address string, hash uint64) (Orders, error) {
+	args := StateArgs{Config: hash}
+	reply, err := exchange.CallWithin[StateReply](ctx, r.node, configPeerTimeout, address, storeMethod, args)
+	if err != nil || reply.Starting || reply.Config == 0 || reply.Config == hash {
+		return Orders{}, err
+	}
+	args.WholeConfig = true
+	if reply, err = exchange.CallWithin[StateReply](ctx, r.node, configPeerTimeout, address, storeMethod, args); err != nil || len(reply.Deltas) != 1 {
+		return Orders{}, err
+	}
+	config, err := reply.Deltas[0].apply(nil)
+	if err != nil {
+		return Orders{}, err
+	}
+	c, err := r.deps.Store.DecodeConfig(config)
+	return Orders{Catalog: c, Config: config}, err
+}
--- a/internal/router/restored_test.go
+++ b/internal/router/restored_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/router"
 	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 	"github.com/goldcrestturn/goldcrestturn/platform"
@@ -91,6 +92,27 @@
 	eventually(t, "the data centre is back in service", func() bool { get(fleet[0], nil); return ranAt(out, restored) > 0 })
 }
 
+// Guards against a revoked key that is valid at a router which starts while a restored store
+// holds an earlier configuration.
+func TestStartingRoutersAskPeersForANewerConfiguration(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 1)
+	fleet := f.startRouters(2)
+	copied := time.Now()
+	f.store.SetConfig(keysOnly(2, "key-2"))
+	for _, p := range fleet {
+		eventually(t, "the key is revoked", func() bool { return p.get("/read/x").status == http.StatusUnauthorized })
+	}
+	f.restoreTo(copied)
+	for _, name := range []model.InstanceID{"late-0", "late-1", "late-2"} {
+		late := f.start(func(s *router.Settings) { s.Instance = name })
+		for begin := time.Now(); time.Since(begin) < meanwhileTime; time.Sleep(5 * time.Millisecond) {
+			is.True(late.get("/read/x").status != http.StatusOK)
+		}
+		is.Equal(late.get("/read/x").status, http.StatusUnauthorized)
+	}
+}
+
 // Guards against records that a router never reads, because it goes on at an offset of before
 // the restore, which other records have by then.
 func TestRecordsAtOffsetsThatAreGivenOutAgain(t *testing.T) {
--- a/internal/router/source_orders.go
+++ b/internal/router/source_orders.go
@@ -85,6 +85,9 @@
 	if err != nil {
 		return err
 	}
+	if next.Era != 0 && f.position == (Position{}) {
+		orders = f.r.newestConfig(ctx, orders)
+	}
 	if orders.Skipped > 0 {
 		f.r.log.Warn("records of the orders cannot be read", "count", orders.Skipped, "position", f.position.Offset)
 	}
