--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -109,8 +109,10 @@
 // forward copies data from one connection to the other with the current fault,
 // and closes both at the end, with a reset if they did not end in order.
 func (p *proxy) forward(to, from net.Conn, toClient bool) {
-	defer to.Close()
-	defer from.Close()
+	closeBoth := func() {
+		_ = from.Close()
+		_ = to.Close()
+	}
 	reset := func() {
 		_ = to.(*net.TCPConn).SetLinger(0)
 		_ = from.(*net.TCPConn).SetLinger(0)
@@ -128,7 +130,11 @@
 			if _, err := to.Write(buf[:n]); err != nil {
 				if !errors.Is(err, net.ErrClosed) {
 					reset()
+					if !toClient {
+						return // the other direction passes on what the target has sent, and then closes both
+					}
 				}
+				closeBoth()
 				return
 			}
 		}
@@ -136,6 +142,7 @@
 			if !errors.Is(err, net.ErrClosed) && !(errors.Is(err, io.EOF) && origin.EndedInOrder(from)) {
 				reset()
 			}
+			closeBoth()
 			return
 		}
 	}
