--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -56,8 +56,8 @@
 var ErrRestored = eris.New("router: the store was restored from an older copy")
 
 // Position is a position in a topic of the store. The era grows each time that the store is
-// restored from an older copy, after which it gives out offsets again; it is 0 for a store that
-// does not state it.
+// restored from an older copy, after which it gives out offsets again. It is one more than the
+// store states, which may begin with 0, and 0 for a store that does not state it.
 type Position struct{ Era, Offset int64 }
 
 // After reports whether p is a later position than o.
--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -45,9 +45,9 @@
 		case era := <-r.deps.Store.Eras():
 			restored := known != 0
 			known = era
-			storeEra.Set(float64(era))
+			storeEra.Set(float64(era - 1))
 			if restored {
-				r.log.Warn("store was restored from an older copy", "era", era)
+				r.log.Warn("store was restored from an older copy", "era", era-1)
 				storeRestores.Inc()
 				wake(r.announceAgain)
 				wake(r.suspects.reload)
