endpointapi: the client of a service starts with its first call

internal/measure runs in a bubble of testing/synctest, which ended in a deadlock: the goroutine of the client's idle connections was started by NewService although a test replaces the transport.

--- a/internal/endpointapi/service.go
+++ b/internal/endpointapi/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,8 +29,8 @@
 type Service struct {
 	base   *url.URL
 	id     model.EndpointID
-	client *origin.Client
-	http   *http.Client // replaces client if it is not nil
+	client func() *origin.Client // creates it at the first call, since it starts a goroutine
+	http   *http.Client          // replaces client if it is not nil
 }
 
 // NewService returns a client of the service at base, whose scheme is http. It uses the client
@@ -40,7 +41,7 @@
 	if err != nil {
 		u = &url.URL{} // calls fail, since the address is empty
 	}
-	return &Service{base: u, id: id, client: origin.NewClientWithIdle(maxIdleConns)}
+	return &Service{base: u, id: id, client: sync.OnceValue(func() *origin.Client { return origin.NewClientWithIdle(maxIdleConns) })}
 }
 
 // WithTransport returns a copy of the client that uses t. t must not return part of a body as
@@ -78,7 +79,7 @@
 	if target.Port() == "" {
 		address = net.JoinHostPort(target.Hostname(), "http")
 	}
-	res, err := s.client.Do(ctx, address, &origin.Request{
+	res, err := s.client().Do(ctx, address, &origin.Request{
 		Method: http.MethodPost, Target: target.RequestURI(), Host: target.Host, Header: header, Body: body,
 		MaxIdle: maxIdleTime, Matches: func(http.Header) bool { return true },
 	})
