--- a/internal/router/deploy_test.go
+++ b/internal/router/deploy_test.go
@@ -57,7 +57,7 @@
 	values := map[string]string{
 		"NodeName": "edge-a-1", "Zone": "a", "Listen.Frontend": "10.1.0.1:8227", "Listen.Ready": "10.1.0.1:8220", "Ip": "10.1.0.1",
 		"InternalPorts.0": "7340", "Bootstrap": "true", "Limits.MemoryMb": "184", "Platform.Address": "10.200.1.7:8065",
-		"Contracts": "base,pool,platform",
+		"Contracts":     "base,pool,platform",
 		"Bounds.GraceS": "", "Bounds.RevokeMs": "", "Bounds.StrictRevoke": "", "Bounds.RetryRatio": "",
 		"Bounds.RetryBurst": "", "Bounds.RetryWindowS": "", "Bounds.DrainMs": "",
 	}
