--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,6 +51,7 @@
 	// suspectsReady is closed in the same way after the first read of the refused
 	// properties, and crashesReady after that of the crash reports.
 	suspectsReady, crashesReady *startLatch
+	announceAgain               chan struct{} // the store may have lost the announcement of this router
 }
 
 // exchangeKey distinguishes routers from processes of other programs. It is no
@@ -69,7 +70,7 @@
 // connection. Start starts it.
 func New(s Settings, deps Deps, datagrams DatagramConn) *Router {
 	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64, slotWakes: make(chan struct{}, 1),
-		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
+		announceAgain: make(chan struct{}, 1), membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.division = inbound.Divide(cmp.Or(s.MemoryLimit, defaultMemoryMB<<20), cmp.Or(s.MaxFDs, defaultMaxFDs))
@@ -93,7 +94,7 @@
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
 	runs := []func(context.Context){
 		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run, r.followCrashReports,
-		r.queryStoreReaders, r.node.Run, r.meter.run, r.tickSlots, r.serveMetrics,
+		r.queryStoreReaders, r.watchEra, r.node.Run, r.meter.run, r.tickSlots, r.serveMetrics,
 	}
 	if r.duties != nil {
 		runs = append(runs, r.duties.follow, r.duties.call, r.sendCounts)
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -38,7 +38,10 @@
 	observed     suspect.Observed  // what this router reports of crashes
 	retryWindows map[model.Pool]*retry.Window
 	admission    *admissionState                      // nil if the deployment does not call for it
-	position     int64                                // after the last order that was read
+	position     Position                             // after the last order that was read
+	held         heldOrders                           // in force although the store lacks them
+	era          int64                                // of the store; 0 if it is not known
+	restoredAt   time.Time                            // when this router learned that the store was restored
 	config       []byte                               // encoding of catalog
 	configHash   uint64                               // hash of config
 	deltas       []ConfigDelta                        // the last changes of config, for the peers
@@ -64,7 +67,7 @@
 	causes    suspect.CauseView
 	// The state of the store, from which peers that use this router as store reader
 	// are answered.
-	Position   int64
+	Position   Position
 	config     []byte
 	configHash uint64
 	deltas     []ConfigDelta
