--- a/internal/place/worktime.go
+++ b/internal/place/worktime.go
@@ -13,6 +13,9 @@
 	// counts as usual. It varies by some tens of percent many times a second, which is
 	// over before the next request arrives at the endpoint.
 	usualVariation = 1.5
+	// minWorkFactor bounds the work time that counts from below, so that an endpoint which
+	// states a figure that is far too low does not get all requests up to the load bound.
+	minWorkFactor = 0.5
 	// workTimeSmoothing is the weight of a new figure against those before it. The mean of
 	// figures that vary by half then stays within usualVariation.
 	workTimeSmoothing = 0.4
@@ -53,7 +56,7 @@
 		return 1
 	}
 	fade := 1 - float64(now.Sub(w.at)-hold)/float64(workTimeFades*hold)
-	return aboveVariation(1 + (w.value-1)*min(1, max(0, fade)))
+	return max(minWorkFactor, aboveVariation(1+(w.value-1)*min(1, max(0, fade))))
 }
 
 // aboveVariation returns f, or 1 if f is within the usual variation.
--- a/internal/place/worktime_test.go
+++ b/internal/place/worktime_test.go
@@ -45,6 +45,8 @@
 	is.True(state(5500, 1)) // it is as usual again
 	is.Equal(slowness(tab, 5500), 1.0)
 	is.Equal(slowness(peer, 5500), 1.0)
+	state(6000, 0.01)
+	is.Equal(slowness(tab, 6000), minWorkFactor)
 }
 
 // Guards against a message to all routers for each answer of endpoints whose work time jumps
