--- a/internal/place/select.go
+++ b/internal/place/select.go
@@ -89,13 +89,21 @@
 	return few
 }
 
-// firstInOrder returns the first n of the list in the rendezvous order for a key.
+// firstInOrder returns the first n of the list in the rendezvous order for a key. n is small,
+// so it inserts them into a short list rather than sorting all.
 func firstInOrder(key uint64, list []candidate, n int) []candidate {
-	list = slices.Clone(list)
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Compare(rendezvousScore(key, b.hash), rendezvousScore(key, a.hash))
-	})
-	return list[:min(len(list), n)]
+	n = min(len(list), n)
+	first, scores := make([]candidate, 0, n+1), make([]uint64, 0, n+1)
+	for _, c := range list {
+		score := rendezvousScore(key, c.hash)
+		if len(first) == n && (n == 0 || score <= scores[n-1]) {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(scores, score, func(a, b uint64) int { return cmp.Compare(b, a) })
+		first, scores = slices.Insert(first, i, c), slices.Insert(scores, i, score)
+		first, scores = first[:min(len(first), n)], scores[:min(len(scores), n)]
+	}
+	return first
 }
 
 // best returns the candidate with the least cost and this cost: the expected time in ms of
