--- a/internal/slots/home.go
+++ b/internal/slots/home.go
@@ -33,7 +33,8 @@
 	config    Config
 	endpoints map[uint32]int // slots
 	routers   map[string]*holder
-	number    uint32 // of the last grant
+	sorted    []string // names of routers; nil if they have changed
+	number    uint32   // of the last grant
 	scale     queueScale
 	pushes    bucket
 	targets   map[string]int
@@ -95,7 +96,7 @@
 			return Grant{}, false
 		}
 		r = &holder{credits: map[uint32]int{}, held: map[uint32]int{}}
-		h.routers[from] = r
+		h.routers[from], h.sorted = r, nil
 	} else if !newer(d.Number, r.demand.Number) {
 		return Grant{}, false
 	}
@@ -159,11 +160,21 @@
 	return false
 }
 
-func (h *Home) names() []string { return slices.Sorted(maps.Keys(h.routers)) }
+// names returns the names of the routers in order.
+func (h *Home) names() []string {
+	if h.sorted == nil {
+		h.sorted = slices.Sorted(maps.Keys(h.routers))
+	}
+	return h.sorted
+}
 
 // expire removes the routers whose lease has ended.
 func (h *Home) expire(now time.Duration) {
+	before := len(h.routers)
 	maps.DeleteFunc(h.routers, func(_ string, r *holder) bool { return now >= r.expires })
+	if len(h.routers) < before {
+		h.sorted = nil
+	}
 }
 
 // divide sets the targets of all routers.
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -463,6 +463,49 @@
 	}
 }
 
+// Guards against a queue in another order than urgency, the end of the time and arrival,
+// against requests that are held although they cannot be answered in time, and against
+// refused callers that come back together or before a slot is free.
+func TestQueueOrderAndRefusals(t *testing.T) {
+	c := NewClient(0, testConfig)
+	c.SetPool([]Endpoint{{Hash: 1, Slots: 2}}, 5, 0, "") // 5 credits, one of them for this router
+	second := time.Second
+	c.Arrive(0, Request{ID: 1, Priority: 9, Limit: second})
+	if got := c.Step(0).Starts; len(got) != 1 || got[0].Endpoint != 0 {
+		t.Fatalf("a request waits for a grant without load: %v", got)
+	}
+	c.RecordEvidence(0)
+	for id, r := range []Request{{Priority: 2, Limit: second}, {Priority: 0, Limit: 2 * second}, {Priority: 0, Limit: second}, {Priority: 2, Limit: second / 2}} {
+		r.ID = uint64(id + 2)
+		if refused := c.Arrive(0, r); len(refused) > 0 {
+			t.Fatalf("%v is refused although its time is enough", r)
+		}
+	}
+	order := []uint64{1}
+	for i := 0; i < 4; i++ {
+		now := time.Duration(i+1) * firstWorkTime
+		c.End(now, order[i], true)
+		for _, s := range c.Step(now).Starts {
+			order = append(order, s.ID)
+		}
+	}
+	if !slices.Equal(order, []uint64{1, 4, 3, 5, 2}) {
+		t.Errorf("order %v", order)
+	}
+	last := time.Duration(0)
+	for id := uint64(10); id < 20; id++ { // one of them in the time of each request
+		for _, r := range c.Arrive(5*firstWorkTime, Request{ID: id, Priority: 5, Limit: 7*firstWorkTime + firstWorkTime/2}) {
+			if r.RetryAfter < last+firstWorkTime/2 || r.RetryAfter > maxReturn {
+				t.Errorf("the caller after one that returns in %v is to return in %v", last, r.RetryAfter)
+			}
+			last = r.RetryAfter
+		}
+	}
+	if last == 0 || c.Waiting() > 2 {
+		t.Errorf("%d wait, last refused until %v", c.Waiting(), last)
+	}
+}
+
 // Guards against credits that two routers hold at once, whatever datagrams are lost, late,
 // repeated or out of order: together the routers would overrun an endpoint.
 func TestCreditsInForceNeverExceedTheEndpoint(t *testing.T) {
