--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -294,7 +294,8 @@
 		return 0, true
 	}
 	if c.leased(now) {
-		if e, ok := c.unused(r); ok {
+		// Requests that were sent before the grants came into force have no endpoint here.
+		if e, ok := c.unused(r); ok && len(c.running) < sum(c.credits) {
 			return e, true
 		}
 		if level(r.Priority) > c.grant.Cut && !c.silent(now) {
