--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -17,8 +17,9 @@
 // purePackages contain decision logic. They must not read the clock, open a
 // socket or use hidden randomness.
 var purePackages = []string{
-	"admit", "catalog", "choose", "claim", "config", "finding", "hrw", "inbound", "limit", "lists", "member",
-	"model", "order", "overlay", "pipe", "place", "replay", "retry", "rollout", "summary", "suspect", "timing",
+	"admission", "admit", "catalog", "choose", "claim", "config", "duty", "finding", "hrw", "inbound", "limit", "lists",
+	"locality", "member", "model", "order", "overlay", "pipe", "place", "replay", "retry", "rollout", "slots",
+	"summary", "suspect", "timing",
 }
 
 // bannedImports must not appear outside tests: processes do not start other
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,6 +1,6 @@
 // Package mesh encodes the datagrams in which routers report to their peers their
 // requests in flight, which endpoints hold which prompt parts, what endpoints stated
-// about their load and their limits, and crashes of endpoints. A prompt part is a prefix
+// about their load and their limits, crashes of endpoints, and the use of slots. A prompt part is a prefix
 // of a prompt that requests share. Datagrams are not acknowledged, since the next one
 // makes up for one that is lost.
 package mesh
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/admission"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
 
@@ -23,6 +24,8 @@
 	// properties, which follow the header fields in place of all others. Routers of
 	// versions that do not know them drop these messages.
 	causesVersion = 3
+	// slotsVersion does the same in messages about the slots of a pool.
+	slotsVersion = 4
 
 	flagLoads        = 1 << 0 // the loads are reported; they are all that the sender has in flight
 	flagLeaving      = 1 << 1
@@ -31,6 +34,8 @@
 	flagRelay        = 1 << 4
 	flagStatedLoads  = 1 << 5 // the loads are those that endpoints stated, without flagLoads
 	flagLimits       = 1 << 6 // the loads are limits in limitUnit, without the other two
+	flagWorkTimes    = 1 << 7 // without flagLoads: the loads are work times in percent
+	flagDemand       = 1 << 7 // with flagLoads: demand follows the holders
 
 	flagsOffset  = 2
 	headerLen    = 3  // bytes: magic, version and flags
@@ -75,9 +80,13 @@
 	// stated in answers to the sender, by endpoint hash; negative if they state none any
 	// more. They are sent in units of 0.05, 3276 at most. A message with Loads or
 	// StatedLoads carries none.
-	Limits  map[uint32]float64
-	Holders []place.PartHolder
-	Leaving bool // the sender is stopping
+	Limits map[uint32]float64
+	// WorkTimes are the work times that endpoints stated in answers to the sender, relative
+	// to the usual ones, by endpoint hash. They are sent in percent. A message with Loads,
+	// StatedLoads or Limits carries none.
+	WorkTimes map[uint32]float64
+	Holders   []place.PartHolder
+	Leaving   bool // the sender is stopping
 	// HoldersKnown says that the sender knows the holders from before its start, so
 	// that the receiver need not ask the engines.
 	HoldersKnown bool
@@ -88,6 +97,11 @@
 	// with either carries no loads, holders or caches.
 	Crashes []Crash
 	Sound   []uint64
+	// Demand is the demand for loaded pools at the sender, MaxDemand pools at most. Only a
+	// message with Loads carries it.
+	Demand []admission.Report
+	// Slots is about the slots of a pool. A message with it carries nothing else.
+	Slots *Slots
 }
 
 // Crash is a crash of an endpoint at which a request with a property was met.
@@ -114,6 +128,9 @@
 	case m.Limits != nil:
 		flags |= flagLimits
 		loads = limitUnits(m.Limits)
+	case m.WorkTimes != nil:
+		flags |= flagWorkTimes
+		loads = percents(m.WorkTimes)
 	}
 	if m.Leaving {
 		flags |= flagLeaving
@@ -127,8 +144,15 @@
 	if m.Relay {
 		flags |= flagRelay
 	}
+	hasDemand := len(m.Demand) > 0 && m.Loads != nil && !m.hasCauses()
+	if hasDemand {
+		flags |= flagDemand
+	}
 	version := byte(formatVersion)
-	if m.hasCauses() {
+	switch {
+	case m.Slots != nil:
+		version = slotsVersion
+	case m.hasCauses():
 		version = causesVersion
 	}
 	b = append(b, magic, version, flags)
@@ -138,6 +162,9 @@
 		b = append(b, byte(len(field)))
 		b = append(b, field...)
 	}
+	if m.Slots != nil {
+		return appendSlots(b, *m.Slots)
+	}
 	if m.hasCauses() {
 		return appendCauses(b, m)
 	}
@@ -157,6 +184,9 @@
 		b = binary.BigEndian.AppendUint64(b, h.Part)
 		b = binary.BigEndian.AppendUint32(b, h.Endpoint)
 	}
+	if hasDemand {
+		b = appendDemand(b, m.Demand)
+	}
 	for _, engine := range m.CachesRead[:min(len(m.CachesRead), maxCachesRead)] {
 		b = binary.BigEndian.AppendUint32(b, engine)
 	}
@@ -189,6 +219,15 @@
 	return out
 }
 
+// percents returns work times in percent, at least one each.
+func percents(workTimes map[uint32]float64) map[uint32]int {
+	out := make(map[uint32]int, len(workTimes))
+	for h, w := range workTimes {
+		out[h] = int(min(max(1, 100*w+0.5), 1<<16-1))
+	}
+	return out
+}
+
 // Relayed returns the datagram b as its relay forwards it: receivers do not forward
 // it again. b must have been parsed without an error.
 func Relayed(b []byte) []byte {
@@ -200,7 +239,7 @@
 // Parse decodes a datagram.
 func Parse(b []byte) (Message, error) {
 	var m Message
-	if len(b) < headerLen || b[0] != magic || b[1] != formatVersion && b[1] != causesVersion {
+	if len(b) < headerLen || b[0] != magic || b[1] < formatVersion || b[1] > slotsVersion {
 		return m, ErrFormat
 	}
 	version, flags := b[1], b[flagsOffset]
@@ -218,8 +257,11 @@
 	m.Name, m.DataCentre = string(fields[0]), string(fields[1])
 	m.Leaving, m.Relay = flags&flagLeaving != 0, flags&flagRelay != 0
 	m.HoldersKnown, m.WantHolders = flags&flagHoldersKnown != 0, flags&flagWantHolders != 0
-	if version == causesVersion {
+	switch version {
+	case causesVersion:
 		return parseCauses(b, m)
+	case slotsVersion:
+		return parseSlots(b, m)
 	}
 	n := int(binary.BigEndian.Uint16(b))
 	b = b[2:]
@@ -238,6 +280,11 @@
 		m.StatedLoads = loads
 	case flags&flagLimits != 0:
 		m.Limits = limitsOf(loads)
+	case flags&flagWorkTimes != 0:
+		m.WorkTimes = make(map[uint32]float64, len(loads))
+		for h, n := range loads {
+			m.WorkTimes[h] = float64(n) / 100
+		}
 	}
 	n = int(binary.BigEndian.Uint16(b))
 	b = b[2:]
@@ -248,6 +295,12 @@
 		m.Holders = append(m.Holders, place.PartHolder{Part: binary.BigEndian.Uint64(b), Endpoint: binary.BigEndian.Uint32(b[8:])})
 		b = b[holderLen:]
 	}
+	if flags&flagLoads != 0 && flags&flagDemand != 0 {
+		var err error
+		if m.Demand, b, err = parseDemand(b); err != nil {
+			return Message{}, err
+		}
+	}
 	for ; len(b) > 0; b = b[cacheReadLen:] {
 		m.CachesRead = append(m.CachesRead, binary.BigEndian.Uint32(b))
 	}
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/admission"
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/mesh"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
@@ -17,7 +18,7 @@
 		orders   Orders
 		current  bool // all current orders rather than changes
 		sent     time.Duration
-		position int64 // after the orders
+		position Position // after the orders
 		// delta leads to the configuration of orders from the one before it, for the
 		// peers that this router supplies; nil if there is none.
 		delta *ConfigDelta
@@ -59,6 +60,11 @@
 		load     place.StatedLoad
 		limit    float64 // requests a second of all routers; negative if not stated
 	}
+	// answerTimed carries the times of a complete answer.
+	answerTimed struct {
+		endpoint model.EndpointID
+		times    place.AnswerTime
+	}
 	// noticeSeen says that an endpoint stated in an answer that it leaves, or that it
 	// wants no requests of this router for the time turnAway.
 	noticeSeen struct {
@@ -93,7 +99,9 @@
 	// if there was none left.
 	allowRetry struct {
 		control.Question[bool]
-		pool model.Pool
+		pool     model.Pool
+		priority int
+		resumed  bool // the answer has begun
 	}
 	// peerMessage carries a datagram of a peer.
 	peerMessage struct {
@@ -103,6 +111,7 @@
 		// statedLoads are loads that endpoints stated to the peer.
 		statedLoads map[uint32]int
 		limits      map[uint32]float64 // that endpoints stated to the peer
+		workTimes   map[uint32]float64 // the same, relative to the usual ones
 		crashes     []mesh.Crash
 		sound       []uint64 // properties of requests that were answered
 		holders     []place.PartHolder
@@ -110,6 +119,8 @@
 		// holdersKnown says that the sender knows the holders from before its start.
 		holdersKnown bool
 		cachesRead   []uint32 // engines whose caches the sender has read since its start
+		demand       []admission.Report
+		slots        *mesh.Slots
 	}
 	// cacheRead carries the prompt parts in the cache of one engine.
 	cacheRead struct {
@@ -141,6 +152,7 @@
 func (pickEndpoint) EventName() string      { return "pick_endpoint" }
 func (alternativeQuery) EventName() string  { return "alternative_asked" }
 func (requestEnded) EventName() string      { return "request_ended" }
+func (answerTimed) EventName() string       { return "answer_timed" }
 func (noticeSeen) EventName() string        { return "notice_seen" }
 func (crashSeen) EventName() string         { return "crash_seen" }
 func (causesSound) EventName() string       { return "causes_sound" }
@@ -171,6 +183,7 @@
 type trialReply struct {
 	records []suspect.Record
 	due     bool
+	era     int64 // of the store, as the records are based on it
 }
 
 // pickReply is the reply to pickEndpoint.
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -30,6 +30,8 @@
 	result     string
 	took       time.Duration
 	firstEvent time.Duration // from arrival to the first event of a stream; 0 if there was none
+	pool       model.Pool
+	remote     remoteTraffic
 }
 
 func newMeter() *meter { return &meter{make(chan measurement, 256)} }
@@ -56,7 +58,13 @@
 			}
 			labelled[name] = true
 			metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_router_requests_total{result=%q}`, v.result)).Inc()
+			metrics.GetOrCreateCounter(fmt.Sprintf(`goldcrest_router_workspace_requests_total{workspace=%q,result=%q}`, name, v.result)).Inc()
 			metrics.GetOrCreateHistogram(fmt.Sprintf(`goldcrest_router_request_seconds{workspace=%q}`, name)).Update(v.took.Seconds())
+			if v.remote.sends > 0 {
+				labels := fmt.Sprintf(`{pool=%q,reason=%q}`, v.pool, v.remote.reason)
+				metrics.GetOrCreateCounter("goldcrest_router_remote_requests_total" + labels).Add(v.remote.sends)
+				metrics.GetOrCreateCounter("goldcrest_router_remote_bytes_total" + labels).Add(v.remote.bytes)
+			}
 			if v.firstEvent > 0 {
 				metrics.GetOrCreateHistogram(fmt.Sprintf(`goldcrest_router_first_event_seconds{workspace=%q}`, name)).Update(v.firstEvent.Seconds())
 			}
@@ -73,7 +81,8 @@
 var attemptCounters = newCounters("goldcrest_router_attempts_total", "result", resultNames)
 
 var choiceCounters = newCounters("goldcrest_router_choices_total", "reason", map[place.Reason]string{
-	place.HoldsPrompt: "holds_prompt", place.HoldersLoaded: "holders_loaded", place.FirstUse: "first_use", place.LeastLoad: "least_load",
+	place.HoldsPrompt: "holds_prompt", place.HoldersLoaded: "holders_loaded", place.HoldersSlow: "holders_slow", place.FirstUse: "first_use", place.LeastLoad: "least_load",
+	place.GrantedSlot: "granted_slot",
 })
 
 // newCounters returns a counter for each key of names, labelled with the name.
@@ -85,11 +94,17 @@
 	return out
 }
 
+var (
+	storeEra      = metrics.NewGauge("goldcrest_router_store_era", nil)
+	storeRestores = metrics.NewCounter("goldcrest_router_store_restores_total")
+)
+
 var storeFailures = map[string]*metrics.Counter{
 	"operators' orders": metrics.NewCounter(`goldcrest_router_store_failures_total{read="orders"}`),
 	"instance list":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="list"}`),
 	"router list":       metrics.NewCounter(`goldcrest_router_store_failures_total{read="routers"}`),
 	"crash reports":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="crash_reports"}`),
+	"duties":            metrics.NewCounter(`goldcrest_router_store_failures_total{read="duties"}`),
 	"suspects":          metrics.NewCounter(`goldcrest_router_store_failures_total{read="suspects"}`),
 }
 
@@ -142,6 +157,38 @@
 // no other one could take it over.
 var waitsExtended = metrics.NewCounter("goldcrest_router_waits_extended_total")
 
+// slotResult is what became of an attempt that needed a slot.
+type slotResult int
+
+const (
+	slotStarted slotResult = iota
+	slotWaited             // in the queue; counted as started or refused later
+	slotRefused
+)
+
+var slotResults = newCounters("goldcrest_router_slot_requests_total", "result", map[slotResult]string{
+	slotStarted: "started", slotWaited: "waited", slotRefused: "refused",
+})
+
+// slotMessage is a kind of message about slots.
+type slotMessage int
+
+const (
+	slotDemand slotMessage = iota
+	slotGrant
+)
+
+var slotMessages = newCounters("goldcrest_router_slot_messages_total", "kind", map[slotMessage]string{
+	slotDemand: "demand", slotGrant: "grant",
+})
+
+// slotsWaiting is the number of requests that wait for a slot, and slotWaits the time for
+// which attempts waited.
+var (
+	slotsWaiting = metrics.NewGauge("goldcrest_router_slots_waiting", nil)
+	slotWaits    = metrics.NewHistogram("goldcrest_router_slot_wait_seconds")
+)
+
 // answersSkipped counts the answers to other requests that arrived before the answer to a
 // request.
 var answersSkipped = metrics.NewCounter("goldcrest_router_answers_skipped_total")
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -45,6 +45,7 @@
 	}
 	choiceCounters[p.choice.Reason].Inc()
 	req.Endpoint, req.FetchFrom, req.ChoiceReason, req.PendingPart = p.choice.Endpoint, p.choice.FetchFrom, p.choice.Reason, 0
+	req.uncached, req.fetched, req.endpointLoad, req.remote = p.choice.Uncached, p.choice.Fetched, p.choice.Load, p.choice.Remote
 	if p.choice.NewHolder {
 		req.PendingPart = q.Part
 		f.broadcastHolder(q.Part, place.EndpointHash(req.Endpoint.ID))
@@ -61,13 +62,14 @@
 
 // placeQuery describes req for the selection of its endpoint.
 func placeQuery(req *Request) place.Query {
-	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Key: xxhash.Sum64String(string(req.ID))}
+	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Endpoint: req.Granted, Kind: req.Route.Name, Key: xxhash.Sum64String(string(req.ID))}
 	if req.Workspace != nil && len(req.Workspace.Regions) > 0 {
 		q.Regions = intersect(q.Regions, req.Workspace.Regions)
 	}
 	if req.Route.Generation {
 		q.Base = req.basePart()
 		q.Part, q.Tokens = req.sharedPart(), req.sharedTokens()
+		q.PromptTokens = req.promptTokens()
 	}
 	return q
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,10 +34,13 @@
 	node     *exchange.Node
 	gate     *storeGate
 	suspects *suspectWriter
+	duties   *dutyLink // nil if the deployment has no duties of one router at a time
 	meter    *meter
 	memory   *memory.Budget
-	division inbound.Division
-	random   func() float64 // uniform in [0, 1)
+	// slotWakes asks for a slotTick.
+	slotWakes chan struct{}
+	random    func() float64 // uniform in [0, 1)
+	division  inbound.Division
 	// membersReady is closed once the list of routers has been read, configReady and
 	// listReady after the result of the first read of the operators' orders and of
 	// the instance list has been applied, even if the read failed, and
@@ -48,6 +51,7 @@
 	// suspectsReady is closed in the same way after the first read of the refused
 	// properties, and crashesReady after that of the crash reports.
 	suspectsReady, crashesReady *startLatch
+	announceAgain               chan struct{} // the store may have lost the announcement of this router
 }
 
 // exchangeKey distinguishes routers from processes of other programs. It is no
@@ -65,8 +69,8 @@
 // New returns a router that exchanges datagrams with its peers over the given
 // connection. Start starts it.
 func New(s Settings, deps Deps, datagrams DatagramConn) *Router {
-	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64,
-		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
+	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64, slotWakes: make(chan struct{}, 1),
+		announceAgain: make(chan struct{}, 1), membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.division = inbound.Divide(cmp.Or(s.MemoryLimit, defaultMemoryMB<<20), cmp.Or(s.MaxFDs, defaultMaxFDs))
@@ -74,18 +78,28 @@
 	r.node = exchange.New(exchange.Config{Key: exchangeKey, MaxPeers: int(r.division.Peers.Descriptors), AcceptFailed: func(err error) {
 		r.log.Warn("connections of peers cannot be accepted", "error", err.Error())
 	}})
+	state := newState(s)
+	if deps.Features.Admission {
+		state.admission = newAdmission(state)
+		state.admission.SetEnabled(s.Admission)
+	}
+	r.duties = newDutyLink(r, state.duties.self.Process)
 	r.loop = control.New(control.Config[State, Snapshot]{
-		State: newState(s), Stages: r.controlPipeline(), Publish: publish,
+		State: state, Stages: r.controlPipeline(), Publish: publish,
 	})
 	return r
 }
 
 // Start starts the control loop and its sources, which run until ctx ends.
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
-	for _, run := range []func(context.Context){
+	runs := []func(context.Context){
 		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run, r.followCrashReports,
-		r.queryStoreReaders, r.node.Run, r.meter.run, r.serveMetrics,
-	} {
+		r.queryStoreReaders, r.watchEra, r.node.Run, r.meter.run, r.tickSlots, r.serveMetrics,
+	}
+	if r.duties != nil {
+		runs = append(runs, r.duties.follow, r.duties.call, r.sendCounts)
+	}
+	for _, run := range runs {
 		g.Go(func() error { run(ctx); return nil })
 	}
 }
@@ -137,6 +151,15 @@
 	}
 }
 
+// recordTimes reports the times of a complete answer to the control goroutine, if its
+// endpoint states how long work takes or a price of requests to other data centres is set:
+// other choices do not depend on them.
+func (r *Router) recordTimes(id model.EndpointID, times place.AnswerTime) {
+	if times.Stated.WorkTime > 0 || r.loop.Snapshot().Settings.Price.Enabled() {
+		_ = r.loop.Post(context.Background(), answerTimed{endpoint: id, times: times})
+	}
+}
+
 // ready reports whether this router should receive new requests.
 func (r *Router) ready() bool {
 	s := r.loop.Snapshot()
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -45,9 +45,11 @@
 	protocol        Protocol
 	recordResult    func(endpoint model.EndpointID, result place.Result, pendingPart uint64)
 	recordNotice    func(endpoint model.EndpointID, class ResponseClass)
+	recordTimes     func(endpoint model.EndpointID, times place.AnswerTime)
 	recordCrash     func(context.Context, *Request)
 	recordAbandoned func(*Request)
 	recordSound     func(*Request)
+	recordBegan     func(*Request)
 	checkKey        func(*Request) *model.Refusal
 	hasAlternative  func(*Request) bool // another endpoint may take over the request
 	log             *slog.Logger
@@ -81,13 +83,15 @@
 	}
 	req.Sends++
 	req.Runs++
+	req.countSend()
+	sent := time.Now()
 	res, err := f.client.Do(ctx, req.Endpoint.Address, out)
 	answersSkipped.Add(req.trace.Skipped)
 	req.connections = append(req.connections, req.trace.Connection)
 	if err != nil {
 		return nil, f.refuseFailed(ctx, req, err)
 	}
-	return f.readAnswer(ctx, req, res)
+	return f.readAnswer(ctx, req, res, sent)
 }
 
 // extendWait returns how much longer req waits for an endpoint that has been silent for a
@@ -142,8 +146,8 @@
 	return &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonEndpointFailed, Detail: err.Error()}
 }
 
-// readAnswer reads the answer whose head is in res.
-func (f send) readAnswer(ctx context.Context, req *Request, res *origin.Response) (*Answer, error) {
+// readAnswer reads the answer whose head is in res to a request that was sent at a time.
+func (f send) readAnswer(ctx context.Context, req *Request, res *origin.Response, sent time.Time) (*Answer, error) {
 	class := f.protocol.ClassifyResponse(res.Status, res.Header)
 	// A 421 is of another endpoint, and an answer without a signature may be of anyone.
 	if !class.Misdirected && (class.Signed || class.NotRun) {
@@ -168,10 +172,13 @@
 	// An endpoint that leaves may refuse connections while it completes its answers.
 	mayBeKilled := !res.Framed() && !class.Leaving
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
-		answer.Events = &stream{req: req, res: res, ctx: ctx, mayBeKilled: mayBeKilled, client: f.client, events: newEventSplitter(res.Body, req.memory), extendWait: f.extendWait, recordResult: f.recordResult,
-			recordCrash: f.recordCrash, recordAbandoned: f.recordAbandoned, recordSound: f.recordSound}
+		answer.Events = &stream{filter: f, req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), mayBeKilled: mayBeKilled,
+			sent: sent, times: answerTime(req, class), resumed: req.LastEvent != ""}
 		return answer, nil
 	}
+	if req.Route.Semantics != catalog.Stream && !answer.EndpointError {
+		f.recordBegan(req)
+	}
 	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
 	res.Release(err == nil)
 	if err == nil && mayBeKilled && f.client.Refuses(ctx, req.Endpoint.Address) {
@@ -186,11 +193,22 @@
 		result = place.EndpointError // an endpoint that fails all requests does not run them
 	} else {
 		f.recordSound(req)
+		times := answerTime(req, class)
+		times.FirstEvent = time.Since(sent)
+		times.Whole = times.FirstEvent
+		times.Bytes += len(body)
+		f.recordTimes(req.Endpoint.ID, times)
 	}
+	req.countBytes(len(body))
 	f.recordResult(req.Endpoint.ID, result, 0)
 	return answer, nil
 }
 
+// answerTime returns what is known of the times of an answer when its head arrives.
+func answerTime(req *Request, class ResponseClass) place.AnswerTime {
+	return place.AnswerTime{Kind: req.Route.Name, Stated: class.Load, Load: req.endpointLoad, Uncached: req.uncached, Fetched: req.fetched, Bytes: len(req.Body)}
+}
+
 // errAnswerTooLong is returned for a body of more than maxAnswerBytes.
 var errAnswerTooLong = eris.Errorf("router: answer is longer than %d bytes", maxAnswerBytes)
 
@@ -217,48 +235,55 @@
 
 // stream reads the events of the answer of one endpoint.
 type stream struct {
-	req             *Request
-	res             *origin.Response
-	ctx             context.Context
-	events          *eventSplitter
-	extendWait      func(*Request, time.Duration) time.Duration
-	recordResult    func(model.EndpointID, place.Result, uint64)
-	recordCrash     func(context.Context, *Request)
-	recordAbandoned func(*Request)
-	recordSound     func(*Request)
-	client          *origin.Client
-	mayBeKilled     bool // the end of the connection may be that of the endpoint's process
-	begun           bool // an event has arrived
-	waiting         bool // the read timeout of the next event runs
-	finished        bool
+	filter      send
+	req         *Request
+	res         *origin.Response
+	ctx         context.Context
+	events      *eventSplitter
+	sent        time.Time // when the request was sent
+	times       place.AnswerTime
+	mayBeKilled bool // the end of the connection may be that of the endpoint's process
+	resumed     bool // the answer continues that of another endpoint, so its times tell little
+	begun       bool // an event has arrived
+	waiting     bool // the read timeout of the next event runs
+	finished    bool
 }
 
 func (s *stream) Next() ([]byte, error) {
 	if !s.waiting {
 		timeout := s.readTimeout()
-		s.res.SetReadTimeout(timeout, func() time.Duration { return s.extendWait(s.req, timeout) })
+		s.res.SetReadTimeout(timeout, func() time.Duration { return s.filter.extendWait(s.req, timeout) })
 	}
 	event, err := s.events.next()
 	if err == nil {
 		// A stalled endpoint may still send comments, which are no progress.
 		s.waiting = isComment(event)
-		s.begun = s.begun || !s.waiting
+		s.times.Bytes += len(event)
+		s.req.countBytes(len(event))
+		if !s.begun && !s.waiting {
+			s.begun, s.times.FirstEvent = true, time.Since(s.sent)
+			s.filter.recordBegan(s.req)
+		}
 		return event, nil
 	}
 	if errors.Is(err, io.EOF) && !s.begun && !s.res.Framed() {
 		err = errNoEvent
 	}
-	if errors.Is(err, io.EOF) && s.mayBeKilled && s.client.Refuses(s.ctx, s.req.Endpoint.Address) {
+	if errors.Is(err, io.EOF) && s.mayBeKilled && s.filter.client.Refuses(s.ctx, s.req.Endpoint.Address) {
 		err = errKilled
 	}
 	switch {
 	case errors.Is(err, io.EOF):
-		s.recordSound(s.req) // not earlier, since an endpoint may crash after its first events
+		s.filter.recordSound(s.req) // not earlier, since an endpoint may crash after its first events
+		if s.begun && !s.resumed {
+			s.times.Whole = time.Since(s.sent)
+			s.filter.recordTimes(s.req.Endpoint.ID, s.times)
+		}
 		s.finish(true, place.Answered)
 	case errors.Is(s.ctx.Err(), context.Canceled):
 		s.finish(false, place.Cancelled)
 	default:
-		s.recordCrash(s.ctx, s.req)
+		s.filter.recordCrash(s.ctx, s.req)
 		s.finish(false, place.Failed)
 	}
 	if s.ctx.Err() != nil {
@@ -286,8 +311,8 @@
 	}
 	s.finished = true
 	if result == place.Cancelled {
-		s.recordAbandoned(s.req)
+		s.filter.recordAbandoned(s.req)
 	}
 	s.res.Release(complete)
-	s.recordResult(s.req.Endpoint.ID, result, 0)
+	s.filter.recordResult(s.req.Endpoint.ID, result, 0)
 }
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/locality"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/settings"
+	"github.com/goldcrestturn/goldcrestturn/internal/slots"
 )
 
 // Settings are the settings of one router process.
@@ -32,9 +34,37 @@
 	RetryBurst   float64       // retries beyond the ratio in a window over all routers
 	RetryWindow  time.Duration
 	ListInterval time.Duration // between reads of the instance list
+	Admission    bool          // requests are refused early and by urgency while a pool is overloaded
 	Contracts    []string      // terms of the platform for this deployment, from which Features follow
-	FollowWait   time.Duration // for which a read of the operators' orders waits for changes
-	path         string        // of the settings file
+	Slots        SlotSettings
+	FollowWait   time.Duration  // for which a read of the operators' orders waits for changes
+	Price        locality.Price // of requests to other data centres
+	Duties       DutySettings
+	path         string // of the settings file
+}
+
+// SlotSettings are the settings of the grants of slots.
+type SlotSettings struct {
+	Enabled    bool
+	Lease      time.Duration // validity of a grant, at least
+	Answer     time.Duration // after which the home of a pool is not waited for
+	Queue      float64       // requests that an endpoint may have waiting, as a multiple of its slots
+	PoolFactor float64       // a pool with fewer slots than this times the routers has few
+}
+
+// config returns the parameters of package slots.
+func (s SlotSettings) config() slots.Config {
+	return slots.Config{Lease: s.Lease, Answer: s.Answer, Queue: s.Queue}
+}
+
+// DutySettings are the settings of the duties of one router at a time.
+type DutySettings struct {
+	Address string        // of the platform's interface for duties; empty means none
+	Names   []string      // duties to perform, by the platform's names
+	Lease   time.Duration // after which another router may take over
+	Thaw    time.Duration // after a suspension, in which the platform does not count calls
+	Window  time.Duration // of a usage report
+	Delay   time.Duration // from the end of a window until its report is due
 }
 
 // readsPerDrain is how often the instance list is read within the time after which a
@@ -94,9 +124,30 @@
 		RetryRatio:   f.Float("bounds", "retry_ratio", 0.2, 0, 10),
 		RetryBurst:   f.Float("bounds", "retry_burst", 50, 0, 1e6),
 		RetryWindow:  f.Duration("bounds", "retry_window", 10*time.Second, minDuration, maxDuration),
+		Admission:    f.Bool("admission", "enabled", true),
 		Contracts:    f.List("platform", "contracts"),
 		FollowWait:   f.Duration("platform", "follow", time.Second, minDuration, maxDuration),
 	}
+	s.Price = locality.Price{
+		PerGB:      f.Float("locality", "gb_price", 0, 0, 1e9),
+		Link:       f.Duration("locality", "link_delay", 3*time.Millisecond, 0, time.Second),
+		CacheToken: f.Float("locality", "cache_token_bytes", 0, 0, 1e7),
+	}
+	s.Slots = SlotSettings{
+		Enabled:    f.Bool("slots", "enabled", true),
+		Lease:      f.Duration("slots", "lease", time.Second, 200*time.Millisecond, 30*time.Second),
+		Answer:     f.Duration("slots", "answer", 60*time.Millisecond, 5*time.Millisecond, time.Second),
+		Queue:      f.Float("slots", "queue", 1.5, 0, 4),
+		PoolFactor: f.Float("slots", "pool_factor", 4, 0, 100),
+	}
+	s.Duties = DutySettings{
+		Address: f.OptionalAddress("duties", "address"),
+		Names:   f.List("duties", "names"),
+		Lease:   f.Duration("duties", "lease", 3*time.Second, time.Second, maxDuration),
+		Thaw:    f.Duration("duties", "thaw", 300*time.Millisecond, 0, maxDuration),
+		Window:  f.Duration("duties", "report_window", 5*time.Second, time.Second, maxDuration),
+		Delay:   f.Duration("duties", "report_delay", 10*time.Second, time.Second, maxDuration),
+	}
 	s.ListInterval = f.Duration("platform", "list_interval", s.Drain/readsPerDrain, minDuration, maxDuration)
 	for _, dc := range f.List("regions", "data_centres") {
 		s.Regions[model.DataCentre(dc)] = model.Region(f.Required("regions", dc))
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -37,7 +37,11 @@
 	failures     suspect.Failures  // attempts at endpoints that may have crashed
 	observed     suspect.Observed  // what this router reports of crashes
 	retryWindows map[model.Pool]*retry.Window
-	position     int64                                // after the last order that was read
+	admission    *admissionState                      // nil if the deployment does not call for it
+	position     Position                             // after the last order that was read
+	held         heldOrders                           // in force although the store lacks them
+	era          int64                                // of the store; 0 if it is not known
+	restoredAt   time.Time                            // when this router learned that the store was restored
 	config       []byte                               // encoding of catalog
 	configHash   uint64                               // hash of config
 	deltas       []ConfigDelta                        // the last changes of config, for the peers
@@ -46,8 +50,11 @@
 	listSent     time.Duration                        // boot time at which the read of list was sent
 	addresses    map[model.InstanceID]exchangeAddress // of the peers
 	members      []model.InstanceID                   // routers whose announcements have not expired, this one included
+	slots        map[model.Pool]*slotPool             // with few slots, to which requests were sent
+	slotTickets  uint64                               // number of attempts that asked for a slot
 	peersUnheard int                                  // announced routers that were not heard, as logged last
 	peersWatched time.Time                            // when that was logged, or first checked
+	duties       *dutyState
 }
 
 // Snapshot is the part of the state that other goroutines read. It is immutable.
@@ -60,7 +67,7 @@
 	causes    suspect.CauseView
 	// The state of the store, from which peers that use this router as store reader
 	// are answered.
-	Position   int64
+	Position   Position
 	config     []byte
 	configHash uint64
 	deltas     []ConfigDelta
@@ -72,8 +79,10 @@
 }
 
 func newState(s Settings) *State {
-	return &State{settings: s, holdersKnown: s.FirstStart, cachesRead: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), causes: suspect.NewCauses(), evacuated: map[model.DataCentre]bool{}, rollouts: map[model.Pool]model.Version{},
-		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}}
+	state := &State{settings: s, holdersKnown: s.FirstStart, cachesRead: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), causes: suspect.NewCauses(), evacuated: map[model.DataCentre]bool{}, rollouts: map[model.Pool]model.Version{},
+		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}, slots: map[model.Pool]*slotPool{}, duties: newDutyState(s)}
+	state.table.SetLocality(s.Price)
+	return state
 }
 
 // publish returns the snapshot of the state.
