router: roll-outs that operators order are carried out

Routers send a small share to the ordered version, report their evidence to one judge, and store the verdict by a conditional append. The share stays within the exposure bound of the whole window; without contact to a judge a router sends nothing to the version. Enabled by the contract rollout.

--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -19,6 +19,9 @@
 	Priority int    // 0 is the most urgent
 	Regions  []model.Region
 	Excluded []model.EndpointID // endpoints of earlier attempts
+	// Position is the place of the request, above 0 and up to 1, in the order in which
+	// requests move to a version that is rolled out. 0 means that it does not move.
+	Position float64
 }
 
 // Choice is the endpoint selected for a request.
@@ -30,6 +33,7 @@
 	// Wait is the estimated time until the endpoint has finished the prefill of the
 	// part for another request. A request that arrives earlier repeats the prefill.
 	Wait   time.Duration
+	Cold   bool    // the endpoint has started lately
 	Load   float64 // of the endpoint, without this request
 	Mean   float64 // mean load of the usable endpoints of the pool
 	Reason Reason
@@ -94,7 +98,7 @@
 	if choice.endpointState == nil {
 		return Choice{}, false
 	}
-	out := Choice{Endpoint: choice.Endpoint, Load: choice.load, Mean: mean, Reason: choice.reason}
+	out := Choice{Endpoint: choice.Endpoint, Cold: now.Before(choice.coldUntil), Load: choice.load, Mean: mean, Reason: choice.reason}
 	t.recordStart(now, choice.endpointState)
 	if q.Part != 0 {
 		out.FetchFrom = t.cacheSource(now, q.Part, choice.endpointState, all)
@@ -139,7 +143,7 @@
 // eligible only if the share of the others is below minEligibleShare.
 func (t *Table) candidates(now time.Time, q Query) (all, eligible []candidate, mean float64) {
 	t.expirePeers(now)
-	members := t.inPool(q.Pool)
+	members, others := t.side(now, q, t.inPool(q.Pool))
 	total := t.totalLoad(now, members.held)
 	counted := len(members.held)
 	var inBackoff []candidate
@@ -176,6 +180,10 @@
 	if t.reservedForMoreUrgent(members.usable, eligible, q.Priority) {
 		eligible = nil
 	}
+	if others && len(eligible) == 0 {
+		q.Position = 0
+		return t.candidates(now, q)
+	}
 	return all, eligible, mean
 }
 
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -57,6 +57,7 @@
 	pools        map[model.Pool]catalog.Pool
 	evacuated    map[model.DataCentre]bool
 	held         map[model.Pool]model.Version // versions that get no requests while the pool has another
+	splits       map[model.Pool]Split         // shares of versions that are rolled out
 	peers        map[string]*peer
 	peerSums     map[uint32]int           // requests in flight of the peers by endpoint hash
 	selfID       uint64                   // hash of the name of this router
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -101,14 +101,19 @@
 			return false
 		}
 	}
+	return len(merged) > 0 && !j.warns()
+}
+
+// warns reports whether any test warns against the new version.
+func (j *Judge) warns() bool {
 	for _, tests := range j.routes {
 		for _, t := range tests {
 			if t.warns() {
-				return false
+				return true
 			}
 		}
 	}
-	return len(merged) > 0
+	return false
 }
 
 func (j *Judge) observeRoute(route model.Route, now versionCounts, generation int) {
--- a/internal/router/config_delta.go
+++ b/internal/router/config_delta.go
@@ -122,5 +122,6 @@
 	deltas    []ConfigDelta // that lead to it; empty if the reader does not have them or the router has it
 	evacuated []model.DataCentre
 	rollouts  map[model.Pool]model.Version
-	sent      time.Duration // boot time at which the store was read, or earlier
+	windows   map[model.Pool]time.Duration // of rollouts
+	sent      time.Duration                // boot time at which the store was read, or earlier
 }
--- a/internal/router/deploy_test.go
+++ b/internal/router/deploy_test.go
@@ -23,7 +23,11 @@
 	s := fillTemplate(t, map[string]string{
 		"Bounds.GraceS": "8", "Bounds.RevokeMs": "5000", "Bounds.StrictRevoke": "true", "Bounds.RetryRatio": "0.2",
 		"Bounds.RetryBurst": "58", "Bounds.RetryWindowS": "10", "Bounds.DrainMs": "4000",
+		"Bounds.ExposureShare": "0.05", "Bounds.ExposureTolerance": "40", "Bounds.RollbackMs": "4000",
 	})
+	is.Equal(s.Exposure, 0.05)
+	is.Equal(s.ExposureOver, 40.0)
+	is.Equal(s.Rollback, 4*time.Second)
 	is.Equal(s.Grace, 8*time.Second)
 	is.Equal(s.Revoke, 5*time.Second)
 	is.Equal(s.RetryBurst, 58.0)
@@ -44,6 +48,7 @@
 	is := is.New(t)
 	is.Equal(fillTemplate(t, map[string]string{"Bounds.GraceS": "8.5", "Bounds.RetryWindowS": "2.5"}).Grace, 8500*time.Millisecond)
 	is.Equal(fillTemplate(t, nil).Grace, 8*time.Second)
+	is.Equal(fillTemplate(t, nil).Exposure, 0.1)
 }
 
 // fillTemplate fills in the template as the platform does and loads the result.
@@ -60,6 +65,7 @@
 		"Contracts":     "base,pool,platform",
 		"Bounds.GraceS": "", "Bounds.RevokeMs": "", "Bounds.StrictRevoke": "", "Bounds.RetryRatio": "",
 		"Bounds.RetryBurst": "", "Bounds.RetryWindowS": "", "Bounds.DrainMs": "",
+		"Bounds.ExposureShare": "", "Bounds.ExposureTolerance": "", "Bounds.RollbackMs": "",
 	}
 	maps.Copy(values, bounds)
 	fill := func(name, value string) {
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -62,7 +62,10 @@
 	// Rollouts are the versions to which pools are ordered to move; empty if the order
 	// was removed.
 	Rollouts map[model.Pool]model.Version
-	Skipped  int // records that could not be decoded
+	// RolloutWindows are the times from these orders to their deadlines; none if an order
+	// states none.
+	RolloutWindows map[model.Pool]time.Duration
+	Skipped        int // records that could not be decoded
 	// Config is the encoding of Catalog as the store holds it, from which DecodeConfig
 	// returns it; empty if Catalog is nil.
 	Config []byte
@@ -120,6 +123,29 @@
 	// them. It waits up to wait for the first one and returns ErrIncomplete if it cannot
 	// return all of them.
 	CrashReportChanges(ctx context.Context, from int64, wait time.Duration) ([]suspect.Report, int64, error)
+	// RolloutStatuses returns the status of the roll-out of each pool and the position
+	// after them, RolloutStatusChanges those since a position, as CrashReportChanges does.
+	RolloutStatuses(ctx context.Context) (map[model.Pool]RolloutStatus, int64, error)
+	RolloutStatusChanges(ctx context.Context, from int64, wait time.Duration) (map[model.Pool]RolloutStatus, int64, error)
+	// PutRolloutStatus stores the status of a pool. It returns ErrConflict if any status
+	// was stored after position.
+	PutRolloutStatus(ctx context.Context, pool model.Pool, s RolloutStatus, position int64) error
+}
+
+// RolloutState is the state of a roll-out as the store holds it.
+type RolloutState string
+
+// The states. The last two are verdicts, which are never replaced.
+const (
+	RolloutInProgress RolloutState = "in_progress"
+	RolloutCompleted  RolloutState = "completed"
+	RolloutReverted   RolloutState = "reverted"
+)
+
+// RolloutStatus is the record of a roll-out that the routers keep in the store.
+type RolloutStatus struct {
+	State  RolloutState
+	Target model.Version
 }
 
 // CacheReader asks engines which prompt parts they have cached.
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -33,6 +33,7 @@
 	store     *standin.Store
 	endpoints []*standin.Endpoint
 	ids       atomic.Int64
+	features  router.Features // of the routers that are started
 }
 
 // process is a running router.
@@ -202,7 +203,7 @@
 	if s.Store == "" {
 		s.Store = f.store.Address()
 	}
-	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()}, link)
+	r := router.New(s, router.Deps{Log: slog.New(slog.NewJSONHandler(p.logs, nil)), Features: f.features, Protocol: platform.Protocol{}, Store: platform.NewStore(s.Store), Caches: platform.NewCacheLists()}, link)
 	go func() { p.ended <- r.Serve(ctx, callers, readiness, cutListener{rpc, link}) }()
 	f.t.Cleanup(stop)
 	return p
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -90,6 +90,7 @@
 	"instance list":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="list"}`),
 	"router list":       metrics.NewCounter(`goldcrest_router_store_failures_total{read="routers"}`),
 	"crash reports":     metrics.NewCounter(`goldcrest_router_store_failures_total{read="crash_reports"}`),
+	"roll-out statuses": metrics.NewCounter(`goldcrest_router_store_failures_total{read="rollout_statuses"}`),
 	"suspects":          metrics.NewCounter(`goldcrest_router_store_failures_total{read="suspects"}`),
 }
 
@@ -115,6 +116,39 @@
 	peersAnnounced = metrics.NewGauge("goldcrest_router_peers_announced", nil)
 )
 
+// responseKind is how a response counts as evidence about a version.
+type responseKind int
+
+const (
+	responseGood responseKind = iota
+	responseFailed
+	responseSlow
+)
+
+// versionOutcome is the result of an attempt at the version that is rolled out, or at
+// another one.
+type versionOutcome struct {
+	newer bool
+	kind  responseKind
+}
+
+// versionCounters count the attempts at pools with a roll-out.
+var versionCounters = map[versionOutcome]*metrics.Counter{
+	{true, responseGood}:    metrics.NewCounter(`goldcrest_router_rollout_responses_total{version="new",result="good"}`),
+	{true, responseFailed}:  metrics.NewCounter(`goldcrest_router_rollout_responses_total{version="new",result="failed"}`),
+	{true, responseSlow}:    metrics.NewCounter(`goldcrest_router_rollout_responses_total{version="new",result="slow"}`),
+	{false, responseGood}:   metrics.NewCounter(`goldcrest_router_rollout_responses_total{version="old",result="good"}`),
+	{false, responseFailed}: metrics.NewCounter(`goldcrest_router_rollout_responses_total{version="old",result="failed"}`),
+	{false, responseSlow}:   metrics.NewCounter(`goldcrest_router_rollout_responses_total{version="old",result="slow"}`),
+}
+
+// rolloutsActive is the number of roll-outs that are ordered, and rolloutReportsFailed
+// counts the reports to which the judge of one did not reply.
+var (
+	rolloutsActive       = metrics.NewGauge("goldcrest_router_rollouts_active", nil)
+	rolloutReportsFailed = metrics.NewCounter("goldcrest_router_rollout_reports_failed_total")
+)
+
 // memoryUse is what needed bytes that the memory of all requests had not.
 type memoryUse int
 
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -24,6 +24,7 @@
 		retryRequest{allowRetry: r.allowRetry, log: r.log},
 		guardEndpoints{snapshot: r.loop.Snapshot, allowTrial: r.allowTrial},
 		placeRequest{pick: r.pick, broadcastHolder: r.broadcastHolder, random: r.random},
+		watchVersions{enabled: r.rollouts, report: r.recordVersion},
 		send{client: r.client, hasAlternative: r.hasAlternative, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, checkKey: r.checkKey, log: r.log},
 	)
 }
@@ -35,6 +36,7 @@
 		applyOrders{r.log},
 		applyList{r.log},
 		applyPeers{r.log},
+		carryOutRollouts{enabled: r.rollouts, log: r.log},
 		placeRequests{broadcast: r.broadcast, log: r.log},
 		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, report: r.suspects.saveReport, log: r.log},
 		budgetRetries{},
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
+	"github.com/goldcrestturn/goldcrestturn/internal/rollout"
 )
 
 // A request waits at most its latency target divided by prefillWaitDivisor while
@@ -45,6 +46,7 @@
 	}
 	choiceCounters[p.choice.Reason].Inc()
 	req.Endpoint, req.FetchFrom, req.ChoiceReason, req.PendingPart = p.choice.Endpoint, p.choice.FetchFrom, p.choice.Reason, 0
+	req.coldEndpoint = p.choice.Cold
 	if p.choice.NewHolder {
 		req.PendingPart = q.Part
 		f.broadcastHolder(q.Part, place.EndpointHash(req.Endpoint.ID))
@@ -61,7 +63,7 @@
 
 // placeQuery describes req for the selection of its endpoint.
 func placeQuery(req *Request) place.Query {
-	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Key: xxhash.Sum64String(string(req.ID))}
+	q := place.Query{Pool: req.Pool, Priority: req.priority(), Regions: req.Route.Regions, Excluded: req.Excluded, Key: xxhash.Sum64String(string(req.ID)), Position: rollout.Position(string(req.Pool), string(req.ID))}
 	if req.Workspace != nil && len(req.Workspace.Regions) > 0 {
 		q.Regions = intersect(q.Regions, req.Workspace.Regions)
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -47,6 +47,7 @@
 	Excluded     []model.EndpointID // endpoints picked for this and earlier attempts
 	Sends        int                // attempts that may have reached an endpoint
 	Runs         int                // attempts that an endpoint may have run
+	coldEndpoint bool               // the endpoint has started lately
 	trace        origin.Trace       // of the latest attempt
 	connections  []uint64           // that carried attempts, by their numbers
 	// FirstEvent is the time from the arrival to the first event of a stream.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,6 +45,9 @@
 	// suspectsReady is closed in the same way after the first read of the refused
 	// properties, and crashesReady after that of the crash reports.
 	suspectsReady, crashesReady *startLatch
+	rollouts                    bool             // roll-outs are carried out
+	statusWrites                chan rolloutTask // to the goroutine that stores statuses, if it is idle
+	statusesReady               *startLatch      // closed after the first read of the statuses
 }
 
 // exchangeKey distinguishes routers from processes of other programs. It is no
@@ -63,7 +66,8 @@
 // connection. Start starts it.
 func New(s Settings, deps Deps, datagrams DatagramConn) *Router {
 	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64,
-		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch()}
+		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch(),
+		rollouts: deps.Features.Rollouts && s.Rollouts, statusWrites: make(chan rolloutTask), statusesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.memory = memory.NewBudget(int64(requestMemoryShare * float64(s.MemoryLimit)))
@@ -79,7 +83,7 @@
 // Start starts the control loop and its sources, which run until ctx ends.
 func (r *Router) Start(ctx context.Context, g *errgroup.Group) {
 	for _, run := range []func(context.Context){
-		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run, r.followCrashReports,
+		r.loop.Run, r.followOrders, r.followList, r.followMembers, r.peers.receive, r.peers.send, r.followSettings, r.readCaches, r.suspects.run, r.followCrashReports, r.runRollouts, r.followStatuses, r.storeStatuses,
 		r.queryStoreReaders, r.node.Run, r.meter.run, r.serveMetrics,
 	} {
 		g.Go(func() error { run(ctx); return nil })
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -50,6 +50,9 @@
 	if err := r.node.Register(storeService, &storeServer{r.loop.Snapshot}); err != nil {
 		return err
 	}
+	if err := r.node.Register(rolloutService, &rolloutServer{r}); err != nil {
+		return err
+	}
 	background, stopAll := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopAll()
 	var g errgroup.Group
@@ -103,6 +106,9 @@
 	await(ctx, r.listReady.closed, begin.Add(configTimeout))
 	await(ctx, r.suspectsReady.closed, begin.Add(configTimeout))
 	await(ctx, r.crashesReady.closed, begin.Add(configTimeout))
+	if r.rollouts {
+		await(ctx, r.statusesReady.closed, begin.Add(configTimeout))
+	}
 }
 
 // await waits until done is closed, limit has passed or ctx ends.
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -28,6 +28,10 @@
 	RetryRatio   float64       // retries per request over all routers
 	RetryBurst   float64       // retries beyond the ratio in a window over all routers
 	RetryWindow  time.Duration
+	Rollouts     bool          // roll-outs are carried out where Features call for it
+	Exposure     float64       // share of the requests in a roll-out's window that a bad version may get
+	ExposureOver float64       // requests beyond that share
+	Rollback     time.Duration // from the 50th bad response until a bad version must get nothing
 	ListInterval time.Duration // between reads of the instance list
 	Contracts    []string      // terms of the platform for this deployment, from which Features follow
 	FollowWait   time.Duration // for which a read of the operators' orders waits for changes
@@ -77,6 +81,10 @@
 		RetryRatio:   f.Float("bounds", "retry_ratio", 0.2, 0, 10),
 		RetryBurst:   f.Float("bounds", "retry_burst", 50, 0, 1e6),
 		RetryWindow:  f.Duration("bounds", "retry_window", 10*time.Second, minDuration, maxDuration),
+		Rollouts:     f.Bool("rollout", "enabled", true),
+		Exposure:     f.Float("bounds", "exposure_share", 0.1, 0, 1),
+		ExposureOver: f.Float("bounds", "exposure_tolerance", 50, 0, 1e6),
+		Rollback:     f.Duration("bounds", "rollback", 5*time.Second, minDuration, maxDuration),
 		Contracts:    f.List("platform", "contracts"),
 		FollowWait:   f.Duration("platform", "follow", time.Second, minDuration, maxDuration),
 	}
--- a/internal/router/source_orders.go
+++ b/internal/router/source_orders.go
@@ -122,7 +122,7 @@
 	if offered.config == 0 { // the reader does not send its state
 		return false
 	}
-	orders := Orders{Evacuated: map[model.DataCentre]bool{}, Rollouts: offered.rollouts}
+	orders := Orders{Evacuated: map[model.DataCentre]bool{}, Rollouts: offered.rollouts, RolloutWindows: offered.windows}
 	for _, dc := range offered.evacuated {
 		orders.Evacuated[dc] = true
 	}
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -157,7 +157,7 @@
 	_ = r.loop.Post(ctx, listRead{list: list, sent: sent - reply.ListAge})
 	r.listKnown(ctx)
 	if reply.Position > snap.Position {
-		r.gate.offerOrders(offeredOrders{position: reply.Position, config: reply.Config, deltas: reply.Deltas, evacuated: reply.Evacuated, rollouts: reply.Rollouts, sent: sent - reply.OrdersAge})
+		r.gate.offerOrders(offeredOrders{position: reply.Position, config: reply.Config, deltas: reply.Deltas, evacuated: reply.Evacuated, rollouts: reply.Rollouts, windows: reply.Windows, sent: sent - reply.OrdersAge})
 		return readerFresh
 	}
 	_ = r.loop.Post(ctx, ordersRead{sent: sent - reply.OrdersAge, position: snap.Position})
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -38,13 +38,15 @@
 	return true
 }
 
-// applyRollouts updates the versions that get no requests, since their roll-out is
-// ordered: routers do not judge versions yet.
+// applyRollouts updates the versions whose roll-out is ordered. They get no requests until
+// the stage carryOutRollouts decides otherwise.
 func (f applyOrders) applyRollouts(s *State, e ordersRead) {
-	next := maps.Clone(s.rollouts)
+	next, windows := maps.Clone(s.rollouts), maps.Clone(s.windows)
 	if e.current {
 		clear(next)
+		clear(windows)
 	}
+	maps.Copy(windows, e.orders.RolloutWindows)
 	for pool, version := range e.orders.Rollouts {
 		if version != "" {
 			next[pool] = version
@@ -52,9 +54,10 @@
 			delete(next, pool)
 		}
 	}
-	if maps.Equal(next, s.rollouts) {
+	if maps.Equal(next, s.rollouts) && maps.Equal(windows, s.windows) {
 		return
 	}
+	s.windows = windows
 	for pool, version := range next {
 		if s.rollouts[pool] != version {
 			f.log.Warn("roll-out ordered, the version gets no requests", "pool", pool, "version", version)
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -57,6 +57,19 @@
 	return nil, 0, ctx.Err()
 }
 
+func (startStore) RolloutStatuses(context.Context) (map[model.Pool]RolloutStatus, int64, error) {
+	return nil, 0, nil
+}
+
+func (startStore) RolloutStatusChanges(ctx context.Context, _ int64, _ time.Duration) (map[model.Pool]RolloutStatus, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (startStore) PutRolloutStatus(context.Context, model.Pool, RolloutStatus, int64) error {
+	return nil
+}
+
 // Guards against a starting router that serves callers when it has read the
 // configuration and the instance list but its control loop, which waits for the
 // processor, has not applied them: 343 requests were refused after all routers had
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -27,10 +27,12 @@
 	catalog      *catalog.Catalog
 	evacuated    map[model.DataCentre]bool
 	rollouts     map[model.Pool]model.Version // versions whose roll-out is ordered
-	confirmed    time.Duration                // boot time at which the last successful read of the orders was sent
-	listed       bool                         // an instance list has arrived
-	holdersKnown bool                         // the holders from before the start are known, or their search has ended
-	cachesRead   map[uint32]bool              // engines whose caches some router has read since the start
+	windows      map[model.Pool]time.Duration // from the orders of rollouts to their deadlines
+	runs         rolloutRuns
+	confirmed    time.Duration   // boot time at which the last successful read of the orders was sent
+	listed       bool            // an instance list has arrived
+	holdersKnown bool            // the holders from before the start are known, or their search has ended
+	cachesRead   map[uint32]bool // engines whose caches some router has read since the start
 	phase        Phase
 	causes       *suspect.Causes   // properties of requests that were met at crashes
 	causeView    suspect.CauseView // of causes
@@ -66,18 +68,19 @@
 	deltas     []ConfigDelta
 	evacuated  map[model.DataCentre]bool // the data centres that are out of service
 	rollouts   map[model.Pool]model.Version
+	windows    map[model.Pool]time.Duration
 	List       place.List
 	History    place.History
 	ListSent   time.Duration
 }
 
 func newState(s Settings) *State {
-	return &State{settings: s, holdersKnown: s.FirstStart, cachesRead: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), causes: suspect.NewCauses(), evacuated: map[model.DataCentre]bool{}, rollouts: map[model.Pool]model.Version{},
+	return &State{settings: s, holdersKnown: s.FirstStart, cachesRead: map[uint32]bool{}, table: place.New(s.Instance, s.DataCentre), causes: suspect.NewCauses(), evacuated: map[model.DataCentre]bool{}, rollouts: map[model.Pool]model.Version{}, windows: map[model.Pool]time.Duration{}, runs: newRolloutRuns(),
 		addresses: map[model.InstanceID]exchangeAddress{}, retryWindows: map[model.Pool]*retry.Window{}}
 }
 
 // publish returns the snapshot of the state.
 func publish(s *State, _ time.Time) *Snapshot {
 	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Phase: s.phase, causes: s.causeView,
-		Position: s.position, config: s.config, configHash: s.configHash, deltas: s.deltas, evacuated: s.evacuated, rollouts: s.rollouts, List: s.list, History: s.history, ListSent: s.listSent}
+		Position: s.position, config: s.config, configHash: s.configHash, deltas: s.deltas, evacuated: s.evacuated, rollouts: s.rollouts, windows: s.windows, List: s.list, History: s.history, ListSent: s.listSent}
 }
--- a/internal/router/store_server.go
+++ b/internal/router/store_server.go
@@ -44,6 +44,7 @@
 	Deltas    []ConfigDelta
 	Evacuated []model.DataCentre           // data centres out of service at Position
 	Rollouts  map[model.Pool]model.Version // Orders.Rollouts at Position
+	Windows   map[model.Pool]time.Duration // Orders.RolloutWindows at Position
 	ListAge   time.Duration
 	List      uint64 // hash of the instance list
 	Delta     place.Delta
@@ -66,7 +67,7 @@
 		ListAge: now - snap.ListSent, List: snap.List.Hash,
 	}
 	if args.Position < snap.Position {
-		reply.Config, reply.Evacuated, reply.Rollouts = snap.configHash, slices.Collect(maps.Keys(snap.evacuated)), snap.rollouts
+		reply.Config, reply.Evacuated, reply.Rollouts, reply.Windows = snap.configHash, slices.Collect(maps.Keys(snap.evacuated)), snap.rollouts, snap.windows
 		switch {
 		case args.Config == snap.configHash:
 		case args.WholeConfig:
