router: a router without a current list of routers does not judge a version

A router that started first and heard no peer took itself for the only one and sent requests to a version that is rolled out. The statuses are read anew when the orders change.

--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -36,7 +36,7 @@
 		applyOrders{r.log},
 		applyList{r.log},
 		applyPeers{r.log},
-		carryOutRollouts{enabled: r.rollouts, log: r.log},
+		carryOutRollouts{enabled: r.rollouts, readMembers: func() { wake(r.membersWanted) }, log: r.log},
 		placeRequests{broadcast: r.broadcast, log: r.log},
 		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, report: r.suspects.saveReport, log: r.log},
 		budgetRetries{},
--- a/internal/router/rollouts.go
+++ b/internal/router/rollouts.go
@@ -22,6 +22,9 @@
 	// verdictDelay is how long a router that is not the judge leaves it to the judge to
 	// store a verdict, so that not all routers write it.
 	verdictDelay = time.Second
+	// statusesAge is the age of the last read of the statuses up to which a further order
+	// needs no read of its own. Reads follow each other while a roll-out is ordered.
+	statusesAge = 5 * time.Second
 	// judgeBackoff is how long a router that did not reply is not taken for the judge.
 	judgeBackoff = 3 * time.Second
 	// maxWatchedRoutes bounds the routes with evidence of their own, as a judge does.
@@ -62,7 +65,9 @@
 	withdrawn   map[model.Pool]model.Version // versions whose orders ended without the verdict completed
 	statuses    map[model.Pool]RolloutStatus // as the store holds them
 	baselines   map[baselineKey]*rollout.Baseline
-	ordersKnown bool // orders have been read, so further ones are new
+	membersAt   time.Time // when the list of routers was read last
+	statusesAt  time.Time // when the last read of statuses began that succeeded
+	ordersKnown bool      // orders have been read, so further ones are new
 }
 
 func newRolloutRuns() rolloutRuns {
@@ -136,8 +141,9 @@
 // carryOutRollouts moves requests to the versions that operators ordered, as the evidence
 // about them permits.
 type carryOutRollouts struct {
-	enabled bool
-	log     *slog.Logger
+	enabled     bool
+	readMembers func() // has the list of routers read soon; must not block
+	log         *slog.Logger
 }
 
 func (carryOutRollouts) Name() string { return "rollouts" }
@@ -149,6 +155,8 @@
 	switch e := ev.(type) {
 	case ordersRead:
 		f.applyOrders(s, now)
+	case membersRead:
+		s.runs.membersAt = now
 	case rolloutStatusesRead:
 		f.applyStatuses(s, now, e)
 	case requestArrived:
@@ -180,20 +188,26 @@
 		}
 		f.log.Info("roll-out order withdrawn", "pool", pool, "version", run.target)
 	}
+	begun, followed := false, len(runs.byPool) > 0 && now.Sub(runs.statusesAt) < statusesAge
 	for pool, target := range s.rollouts {
 		window := s.windows[pool]
 		if runs.byPool[pool] != nil || window == 0 {
 			continue
 		}
 		delete(runs.withdrawn, pool)
+		begun = true
 		runs.byPool[pool] = &rolloutRun{
-			target: target, created: now, evidence: rollout.Evidence{}, routes: map[model.Route]bool{}, avoid: map[model.InstanceID]time.Time{},
+			target: target, created: now, statusRead: followed, evidence: rollout.Evidence{}, routes: map[model.Route]bool{}, avoid: map[model.InstanceID]time.Time{},
 			tracker: rollout.NewTracker(now, rollout.Terms{
 				Target: target, Window: window, Share: s.settings.Exposure, Tolerance: s.settings.ExposureOver, Rollback: s.settings.Rollback,
 			}, runs.ordersKnown),
 		}
+		f.applyStored(runs.byPool[pool], runs.statuses[pool])
 		f.log.Info("roll-out begins", "pool", pool, "version", target, "window_ms", window.Milliseconds(), "order_seen", runs.ordersKnown)
 	}
+	if begun {
+		f.readMembers()
+	}
 	runs.ordersKnown = true
 	f.apply(s, now)
 }
@@ -204,6 +218,7 @@
 		clear(s.runs.statuses) // a store that was restored from an older copy holds fewer
 	}
 	maps.Copy(s.runs.statuses, e.statuses)
+	s.runs.statusesAt = e.begun
 	for pool, status := range e.statuses {
 		if status.State == RolloutCompleted && status.Target == s.runs.withdrawn[pool] {
 			delete(s.runs.withdrawn, pool)
@@ -211,20 +226,22 @@
 	}
 	for pool, run := range s.runs.byPool {
 		run.statusRead = run.statusRead || e.begun.After(run.created)
-		status := s.runs.statuses[pool]
-		if status.Target != run.target {
-			continue
-		}
-		switch status.State {
-		case RolloutCompleted:
-			run.tracker.SetStored(rollout.Completed)
-		case RolloutReverted:
-			run.tracker.SetStored(rollout.Reverted)
-		}
+		f.applyStored(run, s.runs.statuses[pool])
 	}
 	f.apply(s, now)
 }
 
+// applyStored applies the status of a pool to its roll-out, if it is that of the version.
+func (carryOutRollouts) applyStored(run *rolloutRun, status RolloutStatus) {
+	switch {
+	case status.Target != run.target:
+	case status.State == RolloutCompleted:
+		run.tracker.SetStored(rollout.Completed)
+	case status.State == RolloutReverted:
+		run.tracker.SetStored(rollout.Reverted)
+	}
+}
+
 // observe adds the result of an attempt to the evidence.
 func (f carryOutRollouts) observe(s *State, e versionObserved) {
 	run := s.runs.byPool[e.pool]
@@ -285,7 +302,7 @@
 	if run == nil || run.target != e.target || !run.tracker.Add(now, string(e.router), e.report) {
 		return rolloutReply{}
 	}
-	d := run.tracker.Decide(now, len(s.members), run.judging)
+	d := run.tracker.Decide(now, knownMembers(s, run), run.judging)
 	f.logStage(e.pool, run, now)
 	return rolloutReply{known: d.Quorum || d.Stage == rollout.Reverted, decision: d}
 }
@@ -311,11 +328,11 @@
 // update judges the evidence, puts the shares in force and returns what is to be done.
 func (f carryOutRollouts) update(s *State, now time.Time) (tasks []rolloutTask) {
 	rolloutsActive.Set(float64(len(s.runs.byPool)))
-	members := len(s.members)
 	for pool, run := range s.runs.byPool {
 		if newer, older := s.table.HasVersions(pool); !older || !newer && run.newer == 0 {
 			continue // it cannot be judged
 		}
+		members := knownMembers(s, run)
 		judge := judgeOf(s, now, pool, run)
 		run.judging = judge == s.settings.Instance
 		report := rollout.Report{Arrived: run.arrived, Newer: run.newer, Evidence: maps.Clone(run.evidence), Elapsed: run.tracker.Elapsed(now), Certain: run.tracker.Certain(), Ready: run.tracker.Ready()}
@@ -342,6 +359,15 @@
 	return tasks
 }
 
+// knownMembers returns the number of announced routers, or 0 if the list was not read since
+// the order: a router that hears nobody could take itself for the only one.
+func knownMembers(s *State, run *rolloutRun) int {
+	if s.runs.membersAt.Before(run.created) {
+		return 0
+	}
+	return len(s.members)
+}
+
 // judgeOf returns the router that judges the roll-out of a pool: the first live one in the
 // rendezvous order. Routers that hear each other agree on it.
 func judgeOf(s *State, now time.Time, pool model.Pool, run *rolloutRun) model.InstanceID {
@@ -405,10 +431,10 @@
 	maps.Copy(held, s.rollouts)
 	routers := len(s.members)
 	for pool, run := range s.runs.byPool {
-		if !run.statusRead {
+		stage, _ := run.tracker.Stage()
+		if !run.statusRead && stage != rollout.Completed {
 			continue
 		}
-		stage, _ := run.tracker.Stage()
 		splits[pool] = place.Split{Share: run.tracker.RouterShare(now, routers), Until: now.Add(splitLifetime), Only: stage == rollout.Completed}
 		f.logStage(pool, run, now)
 	}
--- a/internal/router/rollouts_test.go
+++ b/internal/router/rollouts_test.go
@@ -17,7 +17,7 @@
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
-// rolloutFleet is a fleet of two routers whose service has an endpoint of a new version.
+// rolloutFleet is a fleet of two routers, which hear each other unless they are deaf, whose service has an endpoint of a new version.
 type rolloutFleet struct {
 	*fleet
 	routers []*process
@@ -25,15 +25,17 @@
 	ordered time.Time
 }
 
-func newRolloutFleet(t *testing.T, faults standin.EndpointFaults) *rolloutFleet {
+func newRolloutFleet(t *testing.T, faults standin.EndpointFaults, deaf bool) *rolloutFleet {
 	t.Helper()
 	f := &rolloutFleet{fleet: newFleet(t, 0, 2)}
 	f.features = router.Features{Rollouts: true}
 	for _, name := range []string{"router-1", "router-2"} {
-		f.routers = append(f.routers, f.start(func(s *router.Settings) {
+		p := f.start(func(s *router.Settings) {
 			s.Instance = model.InstanceID(name)
 			s.Rollouts, s.Exposure, s.ExposureOver, s.Rollback = true, 0.1, 50, 5*time.Second
-		}).await())
+		})
+		p.link.deaf.Store(deaf)
+		f.routers = append(f.routers, p.await())
 	}
 	next, err := standin.NewEndpoint("service-next")
 	is.New(t).NoErr(err)
@@ -114,7 +116,7 @@
 // starts then.
 func TestGoodVersionsAreRolledOut(t *testing.T) {
 	is := is.New(t)
-	f := newRolloutFleet(t, standin.EndpointFaults{})
+	f := newRolloutFleet(t, standin.EndpointFaults{}, false)
 	f.order(8)
 	failed := f.load(8 * time.Second)
 	f.checkExposure(8 * time.Second)
@@ -136,7 +138,7 @@
 	for name, faults := range map[string]standin.EndpointFaults{"fails": {Fail: true}, "slow": {Latency: 200 * time.Millisecond}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := newRolloutFleet(t, faults)
+			f := newRolloutFleet(t, faults, false)
 			f.load(500 * time.Millisecond) // the usual times
 			f.order(8)
 			failed := f.load(5 * time.Second)
@@ -159,7 +161,7 @@
 // Guards against two verdicts, or none, while the store loses and delays its responses.
 func TestVerdictsWithLostResponses(t *testing.T) {
 	is := is.New(t)
-	f := newRolloutFleet(t, standin.EndpointFaults{Fail: true})
+	f := newRolloutFleet(t, standin.EndpointFaults{Fail: true}, false)
 	f.store.SetFaults(standin.StoreFaults{LoseEvery: 2})
 	f.order(8)
 	f.load(4 * time.Second)
@@ -168,3 +170,14 @@
 	f.load(500 * time.Millisecond)
 	is.Equal(len(f.next.Received()), before)
 }
+
+// Guards against routers that hear no peer and send requests to a new version, although they
+// cannot learn in time of its bad responses at the others.
+func TestRoutersThatHearNoPeerSendNothingToANewVersion(t *testing.T) {
+	is := is.New(t)
+	f := newRolloutFleet(t, standin.EndpointFaults{}, true)
+	f.order(4)
+	is.Equal(f.load(3*time.Second), int64(0))
+	is.Equal(len(f.next.Received()), 0)
+	eventually(t, "the roll-out is reverted", func() bool { return f.status() == router.RolloutStatus{State: router.RolloutReverted, Target: "v2"} })
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -47,6 +47,7 @@
 	suspectsReady, crashesReady *startLatch
 	rollouts                    bool             // roll-outs are carried out
 	statusWrites                chan rolloutTask // to the goroutine that stores statuses, if it is idle
+	membersWanted               chan struct{}    // wakes the goroutine that reads the list of routers
 	statusesReady               *startLatch      // closed after the first read of the statuses
 }
 
@@ -67,7 +68,7 @@
 func New(s Settings, deps Deps, datagrams DatagramConn) *Router {
 	r := &Router{settings: s, deps: deps, log: deps.Log, client: origin.NewClient(), random: rand.Float64,
 		membersReady: make(chan struct{}), holdersReady: make(chan struct{}), configReady: newStartLatch(), listReady: newStartLatch(), suspectsReady: newStartLatch(), crashesReady: newStartLatch(),
-		rollouts: deps.Features.Rollouts && s.Rollouts, statusWrites: make(chan rolloutTask), statusesReady: newStartLatch()}
+		rollouts: deps.Features.Rollouts && s.Rollouts, statusWrites: make(chan rolloutTask), membersWanted: make(chan struct{}, 1), statusesReady: newStartLatch()}
 	r.peers, r.suspects = newPeerLink(r, datagrams), newSuspectWriter(r)
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.memory = memory.NewBudget(int64(requestMemoryShare * float64(s.MemoryLimit)))
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -294,12 +294,25 @@
 		}
 		dep.succeeded()
 		ready()
-		if !control.Pause(ctx, memberReadInterval) {
+		if !r.awaitMemberRead(ctx) {
 			return
 		}
 	}
 }
 
+// awaitMemberRead waits until the list of routers is to be read again. It returns false if
+// ctx has ended.
+func (r *Router) awaitMemberRead(ctx context.Context) bool {
+	t := time.NewTimer(memberReadInterval)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.membersWanted:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // syncMembers renews the announcement of this router if it is due, reads the list
 // of routers and passes those whose announcements have not expired to the control
 // loop and to the peerLink.
--- a/internal/router/source_rollouts.go
+++ b/internal/router/source_rollouts.go
@@ -190,36 +190,38 @@
 	dep := &dependency{r: r, name: "roll-out statuses"}
 	var position int64
 	stored := map[model.Pool]RolloutStatus{}
-	known, settled := false, false // settled: read since the last order was withdrawn
+	var readFor map[model.Pool]model.Version // the orders when all statuses were read last
+	known, settled := false, false           // settled: read since the last order was withdrawn
 	for ctx.Err() == nil {
-		ordered := len(r.loop.Snapshot().rollouts) > 0
-		if !ordered {
-			if known = false; settled {
-				control.Pause(ctx, rolloutInterval)
-				continue
-			}
+		orders := r.loop.Snapshot().rollouts
+		if len(orders) == 0 && settled {
+			control.Pause(ctx, rolloutInterval)
+			continue
 		}
+		known = known && maps.Equal(orders, readFor)
 		begun := time.Now()
 		var statuses map[model.Pool]RolloutStatus
 		var err error
 		if known {
-			statuses, position, err = r.deps.Store.RolloutStatusChanges(ctx, position, waitForStatuses(r.loop.Snapshot().rollouts, stored))
+			statuses, position, err = r.deps.Store.RolloutStatusChanges(ctx, position, waitForStatuses(orders, stored))
 		} else {
 			statuses, position, err = r.deps.Store.RolloutStatuses(ctx)
 		}
-		if err == nil && (!known || len(statuses) > 0) {
+		if err == nil {
 			if !known {
 				clear(stored)
+				readFor = orders
 			}
 			maps.Copy(stored, statuses)
 			_ = r.loop.Post(ctx, rolloutStatusesRead{statuses: maps.Clone(statuses), begun: begun, current: !known})
 		}
 		r.closeWhenApplied(ctx, r.statusesReady)
-		known, settled = err == nil, err == nil && !ordered
+		followed := known
+		known, settled = err == nil, err == nil && len(orders) == 0
 		switch {
 		case err == nil:
 			dep.succeeded()
-		case errors.Is(err, ErrIncomplete):
+		case followed && errors.Is(err, ErrIncomplete): // all of them are read next
 		default:
 			if !dep.failed(ctx, err) {
 				return
