--- a/internal/rollout/fleet.go
+++ b/internal/rollout/fleet.go
@@ -92,8 +92,9 @@
 	reportSpacing     = 40 * time.Millisecond
 	minReportInterval = 200 * time.Millisecond
 	maxReportInterval = 15 * time.Second
-	// badReportInterval is the interval for a router that has seen another bad response
-	// of the new version.
+	// badReportInterval is the shortest interval for a router that has seen another bad
+	// response of the new version. It is half of the usual one at the least, so that a
+	// version that fails everywhere does not flood the judge.
 	badReportInterval = 400 * time.Millisecond
 )
 
@@ -102,7 +103,7 @@
 func ReportInterval(routers int, worse bool) time.Duration {
 	interval := min(max(time.Duration(routers)*reportSpacing, minReportInterval), maxReportInterval)
 	if worse {
-		interval = min(interval, badReportInterval)
+		interval = min(interval, max(interval/2, badReportInterval))
 	}
 	return interval
 }
