--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -20,6 +20,9 @@
 	Regions      []model.Region
 	Excluded     []model.EndpointID // endpoints of earlier attempts
 	Endpoint     model.EndpointID   // at which a slot was granted; empty if none
+	// Position is the place of the request, above 0 and up to 1, in the order in which
+	// requests move to a version that is rolled out. 0 means that it does not move.
+	Position float64
 }
 
 // Choice is the endpoint selected for a request.
@@ -34,6 +37,7 @@
 	// Uncached and Fetched are the numbers of prompt tokens that the endpoint is expected to
 	// read and to fetch; Uncached is negative if that is not known.
 	Uncached, Fetched int
+	Cold              bool    // the endpoint has started lately
 	Load              float64 // of the endpoint, without this request
 	Mean              float64 // mean load of the usable endpoints of the pool
 	Reason            Reason
@@ -103,7 +107,7 @@
 	if choice.endpointState == nil {
 		return Choice{}, false
 	}
-	out := Choice{Endpoint: choice.Endpoint, Load: choice.load, Mean: mean, Reason: choice.reason, Spill: spill}
+	out := Choice{Endpoint: choice.Endpoint, Cold: now.Before(choice.coldUntil), Load: choice.load, Mean: mean, Reason: choice.reason, Spill: spill}
 	if choice.DataCentre != t.home {
 		out.Remote = remoteReason
 	}
@@ -172,7 +176,7 @@
 // eligible only if the share of the others is below minEligibleShare.
 func (t *Table) candidates(now time.Time, q Query) (all, eligible []candidate, mean float64) {
 	t.expirePeers(now)
-	members := t.inPool(q.Pool)
+	members, others := t.side(now, q, t.inPool(q.Pool))
 	total := t.totalLoad(now, members.held)
 	counted := len(members.held)
 	var inBackoff []candidate
@@ -209,6 +213,10 @@
 	if t.reservedForMoreUrgent(members.usable, eligible, q.Priority) {
 		eligible = nil
 	}
+	if others && len(eligible) == 0 {
+		q.Position = 0
+		return t.candidates(now, q)
+	}
 	return all, eligible, mean
 }
 
--- a/internal/router/deploy_test.go
+++ b/internal/router/deploy_test.go
@@ -24,8 +24,12 @@
 		"Bounds.GraceS": "8", "Bounds.RevokeMs": "5000", "Bounds.StrictRevoke": "true", "Bounds.RetryRatio": "0.2",
 		"Bounds.RetryBurst": "58", "Bounds.RetryWindowS": "10", "Bounds.DrainMs": "4000",
 		"CloudApi.Address": "10.200.1.8:8070", "CloudApi.Duties": "metering,autoscale", "Bounds.LeaseMs": "3000", "Bounds.ThawMs": "300", "Bounds.ReportWindowS": "5", "Bounds.UsageDelayS": "10",
+		"Bounds.ExposureShare": "0.05", "Bounds.ExposureTolerance": "40", "Bounds.RollbackMs": "4000",
 	})
 	is.Equal(s.Duties, router.DutySettings{Address: "10.200.1.8:8070", Names: []string{"metering", "autoscale"}, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, Window: 5 * time.Second, Delay: 10 * time.Second})
+	is.Equal(s.Exposure, 0.05)
+	is.Equal(s.ExposureOver, 40.0)
+	is.Equal(s.Rollback, 4*time.Second)
 	is.Equal(s.Grace, 8*time.Second)
 	is.Equal(s.Revoke, 5*time.Second)
 	is.Equal(s.RetryBurst, 58.0)
@@ -49,6 +53,7 @@
 	is.Equal(s.Grace, 8*time.Second)
 	is.Equal(s.Duties.Address, "")
 	is.Equal(s.Duties.Lease, 3*time.Second)
+	is.Equal(s.Exposure, 0.1)
 }
 
 // fillTemplate fills in the template as the platform does and loads the result.
@@ -66,6 +71,7 @@
 		"Bounds.LeaseMs": "", "Bounds.ThawMs": "", "Bounds.ReportWindowS": "", "Bounds.UsageDelayS": "",
 		"Bounds.GraceS": "", "Bounds.RevokeMs": "", "Bounds.StrictRevoke": "", "Bounds.RetryRatio": "",
 		"Bounds.RetryBurst": "", "Bounds.RetryWindowS": "", "Bounds.DrainMs": "",
+		"Bounds.ExposureShare": "", "Bounds.ExposureTolerance": "", "Bounds.RollbackMs": "",
 	}
 	maps.Copy(values, bounds)
 	fill := func(name, value string) {
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -27,6 +27,7 @@
 		guardEndpoints{snapshot: r.loop.Snapshot, allowTrial: r.allowTrial},
 		reserveSlot{enabled: r.slotsEnabled, ask: r.askSlot, release: r.releaseSlot},
 		placeRequest{pick: r.pick, broadcastHolder: r.broadcastHolder, random: r.random},
+		watchVersions{enabled: r.rollouts, report: r.recordVersion},
 		send{client: r.client, hasAlternative: r.hasAlternative, protocol: r.deps.Protocol, recordResult: r.recordResult, recordNotice: r.recordNotice, recordTimes: r.recordTimes, recordCrash: r.recordCrash, recordAbandoned: r.recordAbandoned, recordSound: r.recordSound, recordBegan: r.recordBegan, checkKey: r.checkKey, log: r.log},
 	)
 }
@@ -39,6 +40,7 @@
 		applyOrders{r.log},
 		applyList{r.log},
 		applyPeers{r.log},
+		carryOutRollouts{enabled: r.rollouts, readMembers: func() { wake(r.membersWanted) }, log: r.log},
 		placeRequests{broadcast: r.broadcast, log: r.log},
 		admitRequests{r.log},
 		judgeCauses{broadcast: r.broadcast, save: r.suspects.save, report: r.suspects.saveReport, log: r.log},
--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -69,6 +69,7 @@
 		return false
 	case <-r.announceAgain:
 		*announced, *interval = time.Time{}, membersAfterRestore
+	case <-r.membersWanted:
 	case <-t.C:
 	}
 	return true
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -159,7 +159,7 @@
 	r.listKnown(ctx)
 	position := reply.position(snap.Position.Era)
 	if position.After(snap.Position) {
-		r.gate.offerOrders(offeredOrders{position: position, config: reply.Config, deltas: reply.Deltas, evacuated: reply.Evacuated, rollouts: reply.Rollouts, sent: sent - reply.OrdersAge})
+		r.gate.offerOrders(offeredOrders{position: position, config: reply.Config, deltas: reply.Deltas, evacuated: reply.Evacuated, rollouts: reply.Rollouts, windows: reply.Windows, sent: sent - reply.OrdersAge})
 		return readerFresh
 	}
 	_ = r.loop.Post(ctx, ordersRead{sent: sent - reply.OrdersAge, position: snap.Position})
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -42,13 +42,15 @@
 	return true
 }
 
-// applyRollouts updates the versions that get no requests, since their roll-out is
-// ordered: routers do not judge versions yet.
+// applyRollouts updates the versions whose roll-out is ordered. They get no requests until
+// the stage carryOutRollouts decides otherwise.
 func (f applyOrders) applyRollouts(s *State, e ordersRead) {
-	next := maps.Clone(s.rollouts)
+	next, windows := maps.Clone(s.rollouts), maps.Clone(s.windows)
 	if e.current {
 		clear(next)
+		clear(windows)
 	}
+	maps.Copy(windows, e.orders.RolloutWindows)
 	for pool, version := range e.orders.Rollouts {
 		if _, held := s.held.rollouts[pool]; held {
 			continue
@@ -59,10 +61,13 @@
 			delete(next, pool)
 		}
 	}
-	maps.Copy(next, s.held.rollouts)
-	if maps.Equal(next, s.rollouts) {
+	for pool, version := range s.held.rollouts {
+		next[pool], windows[pool] = version, s.windows[pool]
+	}
+	if maps.Equal(next, s.rollouts) && maps.Equal(windows, s.windows) {
 		return
 	}
+	s.windows = windows
 	for pool, version := range next {
 		if s.rollouts[pool] != version {
 			f.log.Warn("roll-out ordered, the version gets no requests", "pool", pool, "version", version)
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -62,6 +62,19 @@
 	return nil, Position{}, ctx.Err()
 }
 
+func (startStore) RolloutStatuses(context.Context) (map[model.Pool]RolloutStatus, Position, error) {
+	return nil, Position{}, nil
+}
+
+func (startStore) RolloutStatusChanges(ctx context.Context, _ Position, _ time.Duration) (map[model.Pool]RolloutStatus, Position, error) {
+	<-ctx.Done()
+	return nil, Position{}, ctx.Err()
+}
+
+func (startStore) PutRolloutStatus(context.Context, model.Pool, RolloutStatus, Position) error {
+	return nil
+}
+
 // Guards against a starting router that serves callers when it has read the
 // configuration and the instance list but its control loop, which waits for the
 // processor, has not applied them: 343 requests were refused after all routers had
