--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -37,6 +37,7 @@
 	store    func(at time.Duration, stored, want Stage) (next Stage, ok bool) // conditional write; nil means one that works
 	onStep   func(f *trackedFleet, at time.Duration)
 	seed     int64
+	after    time.Duration // for which the fleet runs after the deadline
 	stored   Stage
 	storedAt time.Duration
 	writes   []Stage
@@ -48,7 +49,7 @@
 }
 
 func newTrackedFleet(n, rate int, window time.Duration) *trackedFleet {
-	f := &trackedFleet{terms: Terms{Target: "v2", Window: window, Share: 0.1, Tolerance: 50, Rollback: 5 * time.Second}, rate: rate}
+	f := &trackedFleet{terms: Terms{Target: "v2", Window: window, Share: 0.1, Tolerance: 50, Rollback: 5 * time.Second}, rate: rate, after: 2 * time.Second}
 	for i := range n {
 		f.routers = append(f.routers, &trackedRouter{name: fmt.Sprint("r", i), tracker: NewTracker(start, f.terms, true), report: Report{Evidence: Evidence{}}})
 	}
@@ -73,7 +74,7 @@
 	id := 0
 	for step := 0; ; step++ {
 		at := time.Duration(step) * fleetStep
-		if at > f.terms.Window+2*time.Second {
+		if at > f.terms.Window+f.after {
 			return
 		}
 		now := start.Add(at)
@@ -354,6 +355,7 @@
 func TestRoutersThatStartDoNotKnowTheDeadline(t *testing.T) {
 	is := is.New(t)
 	f := newTrackedFleet(3, 400, 10*time.Second)
+	f.after = 7 * time.Second // past the deadline as the routers see it
 	f.onStep = func(f *trackedFleet, at time.Duration) {
 		if at == 5*time.Second {
 			for _, r := range f.routers {
@@ -366,6 +368,24 @@
 	is.True(f.stored != Completed)
 }
 
+// Guards against versions that are completed with too little evidence.
+func TestVersionsWithoutEvidenceAreReverted(t *testing.T) {
+	f := newTrackedFleet(10, 10, 10*time.Second)
+	f.run()
+	f.checkBoundsOfShare(t)
+	is.New(t).Equal(f.writes, []Stage{Reverted})
+}
+
+// Guards against a version that is completed while a router that was heard lately does not
+// know that the whole share has begun: its requests would go to endpoints that have stopped.
+func TestNothingIsCompletedBeforeAllRoutersKnow(t *testing.T) {
+	f := newTrackedFleet(28, 400, 10*time.Second)
+	f.lose = func(i int) bool { return i%28 == 3 && i/28 >= 75 } // one router, from 7.5 s
+	f.run()
+	f.checkBoundsOfShare(t)
+	is.New(t).True(f.stored != Completed || f.storedAt > f.terms.Window)
+}
+
 // Guards against the usual time that follows no change of the load, or counts usual times
 // as slow.
 func TestBaseline(t *testing.T) {
