slots: requests that would be late get the slots that are left

Endpoints had answered most of these requests late before, which is worth more to callers than a refusal.

A request that can't be in time waits for at most half of its time, behind those that can, if the slots that these leave suffice by the rates of arrivals; otherwise it is refused at once.

--- a/internal/router/reserve.go
+++ b/internal/router/reserve.go
@@ -33,7 +33,7 @@
 	}()
 	begin := time.Now()
 	reply, err := f.ask(ctx, slotAsked{Deferred: control.NewDeferred[slotReply](), ticket: ticket, priority: req.priority(),
-		limit: boottime.Now() + usefulTime(req, begin), excluded: req.Excluded})
+		target: targetTime(req, begin), limit: boottime.Now() + time.Duration(waitingShare*float64(timeLeft(req, begin))), excluded: req.Excluded})
 	if err != nil {
 		return nil, refuseTimedOut(req)
 	}
@@ -52,15 +52,17 @@
 	return answer, err
 }
 
-// usefulTime returns how long the request may wait for its answer: until its latency
-// target, or until its deadline once that has passed. A pool without a free slot serves
-// other requests in time instead of one that would be late.
-func usefulTime(req *Request, now time.Time) time.Duration {
-	left := timeLeft(req, now)
-	if t := req.Route.LatencyTarget - now.Sub(req.Arrived); t > 0 {
-		left = min(left, t)
+// waitingShare is the part of its time for which a request waits for a slot at most. A
+// caller that is refused then has as much left to return.
+const waitingShare = 1.0 / 2
+
+// targetTime returns the boot time of the latency target of the request, or 0 if it has none
+// or that has passed.
+func targetTime(req *Request, now time.Time) time.Duration {
+	if t := req.Route.LatencyTarget - now.Sub(req.Arrived); req.Route.LatencyTarget > 0 && t > 0 {
+		return boottime.Now() + t
 	}
-	return left
+	return 0
 }
 
 // releaseOnClose releases the slot of a stream when the stream is closed.
--- a/internal/router/slots.go
+++ b/internal/router/slots.go
@@ -35,6 +35,7 @@
 		control.Deferred[slotReply]
 		ticket   *slotTicket
 		priority int
+		target   time.Duration // boot time until which an answer is in time; 0 if there is no target
 		limit    time.Duration // boot time until which an answer is of use
 		excluded []model.EndpointID
 	}
@@ -138,7 +139,7 @@
 	e.ticket.id = s.slotTickets
 	p.waiting[e.ticket.id] = e
 	at := f.now()
-	r := slots.Request{ID: e.ticket.id, Priority: e.priority, Arrived: at, Limit: e.limit}
+	r := slots.Request{ID: e.ticket.id, Priority: e.priority, Arrived: at, Target: e.target, Limit: e.limit}
 	for _, id := range e.excluded {
 		r.Excluded = append(r.Excluded, place.EndpointHash(id))
 	}
--- a/internal/slots/client.go
+++ b/internal/slots/client.go
@@ -47,11 +47,16 @@
 	ID       uint64
 	Priority int // 0 is the most urgent
 	Arrived  time.Duration
+	// Target is the time by which the answer is in time; 0 stands for Limit.
+	Target time.Duration
 	// Limit is the time by which the request must have been answered to be of use.
 	Limit    time.Duration
 	Excluded []uint32 // endpoints at which an earlier attempt ended
 }
 
+// target returns the time by which the answer is in time.
+func (r Request) target() time.Duration { return cmp.Or(r.Target, r.Limit) }
+
 // Start says that a request may be sent, to Endpoint if that is not 0.
 type Start struct {
 	ID       uint64
@@ -206,7 +211,7 @@
 
 // before is the order of the queue.
 func before(a, b Request) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Limit, b.Limit), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.target(), b.target()), cmp.Compare(a.ID, b.ID))
 }
 
 // Leave removes a request that waits no longer.
@@ -367,7 +372,7 @@
 }
 
 // refuseLate removes and refuses the requests from position from of the queue that cannot
-// be answered by their limit.
+// be answered in time, nor by their limit with the slots that others leave which can.
 func (c *Client) refuseLate(now time.Duration, from int) (out []Refusal) {
 	rate := c.rate(now)
 	kept := c.queue[:from]
@@ -378,7 +383,8 @@
 			left -= c.arriving[l].decay(now, rateTime) / rateTime.Seconds()
 		}
 		wait := time.Duration(float64(len(kept)+1) / max(left, minRate) * float64(time.Second))
-		if starts && len(kept) == 0 || now+wait+c.workTime <= r.Limit {
+		late := left - c.arriving[level(r.Priority)].decay(now, rateTime)/rateTime.Seconds()
+		if starts && len(kept) == 0 || now+wait+c.workTime <= r.target() || late > 0 && now+c.workTime+time.Duration(float64(len(kept)+1)/late*float64(time.Second)) <= r.Limit {
 			kept = append(kept, r)
 			continue
 		}
@@ -410,7 +416,7 @@
 		})
 	}
 	for len(c.queue) > 0 {
-		i := 0
+		i := c.first(now)
 		if (c.starts+1)%agingPeriod == 0 {
 			i = c.oldest()
 		}
@@ -429,6 +435,21 @@
 	return out
 }
 
+// first returns the position of the next request to start: of the most urgent ones the first
+// that can be answered in time, or the first if none can. Late ones get the slots that are
+// left, since with the others waiting behind them all would become late.
+func (c *Client) first(now time.Duration) int {
+	for i, r := range c.queue {
+		if r.Priority != c.queue[0].Priority {
+			break
+		}
+		if now+c.workTime <= r.target() {
+			return i
+		}
+	}
+	return 0
+}
+
 // oldest returns the position of the request that has waited longest.
 func (c *Client) oldest() int {
 	out := 0
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -506,6 +506,38 @@
 	}
 }
 
+// Guards against requests that are refused although they can be answered soon after their
+// target, against late ones that delay those still in time, and against late ones that are
+// held while the requests in time need all slots.
+func TestLateRequestsGetTheSlotsThatAreLeft(t *testing.T) {
+	start := func(arrivals int) (c *Client, refused int) {
+		c = NewClient(0, testConfig)
+		c.SetPool([]Endpoint{{Hash: 1, Slots: 2}}, 5, 0, "") // 5 credits, one of them for this router
+		c.RecordEvidence(0)
+		c.Arrive(0, Request{ID: 1, Limit: time.Minute})
+		c.Step(0)
+		for range arrivals {
+			c.arriving[level(0)].add(0, rateTime)
+		}
+		for id := uint64(2); id < 5; id++ { // the target of the last ones has passed when a slot is free
+			refused += len(c.Arrive(0, Request{ID: id, Target: firstWorkTime * 5 / 4, Limit: time.Minute}))
+		}
+		return c, refused
+	}
+	c, refused := start(0)
+	if refused > 0 {
+		t.Errorf("%d refused without other load", refused)
+	}
+	c.Arrive(firstWorkTime, Request{ID: 9, Target: 10 * firstWorkTime, Limit: time.Minute})
+	c.End(firstWorkTime, 1, true)
+	if got := c.Step(firstWorkTime).Starts; len(got) != 1 || got[0].ID != 9 {
+		t.Errorf("started before the request that is in time: %v", got)
+	}
+	if _, refused := start(1000); refused == 0 {
+		t.Error("late requests are held although others take all slots")
+	}
+}
+
 // Guards against credits that two routers hold at once, whatever datagrams are lost, late,
 // repeated or out of order: together the routers would overrun an endpoint.
 func TestCreditsInForceNeverExceedTheEndpoint(t *testing.T) {
