--- a/internal/router/slots.go
+++ b/internal/router/slots.go
@@ -22,8 +22,9 @@
 	// slotRefresh is how often the endpoints, the load and the home of a pool are read from
 	// the table, since that takes a pass over all routers.
 	slotRefresh = 50 * time.Millisecond
-	// slotLoadShare is the part of the slots of a pool from which a load causes grants. A
-	// full endpoint costs a rejection, which causes grants too.
+	// slotLoadShare is the part of the slots of a pool and the queues of its endpoints from
+	// which a load causes grants. Below it endpoints take what comes, and a router that waits
+	// for a credit would be later than without. A rejection causes grants too.
 	slotLoadShare = 0.9
 )
 
@@ -209,7 +210,7 @@
 		p.home.SetConfig(s.settings.Slots.config())
 		p.home.SetEndpoints(endpoints)
 	}
-	if n > 0 && load >= slotLoadShare*float64(n) {
+	if room := (1 + s.settings.Slots.Queue) * float64(n); n > 0 && load >= slotLoadShare*room {
 		p.client.RecordEvidence(at)
 	}
 	if engaged := p.client.Engaged(at); engaged != p.engaged || engaged && home != p.homeName {
