place: a holder is left only once it has been slow for a while

TestHoldersAreLeftOnlyWhereThatSavesTime states the slow figure twice, a second apart, and has two more cases in which the holder stays.

--- a/internal/place/expected.go
+++ b/internal/place/expected.go
@@ -52,6 +52,11 @@
 	return s.work.factor(e.now, e.hold) * s.learned.factor(e.now)
 }
 
+// lasting reports whether the endpoint takes longer than usual and is likely to go on so.
+func (e expectation) lasting(s *endpointState) bool {
+	return s.learned.factor(e.now) > 1 || s.work.lasts(e.now, e.hold)
+}
+
 // time returns the weighted time in ms that a request is expected to take at an endpoint
 // that reads the given prompt tokens. Up to its slots the time grows with the load as in a
 // machine whose time is shared, so endpoints get shares by their speed: with a time that
--- a/internal/place/select.go
+++ b/internal/place/select.go
@@ -48,14 +48,14 @@
 
 // insteadOfHolder returns an endpoint that does not hold the part and whose expected time,
 // with that for moving or reading the prompt, is less than that of the best holder. It
-// compares endpoints only if that holder is slow or all its slots are taken: while holders
+// compares endpoints only if that holder stays slow or all its slots are taken: while holders
 // work as usual, reading shared parts again is the largest avoidable cost. It takes the
 // first candidates in the order of the part, so that all routers move it to the same ones.
 func (t *Table) insteadOfHolder(q Query, expected expectation, holder candidate, cost float64, withinLimit []candidate, holders []uint32) (candidate, bool) {
 	if !expected.active() {
 		return candidate{}, false
 	}
-	if expected.slowness(holder.endpointState) <= 1 && !holder.full() {
+	if !expected.lasting(holder.endpointState) && !holder.full() {
 		return candidate{}, false
 	}
 	others := slices.DeleteFunc(slices.Clone(withinLimit), func(c candidate) bool { return slices.Contains(holders, c.hash) })
--- a/internal/place/worktime.go
+++ b/internal/place/worktime.go
@@ -33,7 +33,8 @@
 type workTime struct {
 	value  float64 // smoothed; 0 if it was never stated
 	at     time.Time
-	told   float64 // figure in the last message to or from the peers; 0 if there was none
+	slow   time.Time // since when all figures were above the usual variation; zero if the last was not
+	told   float64   // figure in the last message to or from the peers; 0 if there was none
 	toldAt time.Time
 }
 
@@ -46,6 +47,27 @@
 		w.value += workTimeSmoothing * (figure - w.value)
 	}
 	w.at = now
+	w.note(now, figure)
+}
+
+// note records whether a figure is above the usual variation.
+func (w *workTime) note(now time.Time, figure float64) {
+	switch {
+	case figure < usualVariation:
+		w.slow = time.Time{}
+	case w.slow.IsZero():
+		w.slow = now
+	}
+}
+
+// minSlowTime is how long an endpoint must have been slow before a prompt is moved away from
+// it. Machines that are slow by turns, several times a second, are as slow elsewhere next:
+// prompts moved twice as often, and twice as many shared parts were read again.
+const minSlowTime = 700 * time.Millisecond
+
+// lasts reports whether the endpoint is slow and has been so for a while.
+func (w *workTime) lasts(now time.Time, hold time.Duration) bool {
+	return w.factor(now, hold) > 1 && !w.slow.IsZero() && now.Sub(w.slow) >= minSlowTime
 }
 
 // factor returns the work time that counts now, 1 if it is usual or not known. It counts in
@@ -124,6 +146,7 @@
 	if s == nil || !(figure > 0) {
 		return
 	}
-	s.work = workTime{value: figure, at: now, told: figure, toldAt: now}
+	s.work = workTime{value: figure, at: now, slow: s.work.slow, told: figure, toldAt: now}
+	s.work.note(now, figure)
 	t.timesOf(s.Pool).workTimeStated = true
 }
--- a/internal/place/worktime_test.go
+++ b/internal/place/worktime_test.go
@@ -104,13 +104,18 @@
 
 // Guards against prompts that are read again although their holder is slow only for a short
 // request, against requests that stay at a slow holder although reading the prompt takes
-// less time, and against an endpoint without a known slowness that is left.
+// less time, and against an endpoint that is left without a known slowness, or with one that
+// may be over at once, as on a machine that is slow by turns.
 func TestHoldersAreLeftOnlyWhereThatSavesTime(t *testing.T) {
 	for _, test := range []struct {
 		workTime float64
 		tokens   int
+		lasts    time.Duration // that the holder has been slow
 		want     Reason
-	}{{1.4, 700, HoldsPrompt}, {4, 700, HoldersSlow}, {4, 200_000, HoldsPrompt}} {
+	}{
+		{1.4, 700, time.Second, HoldsPrompt}, {4, 700, time.Second, HoldersSlow}, {4, 200_000, time.Second, HoldsPrompt},
+		{4, 700, 0, HoldsPrompt}, {4, 700, minSlowTime / 2, HoldsPrompt},
+	} {
 		is := is.New(t)
 		tab := table(engines(9))
 		for i := range 20 {
@@ -118,7 +123,9 @@
 		}
 		q := Query{Pool: "p", Kind: "k", Part: 7, Tokens: test.tokens, PromptTokens: test.tokens + 100}
 		tab.AddHolder(start, 7, EndpointHash("i-1"))
-		tab.RecordStatedLoad(start, "i-1", StatedLoad{Known: true, WorkTime: test.workTime})
+		stated := StatedLoad{Known: true, WorkTime: test.workTime}
+		tab.RecordStatedLoad(start.Add(-test.lasts), "i-1", stated)
+		tab.RecordStatedLoad(start, "i-1", stated)
 		c, _ := tab.Pick(start, q)
 		is.Equal(c.Reason, test.want)
 		is.Equal(c.FetchFrom == "", test.want == HoldsPrompt)
