slots: when to grant is decided in the package; grants stay while the slots are full

Both use Config.Grants and Config.IsLoaded now.

Admission asked whether slots are granted before it asks whether the endpoints state loads, which covers the same pools; the first question and the decision slots_granted are gone.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -140,7 +140,6 @@
 	NoOverload   Reason = "no_overload"   // the pool is not overloaded
 	CapacityFree Reason = "capacity_free" // under half of the slots are taken
 	LoadUnknown  Reason = "load_unknown"  // the endpoints state no load, so the room is a guess
-	SlotsGranted Reason = "slots_granted" // the request queues for the slots of a small pool
 	FairShare    Reason = "fair_share"    // its workspace has more than its share
 	LessUrgent   Reason = "less_urgent"   // above the threshold of its class
 	BoundReached Reason = "bound_reached" // this router has its share in flight
--- a/internal/router/control_admission.go
+++ b/internal/router/control_admission.go
@@ -87,10 +87,6 @@
 	}
 	switch e := ev.(type) {
 	case admissionAsked:
-		if s.grantsSlots(e.request.Pool) {
-			e.Reply(admission.Decision{Admit: true, Reason: admission.SlotsGranted})
-			return false
-		}
 		if !s.catalog.Pools[e.request.Pool].Engine {
 			e.Reply(admission.Decision{Admit: true, Reason: admission.LoadUnknown})
 			return false
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -58,7 +58,7 @@
 
 // config returns the parameters of package slots.
 func (s SlotSettings) config() slots.Config {
-	return slots.Config{Lease: s.Lease, Answer: s.Answer, Queue: s.Queue}
+	return slots.Config{Lease: s.Lease, Answer: s.Answer, Queue: s.Queue, PoolFactor: s.PoolFactor}
 }
 
 // DutySettings are the settings of the duties of one router at a time.
--- a/internal/router/shed.go
+++ b/internal/router/shed.go
@@ -141,7 +141,7 @@
 
 // admissionCounters count the decisions on requests.
 var admissionCounters = newCounters("goldcrest_router_admission_total", "decision", map[admission.Reason]string{
-	admission.NoOverload: "no_overload", admission.Admitted: "admitted", admission.CapacityFree: "capacity_free", admission.SlotsGranted: "slots_granted", admission.LoadUnknown: "load_unknown",
+	admission.NoOverload: "no_overload", admission.Admitted: "admitted", admission.CapacityFree: "capacity_free", admission.LoadUnknown: "load_unknown",
 	admission.LessUrgent: "less_urgent", admission.FairShare: "fair_share", admission.BoundReached: "bound_reached", admission.TooLate: "too_late",
 })
 
--- a/internal/router/slots.go
+++ b/internal/router/slots.go
@@ -22,10 +22,6 @@
 	// slotRefresh is how often the endpoints, the load and the home of a pool are read from
 	// the table, since that takes a pass over all routers.
 	slotRefresh = 50 * time.Millisecond
-	// slotLoadShare is the part of the slots of a pool and the queues of its endpoints from
-	// which a load causes grants. Below it endpoints take what comes, and a router that waits
-	// for a credit would be later than without. A rejection causes grants too.
-	slotLoadShare = 0.9
 )
 
 // Events of the grants of slots.
@@ -151,11 +147,11 @@
 	}
 }
 
-// pool returns the state of a pool, or nil if its slots are not few or not known.
+// pool returns the state of a pool, or nil if its slots are not granted or not known.
 func (f grantSlots) pool(s *State, now time.Time, pool model.Pool) *slotPool {
 	p := s.slots[pool]
 	if p == nil {
-		if !few(s, now, pool) {
+		if !grants(s, now, pool) {
 			return nil
 		}
 		p = &slotPool{pool: pool, hash: slotPoolHash(pool), client: slots.NewClient(f.now(), s.settings.Slots.config()), waiting: map[uint64]slotAsked{}, refreshed: -slotRefresh}
@@ -165,26 +161,10 @@
 	return p
 }
 
-// grantsSlots reports whether the requests for a pool queue for its slots. The queue refuses
-// what cannot be answered in time, so a second decision on the same requests would refuse
-// some that the queue can still serve.
-func (s *State) grantsSlots(pool model.Pool) bool {
-	p := s.slots[pool]
-	return p != nil && len(p.names) > 0
-}
-
-// minCredits is the number of credits for each router from which slots are granted. A router
-// without a credit waits for the next answer of the home, which in a fleet of 46 takes longer
-// than a call may: with 0.98 credits for each up to 0.087 of the requests were refused that
-// endpoints would have answered.
-const minCredits = 1.25
-
-// few reports whether a pool has few slots relative to the number of routers, but enough to
-// be granted.
-func few(s *State, now time.Time, pool model.Pool) bool {
+// grants reports whether the slots of a pool are granted.
+func grants(s *State, now time.Time, pool model.Pool) bool {
 	_, n, _ := s.table.Slots(now, pool)
-	slots, routers := float64(n), float64(s.table.Routers(now))
-	return slots < s.settings.Slots.PoolFactor*routers && slots*(1+s.settings.Slots.Queue) >= minCredits*routers
+	return s.settings.Slots.config().Grants(n, s.table.Routers(now))
 }
 
 // refresh reads the state of a pool from the table. A pool that has become large has no
@@ -196,7 +176,7 @@
 	}
 	p.refreshed = at
 	list, n, load := s.table.Slots(now, p.pool)
-	if !s.settings.Slots.Enabled || !few(s, now, p.pool) {
+	if !s.settings.Slots.Enabled || !grants(s, now, p.pool) {
 		list, n = nil, 0
 	}
 	var endpoints []slots.Endpoint
@@ -218,7 +198,7 @@
 		p.home.SetConfig(s.settings.Slots.config())
 		p.home.SetEndpoints(endpoints)
 	}
-	if room := (1 + s.settings.Slots.Queue) * float64(n); n > 0 && load >= slotLoadShare*room {
+	if s.settings.Slots.config().IsLoaded(load, n, p.client.Engaged(at)) {
 		p.client.RecordEvidence(at)
 	}
 	if engaged := p.client.Engaged(at); engaged != p.engaged || engaged && home != p.homeName {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -65,6 +65,41 @@
 	Lease  time.Duration // validity of a grant, at least
 	Answer time.Duration // after which a router no longer waits for the home
 	Queue  float64       // credits beyond the slots of an endpoint, as a multiple of them
+	// PoolFactor is the number of slots for each router below which a pool has few.
+	PoolFactor float64
+}
+
+const (
+	// minCredits is the number of credits for each router from which slots are granted. A
+	// router without a credit waits for the next answer of the home, which in a fleet of 46
+	// takes longer than a call may: with 0.98 credits for each up to 0.087 of the requests
+	// were refused that endpoints would have answered.
+	minCredits = 1.25
+	// evidenceShare is the part of the slots of a pool and the queues of its endpoints from
+	// which a load causes grants, and the part of the slots down to which they stay in
+	// force. Below the first, endpoints take what comes, and a router that waits for a
+	// credit would be later than without. Ending there too would have grants come and go
+	// while endpoints have shorter queues than configured.
+	evidenceShare = 0.9
+)
+
+// room returns the requests that the endpoints with the given slots may run or have waiting.
+func (c Config) room(slots int) float64 { return (1 + c.Queue) * float64(slots) }
+
+// Grants reports whether the slots of a pool are granted: they are few relative to the
+// number of routers, but enough for the credits to reach most of them.
+func (c Config) Grants(slots, routers int) bool {
+	return slots > 0 && float64(slots) < c.PoolFactor*float64(routers) && c.room(slots) >= minCredits*float64(routers)
+}
+
+// IsLoaded reports whether the load of a pool, in requests of all routers, causes grants or
+// keeps them in force.
+func (c Config) IsLoaded(load float64, slots int, inForce bool) bool {
+	bound := c.room(slots)
+	if inForce {
+		bound = float64(slots)
+	}
+	return slots > 0 && load >= evidenceShare*bound
 }
 
 // Endpoint is an endpoint of the pool.
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -72,7 +72,7 @@
 const exchangeTime = 10 * time.Millisecond // two messages of 1.4 ms and the work on them
 
 // testConfig has the defaults of the settings.
-var testConfig = Config{Lease: time.Second, Answer: 60 * time.Millisecond, Queue: 1.5}
+var testConfig = Config{Lease: time.Second, Answer: 60 * time.Millisecond, Queue: 1.5, PoolFactor: 4}
 
 // never stands for a time that does not end, which turns a bound off.
 const never = 24 * time.Hour
@@ -159,7 +159,7 @@
 	}
 	n.client.SetPool(list, f.routers, i, home)
 	n.home.SetEndpoints(list)
-	if at := len(f.loads) - 30; !f.off && at >= 0 && f.loads[at]*10 >= 9*f.endpoints*f.slots {
+	if at := len(f.loads) - 30; !f.off && at >= 0 && f.config.IsLoaded(float64(f.loads[at]), f.endpoints*f.slots, n.client.Engaged(now)) {
 		n.client.RecordEvidence(now)
 	}
 	step := n.client.Step(now)
