--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -129,6 +129,7 @@
 	Target    time.Duration // latency target; 0 if none
 	Random    float64       // uniform in [0, 1)
 	Workspace model.Workspace
+	Plain     bool // to a pool of plain services, which never state a load
 }
 
 // Reason is why a request was admitted or refused.
@@ -139,7 +140,7 @@
 	Admitted     Reason = "admitted"      // under overload, within the threshold
 	NoOverload   Reason = "no_overload"   // the pool is not overloaded
 	CapacityFree Reason = "capacity_free" // under half of the slots are taken
-	LoadUnknown  Reason = "load_unknown"  // the endpoints state no load, so the room is a guess
+	LoadUnknown  Reason = "load_unknown"  // plain services state no load, so their room is a guess
 	FairShare    Reason = "fair_share"    // its workspace has more than its share
 	LessUrgent   Reason = "less_urgent"   // above the threshold of its class
 	BoundReached Reason = "bound_reached" // this router has its share in flight
@@ -263,6 +264,9 @@
 
 // Decide decides on a request. End must be called once for each admitted one.
 func (c *Controller) Decide(now time.Time, r Request) Decision {
+	if r.Plain {
+		return Decision{Admit: true, Reason: LoadUnknown}
+	}
 	p := c.pool(now, r.Pool)
 	p.usedAt = now
 	times := p.times(r.Route)
--- a/internal/admission/fill_test.go
+++ b/internal/admission/fill_test.go
@@ -169,6 +169,23 @@
 	is.True(!p.active)
 }
 
+// Guards against refusals at plain services, whose room is not known: their callers wait
+// instead, which was worth more to those of a deployment that pays half for a late answer.
+func TestPlainServicesAreNotRefused(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	load := func(time.Time, model.Pool) Load { return Load{Slots: 6, Taken: 60, Routers: 1} }
+	for plain, reason := range map[bool]Reason{true: LoadUnknown, false: LessUrgent} {
+		c, last := New(load, hashOf), Decision{}
+		for range 60 {
+			now = now.Add(tick)
+			last = c.Decide(now, Request{Pool: simPool, Route: "r", Left: time.Minute, Plain: plain})
+		}
+		is.Equal(last.Admit, plain)
+		is.Equal(last.Reason, reason)
+	}
+}
+
 // Guards against a router that takes only a part of a pool that its peers do not use, and
 // against one that takes the part of peers whose demand is low and not reported.
 func TestSharesFollowTheDemandOfAllPeers(t *testing.T) {
--- a/internal/router/control_admission.go
+++ b/internal/router/control_admission.go
@@ -87,10 +87,7 @@
 	}
 	switch e := ev.(type) {
 	case admissionAsked:
-		if !s.catalog.Pools[e.request.Pool].Engine {
-			e.Reply(admission.Decision{Admit: true, Reason: admission.LoadUnknown})
-			return false
-		}
+		e.request.Plain = !s.catalog.Pools[e.request.Pool].Engine
 		e.Reply(a.Decide(now, e.request))
 		f.show(s, now)
 	case returnAsked:
