--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -41,11 +41,11 @@
 // unset is before all times.
 const unset = time.Duration(-1 << 62)
 
-// Keeper is the state machine of one router for the lease. All times are of the boot-time
+// Elector is the state machine of one router for the lease. All times are of the boot-time
 // clock of its machine. A lease is held from the sending of the append that the store
 // confirmed; a successor waits from the receipt of the first reply that shows the record,
 // so no two clocks are compared.
-type Keeper struct {
+type Elector struct {
 	self    string
 	process uint64
 	timing  Timing
@@ -65,9 +65,9 @@
 	attempted time.Duration // sending of the first attempt there
 }
 
-// NewKeeper returns a keeper for the process of the named router that starts now.
-func NewKeeper(self string, process uint64, timing Timing, now time.Duration) *Keeper {
-	return &Keeper{self: self, process: process, timing: timing, started: now, seen: Position{End: -1}, lastHeld: unset}
+// NewElector returns an elector for the process of the named router that starts now.
+func NewElector(self string, process uint64, timing Timing, now time.Duration) *Elector {
+	return &Elector{self: self, process: process, timing: timing, started: now, seen: Position{End: -1}, lastHeld: unset}
 }
 
 // Append is an append of a lease record that the caller is to make.
@@ -80,157 +80,157 @@
 	Carried bool
 }
 
-// Known reports whether the keeper knows the position and the lease in the store. If not,
+// Known reports whether the elector knows the position and the lease in the store. If not,
 // the caller has to read them and call Observe.
-func (k *Keeper) Known() bool { return k.known }
+func (e *Elector) Known() bool { return e.known }
 
 // Seen returns the last known position and lease.
-func (k *Keeper) Seen() (Position, Lease) { return k.seen, k.lease }
+func (e *Elector) Seen() (Position, Lease) { return e.seen, e.lease }
 
 // Observe applies a read of the store whose reply was received at the given time.
-func (k *Keeper) Observe(received time.Duration, at Position, l Lease) {
-	if at.Era < k.seen.Era {
+func (e *Elector) Observe(received time.Duration, at Position, l Lease) {
+	if at.Era < e.seen.Era {
 		return // a late reply from before the store was restored
 	}
-	k.enterEra(received, at.Era)
-	if !k.known || at != k.seen {
-		if at != k.seen {
-			k.since = received
+	e.enterEra(received, at.Era)
+	if !e.known || at != e.seen {
+		if at != e.seen {
+			e.since = received
 		}
-		k.known, k.seen, k.lease = true, at, l
+		e.known, e.seen, e.lease = true, at, l
 	}
-	own := k.mine(l)
+	own := e.mine(l)
 	switch {
-	case k.held != 0 && (!own || l.Token != k.held):
-		k.lose(received)
-	case k.held == 0 && own && k.attemptAt.Era == at.Era && l.Token == tokenAt(k.attemptAt) && l.Era == at.Era && k.lastHeld < k.attempted:
+	case e.held != 0 && (!own || l.Token != e.held):
+		e.lose(received)
+	case e.held == 0 && own && e.attemptAt.Era == at.Era && l.Token == tokenAt(e.attemptAt) && l.Era == at.Era && e.lastHeld < e.attempted:
 		// The reply to the append that took the lease was lost.
-		k.hold(l.Token, k.attempted)
+		e.hold(l.Token, e.attempted)
 	}
 }
 
 // mine reports whether this process sent a record that takes or renews the lease.
-func (k *Keeper) mine(l Lease) bool {
-	return l.Holder == k.self && l.Process == k.process && !l.Released
+func (e *Elector) mine(l Lease) bool {
+	return l.Holder == e.self && l.Process == e.process && !l.Released
 }
 
 // enterEra drops what was known of an earlier era.
-func (k *Keeper) enterEra(received time.Duration, era uint64) {
-	if era <= k.seen.Era {
+func (e *Elector) enterEra(received time.Duration, era uint64) {
+	if era <= e.seen.Era {
 		return
 	}
 	// Nobody else can have taken the lease before the store was restored, nor since then.
-	if k.held != 0 && received < k.until && k.seen.Era != 0 {
-		k.carried = true
+	if e.held != 0 && received < e.until && e.seen.Era != 0 {
+		e.carried = true
 	}
-	if k.held != 0 {
-		k.lose(received)
+	if e.held != 0 {
+		e.lose(received)
 	}
-	k.known, k.seen, k.lease, k.since = false, Position{Era: era, End: -1}, Lease{}, received
+	e.known, e.seen, e.lease, e.since = false, Position{Era: era, End: -1}, Lease{}, received
 }
 
 // hold holds the lease from the time at which the append that the store confirmed was sent.
-func (k *Keeper) hold(t Token, sent time.Duration) {
-	k.held, k.until, k.renewed = t, sent+k.timing.Lease-k.timing.Flight, sent
-	k.carried = false
+func (e *Elector) hold(t Token, sent time.Duration) {
+	e.held, e.until, e.renewed = t, sent+e.timing.Lease-e.timing.Flight, sent
+	e.carried = false
 }
 
-func (k *Keeper) lose(now time.Duration) {
-	k.held, k.lastHeld = 0, min(now, k.until)
+func (e *Elector) lose(now time.Duration) {
+	e.held, e.lastHeld = 0, min(now, e.until)
 }
 
 // Holds returns the token of the lease and the time from which on no call may be sent, and
 // whether the lease is held.
-func (k *Keeper) Holds(now time.Duration) (t Token, until time.Duration, ok bool) {
-	return k.held, k.until, k.held != 0 && now < k.until
+func (e *Elector) Holds(now time.Duration) (t Token, until time.Duration, ok bool) {
+	return e.held, e.until, e.held != 0 && now < e.until
 }
 
 // CallsFrom returns the time before which no call may be sent: one with an earlier token of
 // this router may still be on its way.
-func (k *Keeper) CallsFrom() time.Duration {
-	if k.lastHeld == unset {
+func (e *Elector) CallsFrom() time.Duration {
+	if e.lastHeld == unset {
 		return unset
 	}
-	return k.lastHeld + k.timing.Flight
+	return e.lastHeld + e.timing.Flight
 }
 
 // Next returns the append that is due: a renewal, or one that takes the lease. rank is the
 // position of this router among those that may take it.
-func (k *Keeper) Next(now time.Duration, rank int) (Append, bool) {
-	if k.held != 0 && now >= k.until {
-		k.lose(now)
+func (e *Elector) Next(now time.Duration, rank int) (Append, bool) {
+	if e.held != 0 && now >= e.until {
+		e.lose(now)
 	}
-	if !k.known {
+	if !e.known {
 		return Append{}, false
 	}
-	if k.held != 0 {
-		return k.Renewal(), now >= k.renewed+k.timing.Renew
+	if e.held != 0 {
+		return e.Renewal(), now >= e.renewed+e.timing.Renew
 	}
-	carried := k.carried && now < k.until
-	if !carried && now < k.TakeAt(rank) {
+	carried := e.carried && now < e.until
+	if !carried && now < e.TakeAt(rank) {
 		return Append{}, false
 	}
-	if k.attemptAt != k.seen {
-		k.attemptAt, k.attempted = k.seen, now
+	if e.attemptAt != e.seen {
+		e.attemptAt, e.attempted = e.seen, now
 	}
-	l := Lease{Holder: k.self, Process: k.process, Token: tokenAt(k.seen), Era: k.seen.Era}
-	return Append{At: k.seen, Lease: l, Taking: true, Carried: carried}, true
+	l := Lease{Holder: e.self, Process: e.process, Token: tokenAt(e.seen), Era: e.seen.Era}
+	return Append{At: e.seen, Lease: l, Taking: true, Carried: carried}, true
 }
 
 // TakeAt returns the time at which this router may take the lease if nothing changes.
-func (k *Keeper) TakeAt(rank int) time.Duration {
-	if k.mine(k.lease) && k.lease.Era == k.seen.Era {
+func (e *Elector) TakeAt(rank int) time.Duration {
+	if e.mine(e.lease) && e.lease.Era == e.seen.Era {
 		// The newest record is of this process: after an outage of the store nobody has
 		// taken the lease, which the condition of the append ensures.
-		return k.since
+		return e.since
 	}
-	wait := k.timing.Lease + k.timing.Margin
-	due := k.since + wait + time.Duration(rank)*k.timing.Step
-	if k.lease.Released && k.lease.Era == k.seen.Era {
+	wait := e.timing.Lease + e.timing.Margin
+	due := e.since + wait + time.Duration(rank)*e.timing.Step
+	if e.lease.Released && e.lease.Era == e.seen.Era {
 		// The former holder has ended its calls. A released lease of an earlier era may
 		// have been taken in a record that the store has lost.
-		due = max(k.since+time.Duration(rank)*k.timing.Step, k.started+wait)
+		due = max(e.since+time.Duration(rank)*e.timing.Step, e.started+wait)
 	}
 	// A router that takes the lease again too early could be seen to alternate with the
 	// one that succeeded it.
-	if k.lastHeld != unset {
-		due = max(due, k.lastHeld+wait)
+	if e.lastHeld != unset {
+		due = max(due, e.lastHeld+wait)
 	}
 	return due
 }
 
 // Renewal returns an append that renews the lease, which must be held.
-func (k *Keeper) Renewal() Append {
-	return Append{At: k.seen, Lease: Lease{Holder: k.self, Process: k.process, Token: k.held, Era: k.seen.Era}}
+func (e *Elector) Renewal() Append {
+	return Append{At: e.seen, Lease: Lease{Holder: e.self, Process: e.process, Token: e.held, Era: e.seen.Era}}
 }
 
 // Release ends the lease and returns the append that tells so. All calls must have ended.
-func (k *Keeper) Release(now time.Duration) Append {
-	a := k.Renewal()
+func (e *Elector) Release(now time.Duration) Append {
+	a := e.Renewal()
 	a.Lease.Released = true
-	k.lose(now)
+	e.lose(now)
 	return a
 }
 
 // Succeeded applies the confirmation of an append that was sent and confirmed at the given
 // times, by a reply from the given era, and reports whether the lease is held. end is the
 // end of the log after the append.
-func (k *Keeper) Succeeded(a Append, sent, received time.Duration, at Position) bool {
-	if at.Era != a.At.Era || a.At.Era != k.seen.Era {
+func (e *Elector) Succeeded(a Append, sent, received time.Duration, at Position) bool {
+	if at.Era != a.At.Era || a.At.Era != e.seen.Era {
 		// The store was restored since the position was read, so the record may follow
 		// others than those that were read.
-		k.Failed()
-		k.enterEra(received, at.Era)
+		e.Failed()
+		e.enterEra(received, at.Era)
 		return false
 	}
-	k.known, k.seen, k.lease, k.since = true, at, a.Lease, received
+	e.known, e.seen, e.lease, e.since = true, at, a.Lease, received
 	if a.Lease.Released {
 		return false
 	}
-	k.hold(a.Lease.Token, sent)
-	return received < k.until
+	e.hold(a.Lease.Token, sent)
+	return received < e.until
 }
 
 // Failed applies an append that was refused or whose outcome is unknown. It may still be
 // executed, so the position has to be read before the next one.
-func (k *Keeper) Failed() { k.known = false }
+func (e *Elector) Failed() { e.known = false }
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -44,7 +44,7 @@
 
 type node struct {
 	name    string
-	keeper  *Keeper
+	elector *Elector
 	reports *Reports
 	frozen  bool
 	op      *operation // waited for
@@ -76,7 +76,7 @@
 func newModel(choose func(int) int, timing Timing) *model {
 	m := &model{choose: choose, timing: timing, now: time.Hour, era: 1}
 	for _, name := range []string{"a", "b"} {
-		m.nodes = append(m.nodes, &node{name: name, keeper: NewKeeper(name, 1, timing, m.now), reports: NewReports(time.Second)})
+		m.nodes = append(m.nodes, &node{name: name, elector: NewElector(name, 1, timing, m.now), reports: NewReports(time.Second)})
 	}
 	return m
 }
@@ -104,12 +104,12 @@
 		}
 	case c < 975:
 		n.op = nil // gives up; the operation may still be executed
-		n.keeper.Failed()
+		n.elector.Failed()
 	case c < 980:
 		n.frozen = true
 	case c < 983:
 		n.restart++
-		n.keeper, n.reports, n.op = NewKeeper(n.name, uint64(1+n.restart), m.timing, m.now), NewReports(time.Second), nil
+		n.elector, n.reports, n.op = NewElector(n.name, uint64(1+n.restart), m.timing, m.now), NewReports(time.Second), nil
 	case c < 988:
 		if len(m.log) > 0 {
 			m.era++
@@ -158,29 +158,29 @@
 		}
 		return
 	}
-	if token, _, ok := n.keeper.Holds(m.now); ok && m.now >= n.keeper.CallsFrom() {
+	if token, _, ok := n.elector.Holds(m.now); ok && m.now >= n.elector.CallsFrom() {
 		if rep, due := n.reports.Due(m.now); due {
 			m.calls = append(m.calls, call{n.name, token, rep, m.now + time.Duration(m.choose(4))*flight/3})
 			n.reports.Apply(rep.Window, Outcome(m.choose(2)), m.now)
 			return
 		}
 	}
-	if !n.keeper.Known() {
+	if !n.elector.Known() {
 		m.send(n, &operation{read: true})
 		return
 	}
-	a, due := n.keeper.Next(m.now, 0)
-	_, _, holds := n.keeper.Holds(m.now)
+	a, due := n.elector.Next(m.now, 0)
+	_, _, holds := n.elector.Holds(m.now)
 	window := int64(m.now/testWindow) - 1
 	switch {
 	case holds && n.reports.Next() <= window:
 		m.count++
 		more := []Report{{window, map[string]int64{"w": m.count}}}
-		a = n.keeper.Renewal()
+		a = n.elector.Renewal()
 		m.send(n, &operation{add: a, record: storeRecord{a.Lease, n.reports.Journal(a.At.Era, more)}})
 	case holds && m.choose(60) == 0:
 		m.now += flight // until the calls have arrived
-		a = n.keeper.Release(m.now)
+		a = n.elector.Release(m.now)
 		m.send(n, &operation{add: a, record: storeRecord{lease: a.Lease}})
 	case due && a.Carried:
 		m.send(n, &operation{add: a, record: storeRecord{a.Lease, n.reports.Journal(a.At.Era, nil)}})
@@ -192,25 +192,25 @@
 }
 
 func (m *model) reply(n *node, op *operation) {
-	_, _, before := n.keeper.Holds(m.now)
+	_, _, before := n.elector.Holds(m.now)
 	var holds, carried bool
 	switch {
 	case op.read:
-		n.keeper.Observe(m.now, op.at, op.found.lease)
-		if at, _ := n.keeper.Seen(); at == op.at {
+		n.elector.Observe(m.now, op.at, op.found.lease)
+		if at, _ := n.elector.Seen(); at == op.at {
 			n.found = op.found
 		}
-		_, _, holds = n.keeper.Holds(m.now)
+		_, _, holds = n.elector.Holds(m.now)
 		if before && holds {
 			n.reports.Merge(op.found.journal, op.at.Era)
 		}
 	case !op.ok:
-		n.keeper.Failed()
+		n.elector.Failed()
 		return
 	default:
-		holds = n.keeper.Succeeded(op.add, op.sent, m.now, op.at)
+		holds = n.elector.Succeeded(op.add, op.sent, m.now, op.at)
 		carried = op.add.Carried
-		if !n.keeper.Known() {
+		if !n.elector.Known() {
 			return
 		}
 		if holds && !before {
--- a/internal/router/source_duties.go
+++ b/internal/router/source_duties.go
@@ -96,7 +96,7 @@
 	jobs     chan dutyJob
 	results  chan dutyResult
 
-	keeper  *duty.Keeper
+	elector *duty.Elector
 	reports *duty.Reports
 	orders  dutyOrders
 	meters  bool          // usage is a duty of the deployment
@@ -120,7 +120,7 @@
 	s := r.settings.Duties
 	meters, scales := r.deps.Duties.Performs()
 	return &dutyLink{meters: meters, scales: scales, r: r, process: process, announce: make(chan struct{}, 1), jobs: make(chan dutyJob, 1), results: make(chan dutyResult, 1),
-		keeper:  duty.NewKeeper(string(r.settings.Instance), process, s.timing(), boottime.Now()),
+		elector: duty.NewElector(string(r.settings.Instance), process, s.timing(), boottime.Now()),
 		reports: duty.NewReports(s.Thaw + maxConfirmPause), dep: &dependency{r: r, name: "duties"}}
 }
 
@@ -168,7 +168,7 @@
 			if d.handOver(ctx) {
 				return
 			}
-		case d.token != 0 && d.keeper.Known() && d.isolated(turn):
+		case d.token != 0 && d.elector.Known() && d.isolated(turn):
 			if d.handOver(ctx) {
 				d.steppedDown = boottime.Now()
 			}
@@ -180,7 +180,7 @@
 			control.Pause(ctx, dutyIdlePause)
 		}
 		if err != nil {
-			d.keeper.Failed()
+			d.elector.Failed()
 			d.update(ctx)
 			d.backOff(ctx, err)
 		}
@@ -202,7 +202,7 @@
 
 // update publishes until when calls are allowed, and notes that the lease was taken or lost.
 func (d *dutyLink) update(ctx context.Context) {
-	token, until, holds := d.keeper.Holds(boottime.Now())
+	token, until, holds := d.elector.Holds(boottime.Now())
 	if !holds {
 		d.grant.Store(nil)
 		if d.token != 0 {
@@ -212,7 +212,7 @@
 		dutyHeld.Set(0)
 		return
 	}
-	d.grant.Store(&dutyGrant{token, d.keeper.CallsFrom(), until})
+	d.grant.Store(&dutyGrant{token, d.elector.CallsFrom(), until})
 	if token == d.token {
 		return
 	}
@@ -228,12 +228,12 @@
 // observe applies what was read of the store.
 func (d *dutyLink) observe(ctx context.Context, turn dutyTurnReply, records DutyRecords, at duty.Position) {
 	now := boottime.Now()
-	_, _, before := d.keeper.Holds(now)
-	d.keeper.Observe(now, at, records.Lease)
-	if seen, _ := d.keeper.Seen(); seen == at {
+	_, _, before := d.elector.Holds(now)
+	d.elector.Observe(now, at, records.Lease)
+	if seen, _ := d.elector.Seen(); seen == at {
 		d.records = records
 	}
-	switch _, _, holds := d.keeper.Holds(now); {
+	switch _, _, holds := d.elector.Holds(now); {
 	case holds && before:
 		d.reports.Merge(records.Journal, at.Era)
 	case holds:
@@ -259,15 +259,15 @@
 
 // watch follows the lease of another router, and takes it once it has ended.
 func (d *dutyLink) watch(ctx context.Context, turn dutyTurnReply) error {
-	if !d.keeper.Known() {
+	if !d.elector.Known() {
 		return d.read(ctx, turn)
 	}
 	now := boottime.Now()
-	if a, due := d.keeper.Next(now, turn.order); due {
+	if a, due := d.elector.Next(now, turn.order); due {
 		return d.put(ctx, turn, a, nil)
 	}
-	at, _ := d.keeper.Seen()
-	wait := max(d.keeper.TakeAt(turn.order)-now, minBackoff)
+	at, _ := d.elector.Seen()
+	wait := max(d.elector.TakeAt(turn.order)-now, minBackoff)
 	dutyStoreCalls[false].Inc()
 	records, next, err := d.r.deps.DutyStore.DutyChanges(ctx, d.records, at, min(wait, d.r.settings.Duties.Lease))
 	if errors.Is(err, ErrIncomplete) {
@@ -301,8 +301,8 @@
 		return err
 	}
 	d.dep.succeeded()
-	holds := d.keeper.Succeeded(a, sent, boottime.Now(), at)
-	if !d.keeper.Known() {
+	holds := d.elector.Succeeded(a, sent, boottime.Now(), at)
+	if !d.elector.Known() {
 		return nil // the store was restored meanwhile
 	}
 	if holds && a.Taking {
@@ -323,7 +323,7 @@
 // perform makes the next step of the holder: a renewal, the start of reports, a call, or a
 // wait for one of them.
 func (d *dutyLink) perform(ctx context.Context, turn dutyTurnReply) error {
-	if !d.keeper.Known() {
+	if !d.elector.Known() {
 		return d.read(ctx, turn)
 	}
 	if d.meters && turn.skip > d.reports.Next() {
@@ -339,20 +339,20 @@
 		}
 	}
 	now := boottime.Now()
-	a, due := d.keeper.Next(now, turn.order)
+	a, due := d.elector.Next(now, turn.order)
 	if a.Taking {
 		return d.put(ctx, turn, a, nil)
 	}
 	if d.scales {
 		d.decide(now, turn.demand)
 	}
-	if _, _, holds := d.keeper.Holds(now); holds && (due || len(ready) > 0 || d.orders.unwritten()) {
+	if _, _, holds := d.elector.Holds(now); holds && (due || len(ready) > 0 || d.orders.unwritten()) {
 		return d.put(ctx, turn, a, ready)
 	}
-	if rep, due := d.reports.Due(now); due && !d.busy && now >= d.keeper.CallsFrom() {
+	if rep, due := d.reports.Due(now); due && !d.busy && now >= d.elector.CallsFrom() {
 		d.busy = true
 		d.jobs <- dutyJob{token: d.token, report: rep}
-	} else if o, due := d.orders.due(now); due && !d.busy && now >= d.keeper.CallsFrom() {
+	} else if o, due := d.orders.due(now); due && !d.busy && now >= d.elector.CallsFrom() {
 		d.busy = true
 		d.jobs <- dutyJob{token: d.token, order: &o}
 	}
@@ -403,10 +403,10 @@
 		d.await(ctx, flight)
 		return false
 	}
-	if !d.keeper.Known() {
+	if !d.elector.Known() {
 		return true // the lease ends by itself
 	}
-	a := d.keeper.Release(now)
+	a := d.elector.Release(now)
 	dutyStoreCalls[true].Inc()
 	if _, err := d.r.deps.DutyStore.PutDuties(ctx, DutyRecords{Lease: a.Lease}, a.At); err != nil {
 		d.r.log.Warn("lease of the duties not handed over", "error", err.Error())
@@ -414,7 +414,7 @@
 	}
 	d.r.log.Info("lease of the duties handed over", "token", uint64(d.token))
 	d.token, d.takenAt = 0, 0
-	d.keeper.Failed()
+	d.elector.Failed()
 	dutyHeld.Set(0)
 	return true
 }
