--- /dev/null
+++ b/review/standins-2/cases_test.go
@@ -0,0 +1,185 @@
+//go:build review2
+
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/platform/standin"
+)
+
+// whole returns the whole body of an endpoint's answer.
+func whole(pieces int, stream bool) string {
+	var b strings.Builder
+	for i := range pieces {
+		b.WriteString(piece(i, stream))
+	}
+	return b.String()
+}
+
+// checkWhole records a success that looks complete and is not the whole body.
+func (f *fleet) checkWhole(id string, got reply, pieces int, stream bool) {
+	rule := "MIXED"
+	if stream {
+		rule = "ORDER"
+	}
+	if got.status == 200 && got.complete && got.body != whole(pieces, stream) {
+		f.breaks("%s: %s was answered with 200 and ends as complete after %d of %d bytes", rule, id, len(got.body), len(whole(pieces, stream)))
+	}
+}
+
+// playGone: a server of four in each of two pools is taken away 2 s after the notice, while it
+// writes answers without a length. It says in its answers that it leaves and never reports that
+// to the store.
+func playGone(folder string) int {
+	f := newFleet(folder, routes(1, "key-1"))
+	const events, parts = 40, 20
+	var leaving []*endpoint
+	for i := range 4 {
+		zone := []string{"akl-a", "akl-b", "akl-c"}[i%3]
+		model := f.newEndpoint(fmt.Sprint("model-", i), "goldcrest-pool", zone, "-unframed", "-events", fmt.Sprint(events), "-interval", "50ms")
+		plain := f.newEndpoint(fmt.Sprint("plain-", i), "tracker-api", zone, "-unframed", "-events", fmt.Sprint(parts), "-interval", "15ms")
+		if i == 0 {
+			leaving = []*endpoint{model, plain}
+		}
+	}
+	r := f.newRouter("edge-1", "akl-a")
+	notice := time.Now()
+	if f.trouble {
+		for _, e := range leaving {
+			e.signal(syscall.SIGUSR1)
+		}
+	}
+	var callers sync.WaitGroup
+	send := func(id, path string, pieces int) {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			f.checkWhole(id, f.send(r, id, "POST", path, []byte(`{"unit":7}`), 5*time.Second), pieces, strings.HasPrefix(path, "/stream"))
+		}()
+	}
+	waitUntil(notice.Add(900 * time.Millisecond))
+	for i := range 8 {
+		send(fmt.Sprint("digest-", i), "/stream/digest/1", events)
+	}
+	waitUntil(notice.Add(1850 * time.Millisecond))
+	for i := range 8 {
+		send(fmt.Sprint("assign-", i), "/assign/1", parts)
+	}
+	waitUntil(notice.Add(2 * time.Second))
+	if f.trouble {
+		for _, e := range leaving {
+			e.kill()
+			f.unlist(e)
+		}
+	}
+	callers.Wait()
+	return f.end()
+}
+
+// playGrace: the platform doubles GraceS with a signal, and stops the router later.
+func playGrace(folder string) int {
+	f := newFleet(folder, routes(1, "key-1"))
+	const events = 50
+	e := f.newEndpoint("model-0", "goldcrest-pool", "akl-a", "-events", fmt.Sprint(events), "-interval", "200ms")
+	const before, after = 8, 16
+	grace := before
+	if !f.trouble {
+		grace = after
+	}
+	r := f.newRouterWith("edge-1", "akl-a", grace)
+	if f.trouble {
+		r.values.graceS = after
+		r.write()
+		r.signal(syscall.SIGHUP)
+	}
+	time.Sleep(3 * time.Second) // ConfigApplyMs is 2000
+	ids := []string{"digest-0", "digest-1", "digest-2"}
+	var callers sync.WaitGroup
+	var term time.Time
+	for _, id := range ids {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			got := f.send(r, id, "POST", "/stream/digest/1", []byte("{}"), 12*time.Second)
+			at := time.Since(term).Seconds()
+			if !got.complete && at < after*5.0/6 {
+				f.breaks("LOST: %s had been passed on and was cut %.1f s after SIGTERM; GraceS is %d", id, at, after)
+			}
+		}()
+	}
+	for _, id := range ids {
+		e.await("sent "+id+" piece 1 ", 5*time.Second)
+	}
+	term = time.Now()
+	r.signal(syscall.SIGTERM)
+	callers.Wait()
+	return f.end()
+}
+
+// playDrill: an entry is removed, and the store is restored from a copy that still has it.
+func playDrill(folder string) int {
+	f := newFleet(folder, routes(1, "key-1"))
+	const events = 40
+	leaves := f.newEndpoint("model-0", "goldcrest-pool", "akl-a", "-events", fmt.Sprint(events), "-interval", "100ms")
+	f.newEndpoint("model-1", "goldcrest-pool", "akl-b", "-events", fmt.Sprint(events), "-interval", "100ms")
+	r := f.newRouter("edge-1", "akl-a")
+	time.Sleep(1500 * time.Millisecond)
+	// The server leaves. It never reports draining, serves on for some seconds and exits.
+	leaves.signal(syscall.SIGUSR1)
+	gone := time.Now()
+	f.unlist(leaves)
+	waitUntil(gone.Add(2 * time.Second))
+	if f.trouble {
+		f.note("drill: the store is away for 0.3 s, comes back from a copy 2.5 s old, and is written again 2 s later")
+		go f.store.Restore(standin.RestoreDrill{Back: 2500 * time.Millisecond, Outage: 300 * time.Millisecond, Rewrite: 2 * time.Second})
+	}
+	waitUntil(gone.Add(3300 * time.Millisecond))
+	var callers sync.WaitGroup
+	for i := range 4 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			id := fmt.Sprint("digest-", i)
+			sent := time.Since(gone)
+			got := f.send(r, id, "POST", "/stream/digest/1", []byte("{}"), 12*time.Second)
+			if leaves.has("runs " + id + ",") {
+				f.breaks("DRAIN: %s, sent %.1f s after the entry of %s was removed, reached it; DrainMs is 2000; answered whole: %v", id, sent.Seconds(), leaves.id, got.complete)
+			}
+		}()
+	}
+	waitUntil(gone.Add(6 * time.Second))
+	leaves.kill()
+	callers.Wait()
+	return f.end()
+}
+
+// playFrozen: the router stands still for 4 s while a server crashes and comes back.
+func playFrozen(folder string) int {
+	f := newFleet(folder, routes(1, "key-1"))
+	const events = 40
+	e := f.newEndpoint("model-0", "goldcrest-pool", "akl-a", "-unframed", "-events", fmt.Sprint(events), "-interval", "100ms")
+	r := f.newRouter("edge-1", "akl-a")
+	done := make(chan reply)
+	go func() { done <- f.send(r, "digest-0", "POST", "/stream/digest/1", []byte("{}"), 12*time.Second) }()
+	e.await("sent digest-0 piece 5 ", 5*time.Second)
+	if f.trouble {
+		r.signal(syscall.SIGSTOP)
+		frozen := time.Now()
+		time.Sleep(200 * time.Millisecond)
+		e.kill()
+		time.Sleep(2 * time.Second)
+		f.launch(e)
+		f.list(e, "ready")
+		waitUntil(frozen.Add(4 * time.Second))
+		r.signal(syscall.SIGCONT)
+	}
+	f.checkWhole("digest-0", <-done, events, true)
+	return f.end()
+}
+
+func waitUntil(t time.Time) { time.Sleep(time.Until(t)) }
