--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# GraceS is doubled with SIGHUP, and the router is stopped later.
-exec bash "$(dirname "$0")/../run-case-2.sh" 8 grace
+# A part of long prompts crashes each server that begins to answer, while sound requests run there.
+exec bash "$(dirname "$0")/../run-case-2.sh" 8 parts
--- a/review/standins-2/caller_test.go
+++ b/review/standins-2/caller_test.go
@@ -21,8 +21,13 @@
 	took     time.Duration
 }
 
-// send sends a request over a new connection and reads the whole answer.
-func (f *fleet) send(r *router, id, method, path string, body []byte, wait time.Duration) (out reply) {
+// send sends a request without a prompt over a new connection and reads the whole answer.
+func (f *fleet) send(r *router, id, method, path string, body []byte, wait time.Duration) reply {
+	return f.sendPrompt(r, id, method, path, "", body, wait)
+}
+
+// sendPrompt does the same with the parts of a prompt.
+func (f *fleet) sendPrompt(r *router, id, method, path, parts string, body []byte, wait time.Duration) (out reply) {
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
@@ -31,6 +36,9 @@
 	req.Header.Set("X-Goldcrestturn-Request-Id", id)
 	req.Header.Set("X-Goldcrestturn-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Bearer key-1")
+	if parts != "" {
+		req.Header.Set("X-Goldcrestturn-Prefix-Hash", parts)
+	}
 	f.note("caller sends %s %s %s to %s", id, method, path, r.name)
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
--- a/review/standins-2/cases_test.go
+++ b/review/standins-2/cases_test.go
@@ -3,9 +3,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -135,10 +138,11 @@
 	f.unlist(leaves)
 	waitUntil(gone.Add(2 * time.Second))
 	if f.trouble {
-		f.note("drill: the store is away for 0.3 s, comes back from a copy 2.5 s old, and is written again 2 s later")
-		go f.store.Restore(standin.RestoreDrill{Back: 2500 * time.Millisecond, Outage: 300 * time.Millisecond, Rewrite: 2 * time.Second})
+		f.note("drill: the store is away for 0.3 s and comes back from a copy 2.5 s old; the entry is removed again after three check-in intervals of silence")
+		go f.store.Restore(standin.RestoreDrill{Back: 2500 * time.Millisecond, Outage: 300 * time.Millisecond, Rewrite: 3600 * time.Millisecond})
 	}
-	waitUntil(gone.Add(3300 * time.Millisecond))
+	// The store is back at 2.3 s and has been stable for StableWindowMs at 5.3 s.
+	waitUntil(gone.Add(5400 * time.Millisecond))
 	var callers sync.WaitGroup
 	for i := range 4 {
 		callers.Add(1)
@@ -152,7 +156,7 @@
 			}
 		}()
 	}
-	waitUntil(gone.Add(6 * time.Second))
+	waitUntil(gone.Add(8 * time.Second))
 	leaves.kill()
 	callers.Wait()
 	return f.end()
@@ -183,6 +187,95 @@
 	return f.end()
 }
 
+// playParts: a part of long prompts crashes each server that begins to answer, while sound requests
+// run there.
+func playParts(folder string) int {
+	f := newFleet(folder, routes(1, "key-1"))
+	const (
+		deadly   = "dead"
+		before   = 17 // parts before the deadly one, which sound requests share
+		length   = 40 * time.Second
+		window   = 3 * time.Second // StableWindowMs
+		downTime = 2 * time.Second
+	)
+	var shared []string
+	for i := range before {
+		shared = append(shared, fmt.Sprintf("%x:60", 0xa00+i))
+	}
+	args := []string{"-events", "20", "-interval", "50ms"}
+	if f.trouble {
+		args = append(args, "-deadly", deadly)
+	}
+	var servers []*endpoint
+	for i := range 6 {
+		servers = append(servers, f.newEndpoint(fmt.Sprint("model-", i), "goldcrest-pool", []string{"akl-a", "akl-b", "akl-c"}[i%3], args...))
+	}
+	routers := []*router{f.newRouter("edge-1", "akl-a"), f.newRouter("edge-2", "akl-b")}
+	ctx, stop := context.WithTimeout(context.Background(), length)
+	defer stop()
+	var callers sync.WaitGroup
+	var cut atomic.Int64    // sound requests without a whole answer, sent while the rule binds
+	var bounded atomic.Bool // the fifth crash is more than the window ago
+	call := func(kind string, n int, parts []string) {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			id := fmt.Sprintf("%s-%d", kind, n)
+			prompt := strings.Join(append(slices.Clone(parts), fmt.Sprintf("%x:20", 0xf0000+n)), ",")
+			got := f.sendPrompt(routers[n%len(routers)], id, "POST", "/stream/digest/1", prompt, []byte("{}"), 12*time.Second)
+			if kind == "sound" && bounded.Load() && (!got.complete || got.status == 502) {
+				cut.Add(1)
+			}
+		}()
+	}
+	// Sound requests ten times a second, deadly ones each 0.8 s from the third second on.
+	sound, bad := time.NewTicker(100*time.Millisecond), time.NewTicker(800*time.Millisecond)
+	defer sound.Stop()
+	defer bad.Stop()
+	var crashes []time.Time
+	late, restarts := 0, make(chan *endpoint, 64)
+	watch := time.NewTicker(10 * time.Millisecond)
+	defer watch.Stop()
+	down := map[*endpoint]bool{}
+	begin := time.Now()
+	for n := 0; ctx.Err() == nil; {
+		select {
+		case <-ctx.Done():
+		case <-sound.C:
+			n++
+			call("sound", n, shared)
+		case <-bad.C:
+			if time.Since(begin) > 3*time.Second {
+				n++
+				call("deadly", n, append(slices.Clone(shared), deadly+":60"))
+			}
+		case e := <-restarts:
+			f.launch(e)
+			f.list(e, "ready")
+			delete(down, e)
+		case <-watch.C:
+			bounded.Store(len(crashes) >= 5 && time.Since(crashes[4]) > window)
+			for _, e := range servers {
+				if !e.ended() || down[e] {
+					continue
+				}
+				if bounded.Load() {
+					late++
+				}
+				crashes = append(crashes, time.Now())
+				down[e] = true
+				time.AfterFunc(downTime, func() { restarts <- e })
+			}
+		}
+	}
+	callers.Wait()
+	f.note("%d crashes, %d of them later than %v after the fifth; %d sound requests of that time were cut or failed", len(crashes), late, window, cut.Load())
+	if late > 3 {
+		f.breaks("BUDGET: %d requests with the part that crashes servers reached servers later than %v after the fifth crash; %d sound requests of that time were cut or failed", late, window, cut.Load())
+	}
+	return f.end()
+}
+
 // awaitAny waits until one of the endpoints writes a line and returns that endpoint.
 func (f *fleet) awaitAny(list []*endpoint, line string, limit time.Duration) *endpoint {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
--- a/review/standins-2/endpoint_test.go
+++ b/review/standins-2/endpoint_test.go
@@ -27,6 +27,7 @@
 	interval time.Duration // between them
 	unframed bool          // answers have neither a length nor chunks
 	long     int           // number of an event whose data has longData bytes; none if negative
+	deadly   string        // prompt part at which the process ends as it begins to answer; none if empty
 	leaving  atomic.Bool
 	mu       sync.Mutex
 }
@@ -41,6 +42,7 @@
 	fs.DurationVar(&s.interval, "interval", 100*time.Millisecond, "")
 	fs.BoolVar(&s.unframed, "unframed", false, "")
 	fs.IntVar(&s.long, "long", -1, "")
+	fs.StringVar(&s.deadly, "deadly", "", "")
 	_ = fs.Parse(args)
 	l, err := net.Listen("tcp", *address)
 	if err != nil {
@@ -109,6 +111,10 @@
 		return write(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nX-Goldcrestturn-Not-Executed: 1\r\n\r\n")
 	}
 	s.log(fmt.Sprintf("runs %s, %s %s, %d bytes of body, last event %q, leaving %v", id, req.Method, req.RequestURI, length, req.Header.Get("Last-Event-Id"), s.leaving.Load()))
+	if s.deadly != "" && strings.Contains(","+req.Header.Get("X-Goldcrestturn-Prefix-Hash"), ","+s.deadly+":") {
+		s.log("crashes at " + id)
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
 	head += "X-Goldcrestturn-Server-Signature: " + s.id + "." + id + "\r\n"
 	stream := strings.HasPrefix(req.URL.Path, "/stream")
 	if stream {
@@ -191,6 +197,7 @@
 	*process
 	id, address, pool, zone string
 	args                    []string
+	born                    int64 // start of its process, Unix ms
 	mu                      sync.Mutex
 	lines                   []string
 }
@@ -206,6 +213,7 @@
 // launch starts the process of an endpoint and waits until it listens.
 func (f *fleet) launch(e *endpoint) {
 	listens := make(chan struct{})
+	e.born = time.Now().UnixMilli()
 	e.process = f.start(e.id, func(line string) {
 		f.note("%s: %s", e.id, line)
 		if strings.HasPrefix(line, "listens") {
@@ -226,7 +234,7 @@
 func (f *fleet) list(e *endpoint, state string) {
 	f.note("%s listed as %s", e.id, state)
 	f.store.Put("keyed.servers", e.id, map[string]any{"Service": e.pool, "Address": e.address, "Zone": e.zone, "Version": "v1", "Slots": 8,
-		"State": state, "ColdLeftMs": 0, "Sequence": 1, "born": time.Now().UnixMilli()})
+		"State": state, "ColdLeftMs": 0, "Sequence": 1, "born": e.born})
 }
 
 // unlist removes the record of an endpoint.
--- a/review/standins-2/main_test.go
+++ b/review/standins-2/main_test.go
@@ -17,7 +17,7 @@
 
 // scripts are the scripts by name. Each plays its case in a fleet whose record lies in folder.
 var scripts = map[string]func(folder string) int{
-	"gone": playGone, "grace": playGrace, "drill": playDrill, "torn": playTorn,
+	"gone": playGone, "grace": playGrace, "drill": playDrill, "torn": playTorn, "parts": playParts,
 }
 
 func self() string {
