--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,8 +1,7 @@
 #!/usr/bin/env bash
 # Builds the stand-ins of the second review's scripts, the project's own stand-in of the store
-# among them, into target/review-2. They are test files behind a build tag, so that neither the
-# default test run nor CI builds them.
+# among them, into target/review-2.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go test -c -tags review2 -o target/review-2/standins-2 ./review/standins-2
+go build -o target/review-2/standins-2 ./review/standins-2/platform
--- a/review/standins-2/caller_test.go
+++ b/review/standins-2/platform/caller.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package main
 
 import (
--- a/review/standins-2/cases_test.go
+++ b/review/standins-2/platform/cases.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package main
 
 import (
@@ -38,14 +36,14 @@
 // playGone: a server of four in each of two pools is taken away 2 s after the notice, while it
 // writes answers without a length. It says in its answers that it leaves and never reports that
 // to the store.
-func playGone(folder string) int {
-	f := newFleet(folder, routes(1, "key-1"))
+func playGone(at place) int {
+	f := newFleet(at, routes(1, "key-1"))
 	const events, parts = 40, 20
 	var leaving []*endpoint
 	for i := range 4 {
 		zone := []string{"akl-a", "akl-b", "akl-c"}[i%3]
-		model := f.newEndpoint(fmt.Sprint("model-", i), "goldcrest-pool", zone, "-unframed", "-events", fmt.Sprint(events), "-interval", "50ms")
-		plain := f.newEndpoint(fmt.Sprint("plain-", i), "tracker-api", zone, "-unframed", "-events", fmt.Sprint(parts), "-interval", "15ms")
+		model := f.newEndpoint(fmt.Sprint("model-", i), "goldcrest-pool", zone, behaviour{Unframed: true, Events: events, Interval: 50 * time.Millisecond})
+		plain := f.newEndpoint(fmt.Sprint("plain-", i), "tracker-api", zone, behaviour{Unframed: true, Events: parts, Interval: 15 * time.Millisecond})
 		if i == 0 {
 			leaving = []*endpoint{model, plain}
 		}
@@ -85,10 +83,10 @@
 }
 
 // playGrace: the platform doubles GraceS with a signal, and stops the router later.
-func playGrace(folder string) int {
-	f := newFleet(folder, routes(1, "key-1"))
+func playGrace(at place) int {
+	f := newFleet(at, routes(1, "key-1"))
 	const events = 50
-	e := f.newEndpoint("model-0", "goldcrest-pool", "akl-a", "-events", fmt.Sprint(events), "-interval", "200ms")
+	e := f.newEndpoint("model-0", "goldcrest-pool", "akl-a", behaviour{Events: events, Interval: 200 * time.Millisecond})
 	const before, after = 8, 16
 	grace := before
 	if !f.trouble {
@@ -100,7 +98,7 @@
 		r.write()
 		r.signal(syscall.SIGHUP)
 	}
-	time.Sleep(3 * time.Second) // ConfigApplyMs is 2000
+	pause(3 * time.Second) // ConfigApplyMs is 2000
 	ids := []string{"digest-0", "digest-1", "digest-2"}
 	var callers sync.WaitGroup
 	var term time.Time
@@ -125,13 +123,13 @@
 }
 
 // playDrill: an entry is removed, and the store is restored from a copy that still has it.
-func playDrill(folder string) int {
-	f := newFleet(folder, routes(1, "key-1"))
+func playDrill(at place) int {
+	f := newFleet(at, routes(1, "key-1"))
 	const events = 40
-	leaves := f.newEndpoint("model-0", "goldcrest-pool", "akl-a", "-events", fmt.Sprint(events), "-interval", "100ms")
-	f.newEndpoint("model-1", "goldcrest-pool", "akl-b", "-events", fmt.Sprint(events), "-interval", "100ms")
+	leaves := f.newEndpoint("model-0", "goldcrest-pool", "akl-a", behaviour{Events: events, Interval: 100 * time.Millisecond})
+	f.newEndpoint("model-1", "goldcrest-pool", "akl-b", behaviour{Events: events, Interval: 100 * time.Millisecond})
 	r := f.newRouter("edge-1", "akl-a")
-	time.Sleep(1500 * time.Millisecond)
+	pause(1500 * time.Millisecond)
 	// The server leaves. It never reports draining, serves on for some seconds and exits.
 	leaves.signal(syscall.SIGUSR1)
 	gone := time.Now()
@@ -164,13 +162,13 @@
 
 // playTorn: a server crashes in the middle of an event with a long line, and the stream is resumed
 // at another one.
-func playTorn(folder string) int {
-	f := newFleet(folder, routes(1, "key-1"))
+func playTorn(at place) int {
+	f := newFleet(at, routes(1, "key-1"))
 	const events, long = 8, 3
 	var servers []*endpoint
 	for i := range 4 {
 		servers = append(servers, f.newEndpoint(fmt.Sprint("model-", i), "goldcrest-pool", []string{"akl-a", "akl-b", "akl-c"}[i%3],
-			"-events", fmt.Sprint(events), "-interval", "200ms", "-long", fmt.Sprint(long)))
+			behaviour{Events: events, Interval: 200 * time.Millisecond, Long: long}))
 	}
 	r := f.newRouter("edge-1", "akl-a")
 	done := make(chan reply)
@@ -189,8 +187,8 @@
 
 // playParts: a part of long prompts crashes each server that begins to answer, while sound requests
 // run there.
-func playParts(folder string) int {
-	f := newFleet(folder, routes(1, "key-1"))
+func playParts(at place) int {
+	f := newFleet(at, routes(1, "key-1"))
 	const (
 		deadly   = "dead"
 		before   = 17 // parts before the deadly one, which sound requests share
@@ -202,13 +200,13 @@
 	for i := range before {
 		shared = append(shared, fmt.Sprintf("%x:60", 0xa00+i))
 	}
-	args := []string{"-events", "20", "-interval", "50ms"}
+	b := behaviour{Events: 20, Interval: 50 * time.Millisecond}
 	if f.trouble {
-		args = append(args, "-deadly", deadly)
+		b.Deadly = deadly
 	}
 	var servers []*endpoint
 	for i := range 6 {
-		servers = append(servers, f.newEndpoint(fmt.Sprint("model-", i), "goldcrest-pool", []string{"akl-a", "akl-b", "akl-c"}[i%3], args...))
+		servers = append(servers, f.newEndpoint(fmt.Sprint("model-", i), "goldcrest-pool", []string{"akl-a", "akl-b", "akl-c"}[i%3], b))
 	}
 	routers := []*router{f.newRouter("edge-1", "akl-a"), f.newRouter("edge-2", "akl-b")}
 	ctx, stop := context.WithTimeout(context.Background(), length)
@@ -278,7 +276,7 @@
 
 // awaitAny waits until one of the endpoints writes a line and returns that endpoint.
 func (f *fleet) awaitAny(list []*endpoint, line string, limit time.Duration) *endpoint {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+	for end := time.Now().Add(limit); time.Now().Before(end); pause(2 * time.Millisecond) {
 		for _, e := range list {
 			if e.has(line) {
 				return e
@@ -289,4 +287,4 @@
 	return nil
 }
 
-func waitUntil(t time.Time) { time.Sleep(time.Until(t)) }
+func waitUntil(t time.Time) { pause(time.Until(t)) }
--- a/review/standins-2/endpoint_test.go
+++ b/review/standins-2/platform/endpoint.go
@@ -1,10 +1,8 @@
-//go:build review2
-
 package main
 
 import (
 	"bufio"
-	"flag"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,38 +11,38 @@
 	"os/signal"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
+// behaviour is how an endpoint behaves.
+type behaviour struct {
+	Listen, ID string
+	Events     int           // of a stream, or pieces of an answer
+	Interval   time.Duration // between them
+	Unframed   bool          // answers have neither a length nor chunks
+	Long       int           // number of an event whose data has longData bytes; none if 0
+	Deadly     string        // prompt part at which the process ends as it begins to answer; none if empty
+}
+
 // server is an endpoint process. It writes a line to its standard output for all that it
 // receives, begins to run and sends.
 type server struct {
-	id       string
-	events   int           // of a stream, or pieces of an answer
-	interval time.Duration // between them
-	unframed bool          // answers have neither a length nor chunks
-	long     int           // number of an event whose data has longData bytes; none if negative
-	deadly   string        // prompt part at which the process ends as it begins to answer; none if empty
-	leaving  atomic.Bool
-	mu       sync.Mutex
+	behaviour
+	leaving atomic.Bool
+	lock    lock // for the output
 }
 
-// runEndpoint runs an endpoint until it is killed. SIGUSR1 makes it leave.
-func runEndpoint(args []string) int {
-	var s server
-	fs := flag.NewFlagSet("endpoint", flag.ExitOnError)
-	address := fs.String("listen", "", "")
-	fs.StringVar(&s.id, "id", "", "")
-	fs.IntVar(&s.events, "events", 8, "")
-	fs.DurationVar(&s.interval, "interval", 100*time.Millisecond, "")
-	fs.BoolVar(&s.unframed, "unframed", false, "")
-	fs.IntVar(&s.long, "long", -1, "")
-	fs.StringVar(&s.deadly, "deadly", "", "")
-	_ = fs.Parse(args)
-	l, err := net.Listen("tcp", *address)
+// runEndpoint runs an endpoint with a behaviour in JSON until it is killed. SIGUSR1 makes it
+// leave.
+func runEndpoint(text string) int {
+	s := server{lock: newLock()}
+	if err := json.Unmarshal([]byte(text), &s.behaviour); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	l, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
@@ -56,7 +54,7 @@
 		s.leaving.Store(true)
 		s.log("leaves")
 	}()
-	s.log("listens on " + *address)
+	s.log("listens on " + s.Listen)
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -67,8 +65,8 @@
 }
 
 func (s *server) log(text string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock.acquire()
+	defer s.lock.release()
 	fmt.Println(text)
 }
 
@@ -98,32 +96,32 @@
 		head += "Server-Leaving: 1\r\n"
 	}
 	if req.URL.Path == "/healthz" {
-		return write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Goldcrestturn-Instance-Id: "+s.id+"\r\n\r\n")
+		return write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Goldcrestturn-Instance-Id: "+s.ID+"\r\n\r\n")
 	}
 	if req.URL.Path == "/goldcrestturn/kv-list" {
 		text := `{"epoch":1,"Next":0,"held":[]}`
 		return write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text))
 	}
-	if want := req.Header.Get("X-Goldcrestturn-Expect-Instance"); want != "" && want != s.id {
+	if want := req.Header.Get("X-Goldcrestturn-Expect-Instance"); want != "" && want != s.ID {
 		return write(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n"+head+"\r\n")
 	}
 	if id == "" {
 		return write(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nX-Goldcrestturn-Not-Executed: 1\r\n\r\n")
 	}
 	s.log(fmt.Sprintf("runs %s, %s %s, %d bytes of body, last event %q, leaving %v", id, req.Method, req.RequestURI, length, req.Header.Get("Last-Event-Id"), s.leaving.Load()))
-	if s.deadly != "" && strings.Contains(","+req.Header.Get("X-Goldcrestturn-Prefix-Hash"), ","+s.deadly+":") {
+	if s.Deadly != "" && strings.Contains(","+req.Header.Get("X-Goldcrestturn-Prefix-Hash"), ","+s.Deadly+":") {
 		s.log("crashes at " + id)
 		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
 	}
-	head += "X-Goldcrestturn-Server-Signature: " + s.id + "." + id + "\r\n"
+	head += "X-Goldcrestturn-Server-Signature: " + s.ID + "." + id + "\r\n"
 	stream := strings.HasPrefix(req.URL.Path, "/stream")
 	if stream {
 		head += "Content-Type: text/event-stream\r\n"
 	}
-	pieces, total := make([]string, s.events), 0
+	pieces, total := make([]string, s.Events), 0
 	for i := range pieces {
 		pieces[i] = piece(i, stream)
-		if i == s.long {
+		if i == s.Long && i > 0 {
 			pieces[i] = longPiece(i)
 		}
 		total += len(pieces[i])
@@ -134,7 +132,7 @@
 	}
 	framing := "Transfer-Encoding: chunked\r\n"
 	switch {
-	case s.unframed:
+	case s.Unframed:
 		framing = "Connection: close\r\n"
 	case !stream:
 		framing = fmt.Sprintf("Content-Length: %d\r\n", total)
@@ -144,11 +142,11 @@
 	}
 	for i := from; i < len(pieces); i++ {
 		parts := []string{pieces[i]}
-		if i == s.long { // its last line in a chunk of its own
+		if i == s.Long && i > 0 { // its last line in a chunk of its own
 			parts = []string{pieces[i][:len(pieces[i])-1], "\n"}
 		}
 		for _, text := range parts {
-			if stream && !s.unframed {
+			if stream && !s.Unframed {
 				text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 			}
 			if !write(c, text) {
@@ -157,14 +155,14 @@
 			}
 			if len(parts) > 1 {
 				s.log(fmt.Sprintf("sent %s a part of piece %d", id, i+1))
-				time.Sleep(s.interval)
+				pause(s.Interval)
 			}
 		}
 		s.log(fmt.Sprintf("sent %s piece %d of %d", id, i+1, len(pieces)))
-		time.Sleep(s.interval)
+		pause(s.Interval)
 	}
 	s.log("completed " + id)
-	if s.unframed {
+	if s.Unframed {
 		return false
 	}
 	return !stream || write(c, "0\r\n\r\n")
@@ -196,15 +194,16 @@
 type endpoint struct {
 	*process
 	id, address, pool, zone string
-	args                    []string
+	behaviour               behaviour
 	born                    int64 // start of its process, Unix ms
-	mu                      sync.Mutex
+	lock                    lock  // for lines
 	lines                   []string
 }
 
 // newEndpoint starts an endpoint and lists it as ready.
-func (f *fleet) newEndpoint(id, pool, zone string, args ...string) *endpoint {
-	e := &endpoint{id: id, address: freePort(), pool: pool, zone: zone, args: args}
+func (f *fleet) newEndpoint(id, pool, zone string, b behaviour) *endpoint {
+	e := &endpoint{id: id, address: freePort(), pool: pool, zone: zone, behaviour: b, lock: newLock()}
+	e.behaviour.Listen, e.behaviour.ID = e.address, id
 	f.launch(e)
 	f.list(e, "ready")
 	return e
@@ -214,15 +213,20 @@
 func (f *fleet) launch(e *endpoint) {
 	listens := make(chan struct{})
 	e.born = time.Now().UnixMilli()
-	e.process = f.start(e.id, func(line string) {
+	text, err := json.Marshal(e.behaviour)
+	if err != nil {
+		cannotRun("%s: %v", e.id, err)
+	}
+	e.process = f.start(e.id, self(), "endpoint", string(text))
+	go e.follow(func(line string) {
 		f.note("%s: %s", e.id, line)
 		if strings.HasPrefix(line, "listens") {
 			close(listens)
 		}
-		e.mu.Lock()
+		e.lock.acquire()
 		e.lines = append(e.lines, line)
-		e.mu.Unlock()
-	}, append([]string{self(), "endpoint", "-listen", e.address, "-id", e.id}, e.args...)...)
+		e.lock.release()
+	})
 	select {
 	case <-listens:
 	case <-time.After(5 * time.Second):
@@ -245,8 +249,8 @@
 
 // has reports whether a line with this beginning was written.
 func (e *endpoint) has(prefix string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.lock.acquire()
+	defer e.lock.release()
 	for _, l := range e.lines {
 		if strings.HasPrefix(l, prefix) {
 			return true
@@ -257,7 +261,7 @@
 
 // await waits for a line with this beginning.
 func (e *endpoint) await(prefix string, limit time.Duration) {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(limit); time.Now().Before(end); pause(5 * time.Millisecond) {
 		if e.has(prefix) {
 			return
 		}
--- a/review/standins-2/fleet_test.go
+++ b/review/standins-2/platform/fleet.go
@@ -1,20 +1,16 @@
-//go:build review2
-
-// Command standins-2 plays the scripts of the second review: it starts goldcrest-router and
-// endpoints as processes on loopback, beside the project's stand-in of the store, and records
-// what was sent, answered and run.
+// Command standins-2 plays the scripts of the second review: it has its supervisor,
+// review/run-case-2.sh, start goldcrest-router and endpoints as processes on loopback, beside the
+// project's stand-in of the store, and records what was sent, answered and run.
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -28,41 +24,72 @@
 	exitNotRun = 2
 )
 
+// lock is held by whoever has put a value into it.
+type lock chan struct{}
+
+func newLock() lock { return make(lock, 1) }
+
+func (l lock) acquire() { l <- struct{}{} }
+func (l lock) release() { <-l }
+
+// pause waits for d.
+func pause(d time.Duration) { <-time.After(d) }
+
 // fleet is the system of one script.
 type fleet struct {
-	dir     string // temporary
+	dir     string // temporary, of the supervisor
 	trouble bool   // false with TROUBLE=0
 	store   *standin.Store
 	began   time.Time
-	mu      sync.Mutex
+	starts  *os.File // to the supervisor
+	lock    lock     // for the fields after it
 	record  *os.File
 	running []*process
 	broken  []string
 }
 
+// place is where a script finds its supervisor and leaves its record.
+type place struct{ folder, dir string }
+
 // cannotRun ends a script that cannot run.
 func cannotRun(format string, args ...any) { panic(fmt.Sprintf(format, args...)) }
 
-// newFleet starts a store with a configuration and opens the record in folder.
-func newFleet(folder string, config map[string]any) *fleet {
-	dir, err := os.MkdirTemp("", "review-2-")
-	if err != nil {
-		cannotRun("temporary folder: %v", err)
-	}
-	f := &fleet{dir: dir, trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
-	if f.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
+// supervisorInterval is how often a script checks that its supervisor is there.
+const supervisorInterval = 100 * time.Millisecond
+
+// newFleet starts a store with a configuration and opens the record.
+func newFleet(at place, config map[string]any) *fleet {
+	f := &fleet{dir: at.dir, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), lock: newLock()}
+	var err error
+	if f.record, err = os.Create(filepath.Join(at.folder, "record.txt")); err != nil {
 		cannotRun("record: %v", err)
 	}
+	if f.starts, err = os.OpenFile(filepath.Join(at.dir, "starts"), os.O_WRONLY, 0); err != nil {
+		cannotRun("supervisor: %v", err)
+	}
+	go f.followSupervisor(os.Getppid())
 	f.note("trouble: %v", f.trouble)
 	f.store = standin.NewStore()
 	f.store.SetConfig(config)
 	return f
 }
 
+// followSupervisor ends all processes and the script once the supervisor has ended.
+func (f *fleet) followSupervisor(parent int) {
+	for os.Getppid() == parent {
+		pause(supervisorInterval)
+	}
+	f.lock.acquire()
+	for _, p := range f.running {
+		_ = syscall.Kill(p.pid, syscall.SIGKILL)
+	}
+	os.Exit(exitNotRun)
+}
+
 // note writes a line with the time since the start to the record.
 func (f *fleet) note(format string, args ...any) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.lock.acquire()
+	defer f.lock.release()
 	fmt.Fprintf(f.record, "%7.3f ", time.Since(f.began).Seconds())
 	fmt.Fprintf(f.record, format+"\n", args...)
 }
@@ -70,9 +97,9 @@
 // breaks records a broken rule.
 func (f *fleet) breaks(format string, args ...any) {
 	f.note("BROKEN "+format, args...)
-	f.mu.Lock()
+	f.lock.acquire()
 	f.broken = append(f.broken, fmt.Sprintf(format, args...))
-	f.mu.Unlock()
+	f.lock.release()
 }
 
 // end kills all processes and returns the exit code.
@@ -87,87 +114,91 @@
 	}
 	f.note("exit %d", code)
 	_ = f.record.Close()
-	if code == exitHeld && os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.dir)
-	} else {
-		fmt.Println("logs of the processes:", f.dir)
-	}
 	for _, b := range f.broken {
 		fmt.Println("broken:", b)
 	}
 	return code
 }
 
-// process is a process that the script started.
+// process is a process that the supervisor started for the script.
 type process struct {
-	f      *fleet
-	name   string
-	args   []string
-	cmd    *exec.Cmd
-	exited chan struct{}
+	f    *fleet
+	name string
+	pid  int
+	log  string // file with its output
 }
 
-// start starts a program whose standard output goes to lines, or to a file if that is nil.
-func (f *fleet) start(name string, lines func(string), args ...string) *process {
-	p := &process{f: f, name: name, args: args, exited: make(chan struct{})}
-	cmd := exec.Command(args[0], args[1:]...)
-	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
-	if err != nil {
-		cannotRun("log: %v", err)
+// startTimeout bounds the time in which the supervisor starts a process.
+const startTimeout = 5 * time.Second
+
+// start has the supervisor start a program.
+func (f *fleet) start(name string, args ...string) *process {
+	number := len(f.running)
+	if _, err := fmt.Fprintf(f.starts, "%d %s\n", number, strings.Join(args, " ")); err != nil {
+		cannotRun("supervisor: %v", err)
 	}
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	done := make(chan struct{})
-	if lines != nil {
-		cmd.Stdout = nil
-		out, err := cmd.StdoutPipe()
-		if err != nil {
-			cannotRun("pipe: %v", err)
+	p := &process{f: f, name: name, log: filepath.Join(f.dir, fmt.Sprint(number, ".log"))}
+	for end := time.Now().Add(startTimeout); p.pid == 0; pause(time.Millisecond) {
+		if text, err := os.ReadFile(filepath.Join(f.dir, fmt.Sprint(number, ".pid"))); err == nil {
+			p.pid, _ = strconv.Atoi(strings.TrimSpace(string(text)))
+		}
+		if time.Now().After(end) {
+			cannotRun("%s was not started", name)
 		}
-		go func() {
-			defer close(done)
-			for s := bufio.NewScanner(out); s.Scan(); {
-				lines(s.Text())
-			}
-		}()
-	} else {
-		close(done)
-	}
-	if err := cmd.Start(); err != nil {
-		cannotRun("%s: %v", name, err)
 	}
-	p.cmd = cmd
-	f.note("started %s, process %d", name, cmd.Process.Pid)
-	go func() {
-		<-done
-		err := cmd.Wait()
-		f.note("%s has ended: %v", name, err)
-		close(p.exited)
-	}()
+	f.note("started %s, process %d", name, p.pid)
+	f.lock.acquire()
 	f.running = append(f.running, p)
+	f.lock.release()
 	return p
 }
 
 // signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) {
 	p.f.note("signal to %s: %v", p.name, s)
-	_ = p.cmd.Process.Signal(s)
+	_ = syscall.Kill(p.pid, s)
 }
 
 // kill ends the process and waits for that.
 func (p *process) kill() {
-	_ = p.cmd.Process.Signal(syscall.SIGCONT)
-	_ = p.cmd.Process.Kill()
-	<-p.exited
+	if p.ended() {
+		return
+	}
+	p.signal(syscall.SIGKILL)
+	for !p.ended() {
+		pause(time.Millisecond)
+	}
 }
 
-// ended reports whether the process has ended.
+// ended reports whether the process has ended. The supervisor may not have waited for it yet.
 func (p *process) ended() bool {
-	select {
-	case <-p.exited:
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.pid))
+	if err != nil {
 		return true
-	default:
-		return false
+	}
+	_, state, _ := strings.Cut(string(stat), ") ")
+	return strings.HasPrefix(state, "Z") || strings.HasPrefix(state, "X")
+}
+
+// follow calls line for each line that the process writes, until it has ended.
+func (p *process) follow(line func(string)) {
+	var read, rest = 0, ""
+	for last := false; ; pause(2 * time.Millisecond) {
+		data, _ := os.ReadFile(p.log)
+		rest += string(data[min(read, len(data)):])
+		read = len(data)
+		for {
+			text, after, found := strings.Cut(rest, "\n")
+			if !found {
+				break
+			}
+			line(text)
+			rest = after
+		}
+		if last {
+			return
+		}
+		last = p.ended()
 	}
 }
 
@@ -240,7 +271,7 @@
 	s := settings{name: name, zone: zone, listen: freePort(), ready: freePort(), exchange: freePort(), metrics: freePort(), store: f.store.Address(), first: true, graceS: graceS}
 	r := &router{settings: filepath.Join(f.dir, name+".ini"), callers: s.listen, ready: s.ready, values: s}
 	r.write()
-	r.process = f.start(name, nil, routerCommand(r.settings)...)
+	r.process = f.start(name, routerCommand(r.settings)...)
 	r.awaitReady(10 * time.Second)
 	return r
 }
@@ -264,7 +295,7 @@
 }
 
 func (r *router) awaitReady(limit time.Duration) {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(limit); time.Now().Before(end); pause(20 * time.Millisecond) {
 		if r.isReady() {
 			r.f.note("%s is ready", r.name)
 			return
--- a/review/standins-2/main_test.go
+++ b/review/standins-2/platform/main.go
@@ -1,22 +1,15 @@
-//go:build review2
-
 package main
 
 import (
 	"fmt"
 	"os"
-	"runtime"
-	"testing"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
-// Child processes end with the thread that started them, so that is the main one.
-func init() { runtime.LockOSThread() }
-
-// scripts are the scripts by name. Each plays its case in a fleet whose record lies in folder.
-var scripts = map[string]func(folder string) int{
+// scripts are the scripts by name. Each plays its case in a fleet.
+var scripts = map[string]func(place) int{
 	"gone": playGone, "grace": playGrace, "drill": playDrill, "torn": playTorn, "parts": playParts,
 }
 
@@ -28,20 +21,23 @@
 	return path
 }
 
-// TestMain takes the place of main: only test files may start processes and sleep.
-func TestMain(*testing.M) {
-	if len(os.Args) > 1 && os.Args[1] == "endpoint" {
-		os.Exit(runEndpoint(os.Args[2:]))
+// scriptTimeout bounds the time of a script, whose limit is 120 s.
+const scriptTimeout = 110 * time.Second
+
+func main() {
+	if len(os.Args) == 3 && os.Args[1] == "endpoint" {
+		os.Exit(runEndpoint(os.Args[2]))
 	}
-	if len(os.Args) != 3 || scripts[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins-2 SCRIPT FOLDER")
+	if len(os.Args) != 4 || scripts[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standins-2 SCRIPT FOLDER DIRECTORY")
 		os.Exit(exitNotRun)
 	}
+	time.AfterFunc(scriptTimeout, func() { os.Exit(exitNotRun) })
 	defer func() {
 		fmt.Fprintln(os.Stderr, "cannot run:", recover())
 		os.Exit(exitNotRun)
 	}()
-	os.Exit(scripts[os.Args[1]](os.Args[2]))
+	os.Exit(scripts[os.Args[1]](place{os.Args[2], os.Args[3]}))
 }
 
 // routes is a small configuration: two pools and routes of all kinds.
