listener: the kernel's receive buffers are bounded and count

What callers saw: a router was killed for its memory, with all their requests, while others sent bodies that they did not finish.

Cause: the platform counts bytes that a process has received and not read. Heads, bodies and connections were counted, receive buffers were not: the kernel gives each connection 64 KB before it is accepted and lets it grow to megabytes. A refused connection kept what had arrived for the half second in which net/http closes it.

Why it works: a listening socket has a receive buffer of 4 KB, which its connections inherit with the first packet, and a backlog of 512. Each connection takes twice that of a quota before it is accepted and gives it back when it is closed. A body of which 16 KB have arrived gets a large buffer while half of the quota is free. A request in progress takes the buffer of its connection to an endpoint of the same quota.

Ruled out: reading on to empty the buffers, since windows grow with it; shrinking a buffer after the body, since the announced window stays; looking at SIOCINQ, which sees bytes when they are held.

--- a/internal/endpointapi/client.go
+++ b/internal/endpointapi/client.go
@@ -1,8 +1,12 @@
 package endpointapi
 
 import (
+	"net"
 	"net/http"
 	"time"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/inbound"
+	"github.com/goldcrestturn/goldcrestturn/internal/socket"
 )
 
 // maxIdleConns is the number of idle connections that a side keeps to its
@@ -15,8 +19,9 @@
 
 // newClient returns an HTTP client for the calls of a side to its engine.
 func newClient() *http.Client {
+	dialer := net.Dialer{Control: socket.Control(socket.ReceiveBuffer(inbound.EndpointBuffer))}
 	return &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout},
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout},
 		// A redirect is returned as the answer; following it would run the call
 		// twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
+	"github.com/goldcrestturn/goldcrestturn/internal/inbound"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+	"github.com/goldcrestturn/goldcrestturn/internal/socket"
 )
 
 // Deps holds the external dependencies of an entry.
@@ -36,7 +38,7 @@
 // NewTransport returns the transport for requests to the sides.
 func NewTransport() http.RoundTripper {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, Control: socket.Control(socket.ReceiveBuffer(inbound.EndpointBuffer))}).DialContext,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     time.Minute,
 	}
--- a/internal/inbound/quota.go
+++ b/internal/inbound/quota.go
@@ -3,14 +3,49 @@
 // package memory, whose part of the process's memory Divide states too.
 package inbound
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Quota is what the connections of one listener may hold together.
 type Quota struct {
 	Descriptors int64 // connections, and one more for each request in progress
 	Bytes       int64 // of connections, heads and requests in progress
+	// Buffers is what the kernel may hold in the receive buffers of the connections, in
+	// bytes; 0 means one small buffer for each descriptor. The heap has no part in it.
+	Buffers int64
+}
+
+// Receive buffers of connections in bytes. The kernel allows the double of what is set and
+// holds no more than that, its own overhead included.
+const (
+	// SmallBuffer is the one that a connection has from its first byte on. A head of the
+	// usual size fits into it.
+	SmallBuffer = 4 << 10
+	// LargeBuffer is the one of a body that has begun to arrive. It is above what a link of
+	// 100 Mbit/s carries in a round trip of 4 ms.
+	LargeBuffer = 64 << 10
+	// EndpointBuffer is the one of a connection to an endpoint. It fills when a caller does
+	// not take its response.
+	EndpointBuffer = 8 << 10
+	// LargeAfter is the part of a body that arrives before its buffer is enlarged, so that
+	// nobody holds a large one by announcing a body.
+	LargeAfter = 16 << 10
+)
+
+// BufferCost returns what the kernel may hold in a receive buffer that is set to size.
+func BufferCost(size int64) int64 { return 2 * size }
+
+// BufferLimit returns the bound on all receive buffers.
+func (q Quota) BufferLimit() int64 {
+	return cmp.Or(q.Buffers, q.Descriptors*BufferCost(SmallBuffer))
 }
 
+// LargeLimit returns the bound up to which buffers are enlarged. What is above it is left to
+// connections that send little.
+func (q Quota) LargeLimit() int64 { return q.BufferLimit() / 2 }
+
 // Division is how the memory and the descriptors of a process are divided. What callers
 // hold never takes away what the other listeners may hold.
 type Division struct {
@@ -46,11 +81,14 @@
 	minReserve       = 4    // of each of these on a small machine
 )
 
-// Shares of the memory of the process. The soft limit of the heap is half of the memory,
-// and its other half takes garbage and the program itself.
+// Shares of the memory of the process. HeapShare is the soft limit of the heap; what is left
+// takes the program itself, the buffers of the other listeners and what the heap exceeds its
+// limit by for a moment.
 const (
+	HeapShare   = 0.5
 	callerShare = 0.25
 	bodyShare   = 0.25
+	bufferShare = 0.125
 )
 
 // Divide divides the memory in bytes and the descriptors of a process.
@@ -62,7 +100,7 @@
 	left = max(minReserve, left-readiness-metrics-peers-storeDescriptors)
 	return Division{
 		// An eighth is left to idle connections to endpoints.
-		Callers:   Quota{Descriptors: left - left/8, Bytes: int64(callerShare * float64(memory))},
+		Callers:   Quota{Descriptors: left - left/8, Bytes: int64(callerShare * float64(memory)), Buffers: int64(bufferShare * float64(memory))},
 		Readiness: smallQuota(readiness),
 		Metrics:   smallQuota(metrics),
 		Peers:     smallQuota(peers),
@@ -88,5 +126,7 @@
 
 // WithBodies is the quota of callers that also counts bodies.
 func (d Division) WithBodies() Quota {
-	return Quota{Descriptors: d.Callers.Descriptors, Bytes: d.Callers.Bytes + d.Bodies}
+	q := d.Callers
+	q.Bytes += d.Bodies
+	return q
 }
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -42,6 +42,7 @@
 	// requests is the number of requests whose heads were read.
 	requests atomic.Int64
 	held     atomic.Int64 // bytes of the quota
+	buffer   atomic.Int64 // bytes of the quota's buffers, given back when the connection is closed
 	closed   atomic.Bool
 	// surplus says that the connection is above the quota, so its first request is refused.
 	surplus bool
@@ -124,6 +125,24 @@
 	return true
 }
 
+// enlargeBuffer enlarges the receive buffer if the quota has room for it, and reports whether
+// it did. The connection keeps it until it is closed: the kernel has told the caller that it
+// may send as much.
+func (c *Conn) enlargeBuffer() bool {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	more := inbound.BufferCost(inbound.LargeBuffer) - c.buffer.Load()
+	if !ok || more <= 0 || !c.owner.takeLargeBuffer(more) {
+		return false
+	}
+	c.buffer.Add(more)
+	if c.closed.Load() { // by the goroutine of the Listener
+		c.owner.buffers.Add(-c.buffer.Swap(0))
+		return false
+	}
+	_ = tcp.SetReadBuffer(inbound.LargeBuffer)
+	return true
+}
+
 // refuse writes the refusal of a request whose head is not complete. The server writes
 // nothing at this moment, since it has answered all requests before.
 func (c *Conn) refuse(b inbound.Bound) {
@@ -233,6 +252,7 @@
 	err := c.Conn.Close()
 	c.owner.descriptors.Add(-1)
 	c.owner.bytes.Add(-c.held.Swap(0))
+	c.owner.buffers.Add(-c.buffer.Swap(0))
 	return err
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -55,6 +55,9 @@
 	// Pressed reports whether memory beyond the quota, which requests hold, is needed. Nil
 	// means that it never is.
 	Pressed func() bool
+	// Outgoing says that a request in progress has a connection to an endpoint, with a receive
+	// buffer of inbound.EndpointBuffer that counts too.
+	Outgoing bool
 	// CountBodies says that the quota also counts the bodies of requests until their
 	// responses are complete. Reads of those that do not fit return ErrMemory.
 	CountBodies bool
@@ -67,6 +70,7 @@
 	config      Config
 	descriptors atomic.Int64 // connections and requests in progress
 	bytes       atomic.Int64
+	buffers     atomic.Int64   // bytes that the kernel may hold for the connections
 	counts      []atomic.Int64 // bounds that were reached since the last log line, by bound
 	counters    []*metrics.Counter
 	events      chan event
@@ -98,6 +102,7 @@
 	}
 	metrics.GetOrCreateGauge(fmt.Sprintf("goldcrest_inbound_descriptors{listener=%q}", c.Name), nil)
 	metrics.GetOrCreateGauge(fmt.Sprintf("goldcrest_inbound_held_bytes{listener=%q}", c.Name), nil)
+	metrics.GetOrCreateGauge(fmt.Sprintf("goldcrest_inbound_buffer_bytes{listener=%q}", c.Name), nil)
 	return l
 }
 
@@ -135,13 +140,21 @@
 			return nil
 		}
 	}
+	buffer := inbound.BufferCost(inbound.SmallBuffer)
 	if !l.takeBytes(inbound.ConnectionBytes) {
 		l.reached(inbound.Memory)
 		l.descriptors.Add(-1)
 		return nil
 	}
+	if !l.takeBuffer(buffer) {
+		l.reached(inbound.Memory)
+		l.bytes.Add(-inbound.ConnectionBytes)
+		l.descriptors.Add(-1)
+		return nil
+	}
 	c := &Conn{Conn: inner, owner: l, surplus: surplus}
 	c.held.Store(inbound.ConnectionBytes)
+	c.buffer.Store(buffer)
 	if a, err := netip.ParseAddrPort(inner.RemoteAddr().String()); err == nil {
 		c.address = a.Addr()
 	}
@@ -178,6 +191,26 @@
 	return false
 }
 
+// takeBuffer takes n bytes for a receive buffer and reports whether they were left.
+func (l *Listener) takeBuffer(n int64) bool {
+	l.buffers.Add(n)
+	if l.room(&l.buffers, l.config.Quota.BufferLimit(), 1, 0) {
+		return true
+	}
+	l.buffers.Add(-n)
+	return false
+}
+
+// takeLargeBuffer takes n bytes for a buffer that is enlarged and reports whether they were
+// left. No other connection is given up for it, since a body arrives with a small one too.
+func (l *Listener) takeLargeBuffer(n int64) bool {
+	if l.buffers.Add(n) <= l.config.Quota.LargeLimit() {
+		return true
+	}
+	l.buffers.Add(-n)
+	return false
+}
+
 // reclaim asks for connections to be given up and returns their number.
 func (l *Listener) reclaim(connections int, bytes int64) int {
 	n := need{connections, bytes, make(chan int, 1)}
@@ -343,6 +376,7 @@
 	name := o.l.config.Name
 	metrics.GetOrCreateGauge(fmt.Sprintf("goldcrest_inbound_descriptors{listener=%q}", name), nil).Set(float64(o.l.descriptors.Load()))
 	metrics.GetOrCreateGauge(fmt.Sprintf("goldcrest_inbound_held_bytes{listener=%q}", name), nil).Set(float64(o.l.bytes.Load()))
+	metrics.GetOrCreateGauge(fmt.Sprintf("goldcrest_inbound_buffer_bytes{listener=%q}", name), nil).Set(float64(o.l.buffers.Load()))
 	for b := range o.l.counts {
 		if now.Sub(o.logged[b]) < logInterval {
 			continue
@@ -350,7 +384,7 @@
 		if n := o.l.counts[b].Swap(0); n > 0 {
 			o.logged[b] = now
 			o.l.config.Log.Warn("bound on callers reached", "listener", name, "bound", inbound.Bound(b).String(), "count", n,
-				"descriptors", o.l.descriptors.Load(), "held_bytes", o.l.bytes.Load())
+				"descriptors", o.l.descriptors.Load(), "held_bytes", o.l.bytes.Load(), "buffer_bytes", o.l.buffers.Load())
 		}
 	}
 }
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -50,8 +50,9 @@
 			return
 		}
 		request := *r // the server uses the body of r itself
+		body := c.beginRequest(&request)
+		body.response = w.Header()
 		r = &request
-		body := c.beginRequest(r)
 		defer func() {
 			if !body.ended {
 				// The server reads the rest of a short body before the next request.
@@ -70,13 +71,28 @@
 			w.WriteHeader(status)
 			return
 		}
-		defer l.descriptors.Add(-1)
+		defer l.endRequest()
 		next.ServeHTTP(w, r)
 	})
 }
 
+// requestBuffer returns what the kernel may hold for a request in progress beside its
+// connection.
+func (l *Listener) requestBuffer() int64 {
+	if !l.config.Outgoing {
+		return 0
+	}
+	return inbound.BufferCost(inbound.EndpointBuffer)
+}
+
+// endRequest gives back what check took.
+func (l *Listener) endRequest() {
+	l.descriptors.Add(-1)
+	l.buffers.Add(-l.requestBuffer())
+}
+
 // check takes what a request holds and returns the bound that it exceeds, or None. If it
-// returns None, a descriptor is taken.
+// returns None, endRequest must be called.
 func (l *Listener) check(c *Conn, r *http.Request) inbound.Bound {
 	limits := l.config.Limits()
 	var size, fields int64
@@ -101,6 +117,10 @@
 		l.descriptors.Add(-1)
 		return inbound.Requests
 	}
+	if !l.takeBuffer(l.requestBuffer()) {
+		l.descriptors.Add(-1)
+		return inbound.Memory
+	}
 	return inbound.None
 }
 
@@ -134,8 +154,11 @@
 // caller.
 type body struct {
 	io.ReadCloser
-	conn  *Conn
-	ended bool
+	conn     *Conn
+	response http.Header
+	ended    bool
+	arrived  int64 // bytes
+	large    bool  // a large receive buffer was asked for
 }
 
 // Read implements io.Reader.
@@ -147,6 +170,12 @@
 		b.conn.owner.reached(inbound.Memory)
 		return n, ErrMemory
 	}
+	if b.arrived += int64(n); err == nil && b.arrived >= inbound.LargeAfter && !b.large {
+		b.large = true
+		if b.conn.enlargeBuffer() && b.conn.owner.buffers.Load() > b.conn.owner.config.Quota.LargeLimit()/2 {
+			b.response.Set("Connection", "close") // others want the buffer
+		}
+	}
 	if err == nil || b.ended {
 		return n, err
 	}
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -23,7 +23,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/inbound"
 	"github.com/goldcrestturn/goldcrestturn/internal/memory"
+	"github.com/goldcrestturn/goldcrestturn/internal/socket"
 )
 
 // Errors of Client.Do. ErrNotSent means that no byte of the request was sent, and
@@ -130,7 +132,7 @@
 func NewClientWithIdle(maxIdle int) *Client {
 	return &Client{idle: newIdlePool(maxIdle), dialer: net.Dialer{
 		Timeout:   dialTimeout,
-		Control:   TCPUserTimeout(tcpUserTimeout),
+		Control:   socket.Control(socket.UserTimeout(tcpUserTimeout), socket.ReceiveBuffer(inbound.EndpointBuffer)),
 		KeepAlive: -1,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
--- a/internal/origin/idle.go
+++ b/internal/origin/idle.go
@@ -156,22 +156,6 @@
 	return err == nil && open
 }
 
-// TCPUserTimeout returns a Control function for net.Dialer that sets
-// TCP_USER_TIMEOUT: the kernel closes a connection whose peer acknowledges nothing
-// for that long, for example because its machine or the network failed.
-func TCPUserTimeout(after time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after/time.Millisecond))
-		})
-		if err != nil {
-			return err
-		}
-		return failed
-	}
-}
-
 // keepAliveTimeout returns the timeout in the Keep-Alive header of an answer, or
 // defaultKeepAlive.
 func keepAliveTimeout(h http.Header) time.Duration {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -66,7 +66,7 @@
 
 // NewTraffic returns the bounds on the callers of an entry or a side.
 func NewTraffic(log *slog.Logger, q inbound.Quota, countBodies bool) *listener.Listener {
-	return listener.New(listener.Config{Name: "traffic", Quota: q, Limits: trafficLimits, Stall: time.Second, CountBodies: countBodies, Log: log})
+	return listener.New(listener.Config{Name: "traffic", Quota: q, Limits: trafficLimits, Stall: time.Second, CountBodies: countBodies, Outgoing: true, Log: log})
 }
 
 // NewChecks returns the bounds on an address for checks, metrics or operators.
--- a/internal/router/limitinbound.go
+++ b/internal/router/limitinbound.go
@@ -51,7 +51,7 @@
 // callerListener returns the bounds on the connections of callers.
 func (r *Router) callerListener() *listener.Listener {
 	return listener.New(listener.Config{
-		Name: "callers", Quota: r.division.Callers, Limits: r.callerLimits, Stall: callerStall, Log: r.log,
+		Name: "callers", Quota: r.division.Callers, Limits: r.callerLimits, Stall: callerStall, Outgoing: true, Log: r.log,
 		Refusal: func(b inbound.Bound) (int, http.Header) {
 			// Callers that were refused together do not come back together.
 			wait := memoryRetryAfter + time.Duration(r.random()*float64(memoryRetryAfter))
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/listener"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 	"github.com/goldcrestturn/goldcrestturn/internal/program"
@@ -235,7 +235,7 @@
 	if r.settings.Metrics == "" {
 		return
 	}
-	l, err := net.Listen("tcp", r.settings.Metrics)
+	l, err := listener.Listen(r.settings.Metrics)
 	if err != nil {
 		r.log.Error("metrics address cannot be used", "error", err.Error())
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/inbound"
+	"github.com/goldcrestturn/goldcrestturn/internal/listener"
 	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/origin"
@@ -173,12 +174,12 @@
 
 // Run listens on the addresses in s and runs a router until ctx ends.
 func Run(ctx context.Context, s Settings, deps Deps) error {
-	debug.SetMemoryLimit(s.MemoryLimit / 2)
-	callers, err := net.Listen("tcp", s.Listen)
+	debug.SetMemoryLimit(int64(inbound.HeapShare * float64(s.MemoryLimit)))
+	callers, err := listener.Listen(s.Listen)
 	if err != nil {
 		return eris.Wrap(err, "router: callers' address cannot be used")
 	}
-	readiness, err := net.Listen("tcp", s.Ready)
+	readiness, err := listener.Listen(s.Ready)
 	if err != nil {
 		return eris.Wrap(err, "router: readiness address cannot be used")
 	}
@@ -190,7 +191,7 @@
 	if err != nil {
 		return eris.Wrap(err, "router: exchange address cannot be used")
 	}
-	rpc, err := net.Listen("tcp", s.Exchange)
+	rpc, err := listener.Listen(s.Exchange)
 	if err != nil {
 		return eris.Wrap(err, "router: exchange address cannot be used for RPC")
 	}
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -18,6 +18,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/endpointapi"
 	"github.com/goldcrestturn/goldcrestturn/internal/exchange"
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
+	"github.com/goldcrestturn/goldcrestturn/internal/listener"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
@@ -64,15 +65,15 @@
 
 // Run runs a side with the given settings until ctx ends.
 func Run(ctx context.Context, log *slog.Logger, s Settings) error {
-	traffic, err := net.Listen("tcp", s.Listen)
+	traffic, err := listener.Listen(s.Listen)
 	if err != nil {
 		return eris.Wrap(err, "side: cannot listen on the address for entries")
 	}
-	admin, err := net.Listen("tcp", s.Admin)
+	admin, err := listener.Listen(s.Admin)
 	if err != nil {
 		return eris.Wrap(err, "side: cannot listen on the admin address")
 	}
-	peers, err := net.Listen("tcp", s.Control)
+	peers, err := listener.Listen(s.Control)
 	if err != nil {
 		return eris.Wrap(err, "side: cannot listen on the control address")
 	}
