listener: heads that have not arrived completely have a bound of their own

What callers saw: as before, a router that is killed for its memory.

Cause: net/http reads a long line into a buffer that grows, so a head of 60 KB holds and leaves several times its text, while twice the text was counted. The collector ran back to back at the soft limit and did not keep up.

Evidence: TestCrowdsOfLargeHeads with heads of 64 KB allowed, 900 connections, memory_mb = 64.

Why it works: of 900 heads at once a few are read to their end, and the others are refused after their first bytes, before they have cost anything.

--- a/internal/inbound/quota.go
+++ b/internal/inbound/quota.go
@@ -42,6 +42,11 @@
 	return cmp.Or(q.Buffers, q.Descriptors*BufferCost(SmallBuffer))
 }
 
+// ArrivingLimit returns the bound on what heads hold that have not arrived completely. It is
+// a part of Bytes: buffers that grow with long lines leave as much garbage, which the
+// collector must keep up with.
+func (q Quota) ArrivingLimit() int64 { return q.Bytes / 4 }
+
 // LargeLimit returns the bound up to which buffers are enlarged. What is above it is left to
 // connections that send little.
 func (q Quota) LargeLimit() int64 { return q.BufferLimit() / 2 }
@@ -63,8 +68,9 @@
 	// list of values and their string headers, in the three copies that a request that is
 	// sent to an endpoint has.
 	fieldBytes = 320
-	// headCopies is how often the text of a head is held: as it is read and as it is parsed.
-	headCopies = 2
+	// headCopies is how often the text of a head is held: as it is parsed, twice in a buffer
+	// that grows with a long line, and as it was parsed.
+	headCopies = 4
 )
 
 // HeadCost returns what a head of n bytes with the given number of fields costs once it is
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -43,6 +43,7 @@
 	requests atomic.Int64
 	held     atomic.Int64 // bytes of the quota
 	buffer   atomic.Int64 // bytes of the quota's buffers, given back when the connection is closed
+	arriving atomic.Int64 // bytes of the quota's part for heads that arrive
 	closed   atomic.Bool
 	// surplus says that the connection is above the quota, so its first request is refused.
 	surplus bool
@@ -96,13 +97,30 @@
 		c.refuse(over)
 		return 0, errEnded
 	}
-	if !c.holdHead(c.head.Cost()) {
+	if !c.holdArriving(c.head.Cost()) || !c.holdHead(c.head.Cost()) {
 		c.refuse(inbound.Memory)
 		return 0, errEnded
 	}
 	return n, err
 }
 
+// holdArriving sets what the head holds of the part of the quota for heads that have not
+// arrived completely, and reports whether there was enough.
+func (c *Conn) holdArriving(cost int64) bool {
+	more := cost - c.arriving.Load()
+	if !c.owner.take(&c.owner.arriving, c.owner.config.Quota.ArrivingLimit(), more) {
+		return false
+	}
+	c.arriving.Add(more)
+	if c.closed.Load() { // by the goroutine of the Listener
+		c.endArriving()
+	}
+	return true
+}
+
+// endArriving gives back what holdArriving took.
+func (c *Conn) endArriving() { c.owner.arriving.Add(-c.arriving.Swap(0)) }
+
 // beginHead begins to follow a head.
 func (c *Conn) beginHead() {
 	c.head, c.headBegan, c.limits = inbound.Head{}, time.Now(), c.owner.config.Limits()
@@ -148,6 +166,8 @@
 func (c *Conn) refuse(b inbound.Bound) {
 	c.owner.reached(b)
 	c.refused = true
+	c.endArriving()
+	c.holdHead(0)
 	status, header := c.owner.refusal(b)
 	var text strings.Builder
 	text.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
@@ -253,6 +273,7 @@
 	c.owner.descriptors.Add(-1)
 	c.owner.bytes.Add(-c.held.Swap(0))
 	c.owner.buffers.Add(-c.buffer.Swap(0))
+	c.endArriving()
 	return err
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -70,6 +70,7 @@
 	config      Config
 	descriptors atomic.Int64 // connections and requests in progress
 	bytes       atomic.Int64
+	arriving    atomic.Int64   // bytes of heads that have not arrived completely
 	buffers     atomic.Int64   // bytes that the kernel may hold for the connections
 	counts      []atomic.Int64 // bounds that were reached since the last log line, by bound
 	counters    []*metrics.Counter
@@ -181,16 +182,20 @@
 	return count.Load() <= limit || l.reclaim(connections, bytes) > 0 && count.Load() <= limit+limit/surplusPart
 }
 
-// takeBytes takes n bytes of the quota and reports whether they were left.
-func (l *Listener) takeBytes(n int64) bool {
-	l.bytes.Add(n)
-	if l.room(&l.bytes, l.config.Quota.Bytes, 0, n) {
+// take adds n bytes to a count and reports whether they are within its limit, or can be
+// reclaimed.
+func (l *Listener) take(count *atomic.Int64, limit, n int64) bool {
+	count.Add(n)
+	if l.room(count, limit, 0, n) {
 		return true
 	}
-	l.bytes.Add(-n)
+	count.Add(-n)
 	return false
 }
 
+// takeBytes takes n bytes of the quota and reports whether they were left.
+func (l *Listener) takeBytes(n int64) bool { return l.take(&l.bytes, l.config.Quota.Bytes, n) }
+
 // takeBuffer takes n bytes for a receive buffer and reports whether they were left.
 func (l *Listener) takeBuffer(n int64) bool {
 	l.buffers.Add(n)
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -133,6 +133,7 @@
 		to, r.Body = inbound.Receiving, b
 	}
 	c.requests.Add(1)
+	c.endArriving()
 	for {
 		phase := c.inPhase()
 		if phase == inbound.Ending {
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -239,6 +239,32 @@
 	}
 }
 
+// Guards against the same with heads inside the limits that cost much to parse.
+func TestCrowdsOfLargeHeads(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	binary := buildRouter(t)
+	distinct := &strings.Builder{}
+	for i := range 3900 {
+		fmt.Fprintf(distinct, "f%d:\r\n", i)
+	}
+	for name, fields := range map[string]string{"one name": strings.Repeat("a:\r\n", 3900), "many names": distinct.String(), "one long field": "a: " + strings.Repeat("x", 60_000) + "\r\n"} {
+		for place := range routerTargets(&process{}) {
+			if !slices.Contains(mainPlaces, place) {
+				continue
+			}
+			t.Run(place+"/"+name, func(t *testing.T) {
+				crowdRouter(t, binary, crowdMemoryMB, crowdMaxFDs, func(p *process) crowd {
+					at := routerTargets(p)[place]
+					s := bodyShapes(crowdBodyLimit)["announced, whole"]
+					return crowd{crowdConnections, []func(net.Conn){s.send(at.head + fields)}, at.address}
+				})
+			})
+		}
+	}
+}
+
 // Guards against the same at the address for peers.
 func TestCrowdsOfPeers(t *testing.T) {
 	if testing.Short() {
