router, entry, listener: a refusal does not wait for the body

What callers saw: a request without a route or with a wrong key was answered only when its body had arrived, or after 10 s with 503 instead of 404 or 401. A body over the limit at a path without a route was answered 413.

Cause: bodies were read before the route and the key were looked up, so they held memory too, and net/http reads up to 256 KB of the rest of a body before it writes a response.

Evidence: TestRefusalsDoNotAwaitBodies, where a part of the body is sent and no more.

Why it works: the body is read by a filter behind those that need the head only. In an entry a check of the head stands before the decoder. A response that begins before the end of the body takes what has arrived with the head; if that is not all, it closes the connection and goes out at once.

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -27,6 +27,9 @@
 	headerLastEvent   = "Last-Event-ID" // index of the last frame that the caller received
 )
 
+// detailTooLarge is the detail of refusals of bodies that cannot be read.
+const detailTooLarge = "the body cannot be read or is too large"
+
 // RouteChat is the route of the chat completions path.
 const RouteChat model.Route = "chat"
 
@@ -109,11 +112,16 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Route = model.Route(r.PathValue("service") + "/" + r.PathValue("route"))
+	req.Route = serviceRoute(r)
 	req.Cost = model.Cost{Prefill: 1}
 	return e.withFingerprint(req), nil
 }
 
+// serviceRoute returns the route of a service call.
+func serviceRoute(r *http.Request) model.Route {
+	return model.Route(r.PathValue("service") + "/" + r.PathValue("route"))
+}
+
 // decodeCommon reads the body and the headers that all routes share.
 func (e *Entry) decodeCommon(r *http.Request) (*model.Request, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, e.settings.MaxBody))
@@ -123,7 +131,7 @@
 		refusal.RetryAfter = memoryRetryAfter
 		return nil, refusal
 	case err != nil:
-		return nil, model.Refuse(model.ReasonBadRequest, "the body cannot be read or is too large")
+		return nil, model.Refuse(model.ReasonBadRequest, detailTooLarge)
 	}
 	for _, h := range []string{headerChat, headerKey, headerTimeout, headerReturnToken, headerRequest} {
 		if len(r.Header.Get(h)) > maxHeaderValueBytes {
@@ -132,7 +140,7 @@
 	}
 	req := &model.Request{
 		ID:             model.RequestID(r.Header.Get(headerRequest)),
-		APIKey:         strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "),
+		APIKey:         apiKey(r),
 		Chat:           model.ChatID(r.Header.Get(headerChat)),
 		IdempotencyKey: r.Header.Get(headerKey),
 		ReturnToken:    r.Header.Get(headerReturnToken),
@@ -145,6 +153,11 @@
 	return req, e.decodeNumericHeaders(r, req)
 }
 
+// apiKey returns the API key of a request.
+func apiKey(r *http.Request) string {
+	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+}
+
 // decodeNumericHeaders sets the deadline and the index to resume from.
 func (e *Entry) decodeNumericHeaders(r *http.Request, req *model.Request) error {
 	timeout := e.settings.Timeout
--- a/internal/entry/identify.go
+++ b/internal/entry/identify.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/config"
+	"github.com/goldcrestturn/goldcrestturn/internal/lists"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
 )
@@ -25,36 +27,80 @@
 func (identify) Name() string { return "identify" }
 
 func (f identify) Handle(ctx context.Context, req *model.Request, next pipe.Handler) (*model.Answer, error) {
+	name, refusal := f.workspace(ctx, req.APIKey)
+	if refusal != nil {
+		return nil, refusal
+	}
+	req.APIKey = ""
+	accepted := f.snapshot().Config.Lists
+	if refusal := authorise(accepted, name, req.Route); refusal != nil {
+		return nil, refusal
+	}
+	route, plan := accepted.Routes[req.Route], accepted.Workspaces[name].Plan
+	req.Workspace, req.Plan = name, plan
+	req.Priority = accepted.Plans[plan].Priority
+	req.Pool, req.Kind, req.Idempotent = route.Pool, accepted.Pools[route.Pool].Kind, route.Idempotent
+	return next(ctx, req)
+}
+
+// workspace returns the workspace of an API key, or a refusal.
+func (f identify) workspace(ctx context.Context, key string) (model.Workspace, *model.Refusal) {
 	s := f.snapshot()
 	if s.Config.Offset == config.NoBase {
-		return nil, model.Refuse(model.ReasonNotConfigured, "no configuration has been accepted yet")
+		return "", model.Refuse(model.ReasonNotConfigured, "no configuration has been accepted yet")
 	}
-	hash := hashKey(req.APIKey)
+	hash := hashKey(key)
 	name, ok := s.Keys[hash]
 	if !ok && s.Config.Loading && f.lookup(ctx, hash) {
 		s = f.snapshot()
 		name, ok = s.Keys[hash]
 	}
 	if !ok && s.Config.Loading {
-		return nil, &model.Refusal{Outcome: model.OutcomeNotRun, Reason: model.ReasonNotConfigured, Detail: "the workspaces are still being loaded", RetryAfter: loadRetryAfter}
+		return "", &model.Refusal{Outcome: model.OutcomeNotRun, Reason: model.ReasonNotConfigured, Detail: "the workspaces are still being loaded", RetryAfter: loadRetryAfter}
 	}
 	if !ok {
-		return nil, model.Refuse(model.ReasonUnauthorised, "the API key is not known")
+		return "", model.Refuse(model.ReasonUnauthorised, "the API key is not known")
 	}
-	req.APIKey = ""
-	route, ok := s.Config.Lists.Routes[req.Route]
+	return name, nil
+}
+
+// authorise returns a refusal unless the plan of a workspace includes a route.
+func authorise(accepted *lists.Lists, workspace model.Workspace, name model.Route) *model.Refusal {
+	route, ok := accepted.Routes[name]
 	if !ok {
-		return nil, model.Refuse(model.ReasonNoRoute, "no route has this name")
+		return model.Refuse(model.ReasonNoRoute, "no route has this name")
 	}
-	pool := s.Config.Lists.Pools[route.Pool]
-	plan := s.Config.Lists.Workspaces[name].Plan
-	if !slices.Contains(pool.Plans, plan) {
-		return nil, model.Refuse(model.ReasonForbidden, "the workspace's plan does not include this route")
+	if !slices.Contains(accepted.Pools[route.Pool].Plans, accepted.Workspaces[workspace].Plan) {
+		return model.Refuse(model.ReasonForbidden, "the workspace's plan does not include this route")
 	}
-	req.Workspace, req.Plan = name, plan
-	req.Priority = s.Config.Lists.Plans[plan].Priority
-	req.Pool, req.Kind, req.Idempotent = route.Pool, pool.Kind, route.Idempotent
-	return next(ctx, req)
+	return nil
+}
+
+// checkHead refuses requests that are refused whatever their body is before it is read.
+// routeOf returns the route of a request if its head names it, and "" if not.
+func (e *Entry) checkHead(f identify, routeOf func(*http.Request) model.Route, next http.Handler) http.Handler {
+	check := func(r *http.Request) *model.Refusal {
+		name, refusal := f.workspace(r.Context(), apiKey(r))
+		if refusal != nil {
+			return refusal
+		}
+		if route := routeOf(r); route != "" {
+			if refusal := authorise(f.snapshot().Config.Lists, name, route); refusal != nil {
+				return refusal
+			}
+		}
+		if r.ContentLength > e.settings.MaxBody {
+			return model.Refuse(model.ReasonBadRequest, detailTooLarge)
+		}
+		return nil
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refusal := check(r); refusal != nil {
+			encodeError(r.Context(), refusal, w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // hashKey returns the hash of an API key in the form that the lists contain.
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -12,7 +12,7 @@
 	return pipe.Chain(
 		countActive{e.loop},
 		timeStages{e.loop, e.loop.Snapshot},
-		identify{snapshot: e.loop.Snapshot, lookup: e.configs.Lookup},
+		e.identify(),
 		limitRate{e},
 		resolveOutcome{logs: e.deps.Logs, budget: e.budget, resume: fwd.resume, disabled: disabled.Void},
 		relay{fwd.resume, e.mayRetry, disabled.FrameCheck},
@@ -24,6 +24,11 @@
 	)
 }
 
+// identify returns the filter of that name.
+func (e *Entry) identify() identify {
+	return identify{snapshot: e.loop.Snapshot, lookup: e.configs.Lookup}
+}
+
 // controlPipeline lists the stages between the sources and the snapshot.
 func (e *Entry) controlPipeline() []control.Stage[State] {
 	return []control.Stage[State]{
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/listener"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
+	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/pipe"
 	"github.com/goldcrestturn/goldcrestturn/internal/program"
 )
@@ -132,9 +133,10 @@
 			return context.WithValue(ctx, streamKey{}, new(bool))
 		}),
 	}
+	noRoute := func(*http.Request) model.Route { return "" } // that of a chat is in its body
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/chat/completions", httptransport.NewServer(run, e.decodeChat, encodeChat, options...))
-	mux.Handle("POST /v1/services/{service}/{route}", httptransport.NewServer(run, e.decodeService, encodeService, options...))
+	mux.Handle("POST /v1/chat/completions", e.checkHead(e.identify(), noRoute, httptransport.NewServer(run, e.decodeChat, encodeChat, options...)))
+	mux.Handle("POST /v1/services/{service}/{route}", e.checkHead(e.identify(), serviceRoute, httptransport.NewServer(run, e.decodeService, encodeService, options...)))
 	return protect(mux, e.settings.BodyTimeout, e.settings.WriteTimeout)
 }
 
--- a/internal/listener/buffers_test.go
+++ b/internal/listener/buffers_test.go
@@ -1,8 +1,11 @@
 package listener
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -65,3 +68,48 @@
 	// The buffers of both ends together: that of the sender takes more than its own size.
 	is.True(sent <= 64<<10)
 }
+
+// refusingServer answers 404 without reading bodies.
+func refusingServer(t *testing.T) *testServer {
+	t.Helper()
+	is := is.New(t)
+	l := New(Config{Name: t.Name(), Quota: wide, Limits: generousLimits, Stall: 100 * time.Millisecond, Log: slog.New(slog.DiscardHandler)})
+	inner, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	srv := l.Protect(&http.Server{Handler: http.NotFoundHandler()})
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	go func() { _ = srv.Serve(l.Wrap(inner)) }()
+	t.Cleanup(func() { _ = srv.Close(); cancel() })
+	return &testServer{t: t, l: l, address: inner.Addr().String()}
+}
+
+// Guards against a refusal that waits for the rest of the body, and against a connection that
+// is closed although the body has arrived.
+func TestRefusalsDoNotAwaitTheRestOfABody(t *testing.T) {
+	s := refusingServer(t)
+	for name, c := range map[string]struct {
+		text  string
+		close bool
+	}{
+		"rest missing":          {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nx", true},
+		"rest of chunks":        {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", true},
+		"body awaits its call":  {"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n", true},
+		"whole body":            {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", false},
+		"whole body of chunks":  {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", false},
+		"no body":               {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", false},
+		"whole body and a next": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbodyPOST / HTTP/1.1\r\nHost: h\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn := s.open(c.text)
+			_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(res.StatusCode, http.StatusNotFound)
+			is.Equal(res.Close, c.close)
+			_ = conn.Close()
+		})
+	}
+	s.awaitNothingHeld()
+}
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -50,9 +50,8 @@
 			return
 		}
 		request := *r // the server uses the body of r itself
-		body := c.beginRequest(&request)
-		body.response = w.Header()
-		r = &request
+		body := c.beginRequest(&request, r)
+		w, r = &responseWriter{ResponseWriter: w, body: body}, &request
 		defer func() {
 			if !body.ended {
 				// The server reads the rest of a short body before the next request.
@@ -125,9 +124,10 @@
 }
 
 // beginRequest records that the head of a request has been read, and replaces the body of
-// r by one that records its end. It panics if the connection has been given up.
-func (c *Conn) beginRequest(r *http.Request) *body {
-	b := &body{ReadCloser: r.Body, conn: c, ended: r.Body == nil || r.Body == http.NoBody}
+// r, a copy of the server's request, by one that records its end. It panics if the connection
+// has been given up.
+func (c *Conn) beginRequest(r, servers *http.Request) *body {
+	b := &body{ReadCloser: r.Body, conn: c, request: servers, ended: r.Body == nil || r.Body == http.NoBody}
 	to := inbound.Serving
 	if !b.ended {
 		to, r.Body = inbound.Receiving, b
@@ -155,11 +155,12 @@
 // caller.
 type body struct {
 	io.ReadCloser
-	conn     *Conn
-	response http.Header
-	ended    bool
-	arrived  int64 // bytes
-	large    bool  // a large receive buffer was asked for
+	conn    *Conn
+	request *http.Request // of the server
+	ended   bool
+	arrived int64 // bytes
+	large   bool  // a large receive buffer was asked for
+	crowded bool  // the large buffer is wanted back
 }
 
 // Read implements io.Reader.
@@ -173,9 +174,7 @@
 	}
 	if b.arrived += int64(n); err == nil && b.arrived >= inbound.LargeAfter && !b.large {
 		b.large = true
-		if b.conn.enlargeBuffer() && b.conn.owner.buffers.Load() > b.conn.owner.config.Quota.LargeLimit()/2 {
-			b.response.Set("Connection", "close") // others want the buffer
-		}
+		b.crowded = b.conn.enlargeBuffer() && b.conn.owner.buffers.Load() > b.conn.owner.config.Quota.LargeLimit()/2
 	}
 	if err == nil || b.ended {
 		return n, err
@@ -186,3 +185,56 @@
 	b.ended = err == io.EOF
 	return n, err
 }
+
+// discardBuffered reads the part of the body that has arrived with the head, and reports
+// whether that is the rest of it.
+func (b *body) discardBuffered() bool {
+	if b.request.Header.Get("Expect") != "" {
+		return false // a read would ask the caller for the body
+	}
+	_ = b.conn.SetReadDeadline(longAgo)
+	_, err := io.Copy(io.Discard, b.ReadCloser)
+	if err != nil {
+		return false
+	}
+	b.ended = true
+	b.conn.change(inbound.Receiving, inbound.Serving)
+	_ = b.conn.SetReadDeadline(time.Time{})
+	return true
+}
+
+// responseWriter closes the connection after a response that does not need the rest of the
+// body. The server would otherwise wait for the rest before it writes the response.
+type responseWriter struct {
+	http.ResponseWriter
+	body  *body
+	began bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.begin()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// begin is called before the head of the response is written.
+func (w *responseWriter) begin() {
+	if w.began {
+		return
+	}
+	w.began = true
+	if !w.body.ended && !w.body.discardBuffered() || w.body.crowded {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// Unwrap gives http.ResponseController access to the connection.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -19,6 +19,7 @@
 		admit{r.loop.Snapshot},
 		matchRoute{snapshot: r.loop.Snapshot, random: r.random, fresh: r.fresh},
 		identify{snapshot: r.loop.Snapshot, fresh: r.fresh},
+		receiveBody{limit: r.maxBody, random: r.random},
 		setDeadline{},
 		countRequest{r.recordRequest},
 		shedRequest{enabled: r.deps.Features.Admission, decide: r.decideAdmission, retryAfter: r.admissionRetryAfter, firstEvent: r.recordFirstEvent, end: r.recordAdmittedEnd},
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -19,7 +19,7 @@
 }
 
 // Request is one request of a caller. Protocol.Decode and Router.decode fill in the
-// first group of fields, the filters the second.
+// first group of fields, but for Body, and the filters the second.
 type Request struct {
 	ID        model.RequestID
 	Method    string
@@ -33,6 +33,7 @@
 	Arrived   time.Time
 	Parts     []PromptPart // parts of the prompt, in order
 	LastEvent string       // id of the last event that the caller received
+	incoming  incomingBody
 	memory    *memory.Account
 	noChunks  bool // the caller knows the end of an answer by its length or the end of the connection only
 
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +14,6 @@
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/listener"
-	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/program"
 )
@@ -190,7 +188,7 @@
 	answer *Answer
 }
 
-// decode reads a request including its body.
+// decode reads a request but for its body, which the filter receiveBody reads.
 func (r *Router) decode(ctx context.Context, hr *http.Request) (any, error) {
 	arrived := time.Now()
 	req, err := r.deps.Protocol.Decode(hr)
@@ -198,21 +196,6 @@
 		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
 	}
 	req.Arrived, req.memory, req.noChunks = arrived, memoryOf(ctx), !hr.ProtoAtLeast(1, 1)
-	req.Body, err = memory.ReadAll(hr.Body, hr.ContentLength, r.maxBody(), req.memory, errBodyTooLong)
-	switch {
-	case errors.Is(err, errBodyTooLong):
-		return nil, model.Refuse(model.ReasonLimit, err.Error())
-	case errors.Is(err, memory.ErrExhausted):
-		memoryRefusals[heldByBody].Inc()
-		// Callers that were refused together do not come back together.
-		wait := memoryRetryAfter + time.Duration(r.random()*float64(memoryRetryAfter))
-		refusal := refuseWithRetryAfter(model.ReasonMemory, err.Error(), wait)
-		r.logOutcome(req, nil, refusal)
-		return nil, refusal
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, model.Refuse(model.ReasonDeadline, "the body arrives too slowly")
-	case err != nil:
-		return nil, model.Refuse(model.ReasonBadRequest, "the body cannot be read")
-	}
+	req.incoming = incomingBody{hr.Body, hr.ContentLength}
 	return req, nil
 }
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -357,6 +357,35 @@
 	f.report(1)
 }
 
+// Guards against refusals that wait for the rest of a body which is not needed for them,
+// and against those that say something else than the cause.
+func TestRefusalsDoNotAwaitBodies(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	f, p := startCrowdRouter(t, buildRouter(t), crowdMemoryMB, crowdMaxFDs)
+	at := routerTargets(p)
+	for name, c := range map[string]struct {
+		place, framing string
+		want           int
+	}{
+		"no route":                 {"no route", "Content-Length: 100", http.StatusNotFound},
+		"no route, chunked":        {"no route", "Transfer-Encoding: chunked", http.StatusNotFound},
+		"no key":                   {"route, no key", "Content-Length: 100", http.StatusUnauthorized},
+		"no key, chunked":          {"route, no key", "Transfer-Encoding: chunked", http.StatusUnauthorized},
+		"over the limit":           {"route", fmt.Sprint("Content-Length: ", crowdBodyLimit+1), http.StatusRequestEntityTooLarge},
+		"no route, over the limit": {"no route", fmt.Sprint("Content-Length: ", crowdBodyLimit+1), http.StatusNotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := shape{c.framing, [][]byte{[]byte("1\r\nx\r\n")}, 0}
+			if got := firstStatus(p.callerAddress, s.send(at[c.place].head)); got != c.want {
+				t.Errorf("a body of which a part is sent is answered %d, not %d", got, c.want)
+			}
+		})
+	}
+	f.report(1)
+}
+
 // firstStatus sends a request and returns the status of its response, whose body it does not
 // read, or 0 if there is none.
 func firstStatus(address string, send func(net.Conn)) int {
