entry, side: the heap has the soft limit that the division of memory assumes

What callers saw: an entry above its memory under many bodies at once.

Cause: the quota of callers is half of memory_mb, on the assumption that the collector holds the heap there. Only routers set that limit; entries and sides let the heap grow to the double of what is live.

Evidence: TestCrowdsOfEntriesAndSides, memory_mb = 64 (28 at admin and control).

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -55,6 +55,7 @@
 
 // Run runs an entry with the given settings until ctx ends.
 func Run(ctx context.Context, log *slog.Logger, s Settings) error {
+	s.Bounds.LimitHeap()
 	traffic, err := listener.Listen(s.Listen)
 	if err != nil {
 		return eris.Wrap(err, "entry: cannot listen on the address for callers")
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -53,6 +54,11 @@
 	MinMaxFDs       = 384   // leaves some to callers beside those in reserve
 )
 
+// LimitHeap sets the soft limit of the heap of this process.
+func (b Bounds) LimitHeap() {
+	debug.SetMemoryLimit(int64(inbound.HeapShare * float64(cmp.Or(b.MemoryLimit, DefaultMemoryMB<<20))))
+}
+
 // Division returns how the memory and the descriptors of the process are divided.
 func (b Bounds) Division() inbound.Division {
 	return inbound.Divide(cmp.Or(b.MemoryLimit, DefaultMemoryMB<<20), cmp.Or(b.MaxFDs, DefaultMaxFDs))
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -65,6 +65,7 @@
 
 // Run runs a side with the given settings until ctx ends.
 func Run(ctx context.Context, log *slog.Logger, s Settings) error {
+	s.Bounds.LimitHeap()
 	traffic, err := listener.Listen(s.Listen)
 	if err != nil {
 		return eris.Wrap(err, "side: cannot listen on the address for entries")
