entry, side: bodies count as often as they are held, and at sides too

What callers saw: an entry or a side above its memory, which ends the requests of all.

Cause: a body counted twice, yet an entry also encodes it into the message to a side, in base64 and a buffer that grows. A side counted nothing, although a message of 8 MB is read before admission.

Evidence: TestCrowdsOfCostlyBodies, memory_mb = 64, bodies of 2 MB.

Why it works: six copies are asked for as a body arrives, before it is encoded. An entry refuses settings with which the largest body never fits.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -94,7 +94,7 @@
 		e.Drain(backgroundCtx, e.settings.DrainTimeout)
 		stopServing()
 	}()
-	callers := program.NewTraffic(e.log, division.WithBodies(), true)
+	callers := program.NewTraffic(e.log, division.WithBodies())
 	err := program.ServeWithin(servingCtx, callers, program.NewServer(e.Handler()), traffic, closeTimeout)
 	stop()
 	return eris.Wrap(firstError(err, g.Wait()), "entry")
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/listener"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/program"
 	"github.com/goldcrestturn/goldcrestturn/internal/settings"
@@ -93,5 +95,8 @@
 		MemoryLimit: f.Int("entry", "memory_mb", program.DefaultMemoryMB, 16, 1<<20) << 20,
 		MaxFDs:      f.Int("entry", "max_fds", program.DefaultMaxFDs, program.MinMaxFDs, 1<<20),
 	}
+	if allowed := s.Bounds.Division().WithBodies().Bytes / listener.BodyCopies; s.MaxBody > allowed {
+		f.AddFinding("entry", "max_body", "a body of this size does not fit into memory_mb", fmt.Sprintf("at most %d", allowed))
+	}
 	return s, f.Err()
 }
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -145,8 +145,10 @@
 	}
 }
 
-// bodyCopies is how often a body is held while its buffer grows.
-const bodyCopies = 2
+// BodyCopies is how often a body is held at most: in a buffer that has grown to the double,
+// and in a message to another process, whose encoding takes a third more and whose buffer
+// grows in the same way.
+const BodyCopies = 6
 
 // ErrMemory is returned by reads of a body for which the quota has no memory left.
 var ErrMemory = eris.New("listener: callers hold all the memory that they may")
@@ -168,7 +170,7 @@
 	b.conn.reading.Store(true)
 	n, err := b.ReadCloser.Read(p)
 	b.conn.reading.Store(false)
-	if err == nil && b.conn.owner.config.CountBodies && !b.conn.holdHead(b.conn.headCost+bodyCopies*int64(n)) {
+	if err == nil && b.conn.owner.config.CountBodies && !b.conn.holdHead(b.conn.headCost+BodyCopies*int64(n)) {
 		b.conn.owner.reached(inbound.Memory)
 		return n, ErrMemory
 	}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -70,9 +70,9 @@
 	return inbound.Limits{HeaderBytes: maxHeaderBytes, Fields: maxFields, HeaderTime: readHeaderTimeout, IdleTime: idleTimeout, MinRate: minRate, RateWindow: rateWindow}
 }
 
-// NewTraffic returns the bounds on the callers of an entry or a side.
-func NewTraffic(log *slog.Logger, q inbound.Quota, countBodies bool) *listener.Listener {
-	return listener.New(listener.Config{Name: "traffic", Quota: q, Limits: trafficLimits, Stall: time.Second, CountBodies: countBodies, Outgoing: true, Log: log})
+// NewTraffic returns the bounds on the callers of an entry or a side, whose bodies count.
+func NewTraffic(log *slog.Logger, q inbound.Quota) *listener.Listener {
+	return listener.New(listener.Config{Name: "traffic", Quota: q, Limits: trafficLimits, Stall: time.Second, CountBodies: true, Outgoing: true, Log: log})
 }
 
 // NewChecks returns the bounds on an address for checks, metrics or operators.
--- a/internal/side/codec.go
+++ b/internal/side/codec.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/listener"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/wire"
 )
 
+// memoryRetryAfter is how soon an entry may send a request again whose body did not fit.
+const memoryRetryAfter = time.Second
+
 // requestIDsKey is the context key of a *requestIDs.
 type requestIDsKey struct{}
 
@@ -32,6 +37,11 @@
 
 func decodeRun(ctx context.Context, r *http.Request) (any, error) {
 	w, err := wire.DecodeRequest(r.Body)
+	if errors.Is(err, listener.ErrMemory) {
+		refusal := model.Refuse(model.ReasonMemory, err.Error())
+		refusal.RetryAfter = memoryRetryAfter
+		return nil, refusal
+	}
 	if err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, err.Error())
 	}
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -109,9 +109,7 @@
 		p.Drain(backgroundCtx, p.settings.DrainTimeout)
 		stopServing()
 	}()
-	// Bodies do not count: only processes with the shared key have theirs read, and caches
-	// of chats pass through without being held.
-	entries := program.NewTraffic(p.log, division.Callers, false)
+	entries := program.NewTraffic(p.log, division.WithBodies())
 	err := program.ServeWithin(servingCtx, entries, program.NewServer(p.Handler()), traffic, closeTimeout)
 	stop()
 	if err == nil {
--- a/internal/soak/crowd_entry_test.go
+++ b/internal/soak/crowd_entry_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -193,3 +194,37 @@
 		}
 	}
 }
+
+// Guards against bodies inside the limits that take many times their size once they are
+// parsed.
+func TestCrowdsOfCostlyBodies(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	programs := buildEntryFleet(t)
+	list := func(item string) []byte {
+		n := (entryBodyLimit-100)/(len(item)+1) - 1
+		return []byte(`{"messages":[` + strings.Repeat(item+",", n) + item + `],"max_tokens":1}`)
+	}
+	nested := append(bytes.Repeat([]byte("["), entryBodyLimit/2), bytes.Repeat([]byte("]"), entryBodyLimit/2-100)...)
+	for name, body := range map[string][]byte{
+		"one long message": list(`{"content":"` + strings.Repeat("x", entryBodyLimit-200) + `"}`),
+		"escaped text":     list(`{"content":"` + strings.Repeat(`\u0041`, (entryBodyLimit-200)/6) + `"}`), "deeply nested": nested,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := shape{fmt.Sprint("Content-Length: ", len(body)), [][]byte{body}, 0}
+			crowdEntryFleet(t, programs, "entry", "listen", s.send("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+quickstartKey+"\r\n"))
+		})
+	}
+	// Entries send what they have read of their callers, and many of them may.
+	message := []byte(`{"id":"a","route":"chat","pool":"chat","body":"` + strings.Repeat("A", entryBodyLimit*4/3))
+	for name, framing := range map[string]string{"unfinished message, announced": fmt.Sprint("Content-Length: ", len(message)+2), "unfinished message, chunked": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			s := shape{framing, [][]byte{message}, 0}
+			if strings.HasSuffix(framing, "chunked") {
+				s.parts = [][]byte{fmt.Appendf(nil, "%x\r\n%s\r\n", len(message), message)}
+			}
+			crowdEntryFleet(t, programs, "side", "listen", s.send("POST /side/run HTTP/1.1\r\nHost: h\r\nGoldcrest-Key: "+fleetKey+"\r\n"))
+		})
+	}
+}
