entry: the messages of a chat are counted, not kept

What callers saw: an entry above its memory.

Cause: the entry decodes the messages of a chat for their number and their length. `{}` takes three bytes of a body and 32 in the list, which doubles as it grows.

Why it works: the list is decoded one message at a time.

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/listener"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
@@ -45,10 +47,34 @@
 // chatBody is the part of an OpenAI-style chat completions body that the
 // fleet reads. The rest passes through to the engine.
 type chatBody struct {
-	Model     string        `json:"model"`
-	Messages  []chatMessage `json:"messages"`
-	MaxTokens int64         `json:"max_tokens"`
-	Stream    bool          `json:"stream"`
+	Model     string       `json:"model"`
+	Messages  messageSizes `json:"messages"`
+	MaxTokens int64        `json:"max_tokens"`
+	Stream    bool         `json:"stream"`
+}
+
+// messageSizes are the number of the messages of a chat and the bytes of their contents. The
+// messages themselves are not kept: short ones take many times their text.
+type messageSizes struct{ count, contents int64 }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *messageSizes) UnmarshalJSON(text []byte) error {
+	*m = messageSizes{}
+	d := json.NewDecoder(bytes.NewReader(text))
+	if open, err := d.Token(); err != nil || open == nil {
+		return err // null counts as no messages
+	} else if open != json.Delim('[') {
+		return eris.New("messages is no list")
+	}
+	for d.More() {
+		var message chatMessage
+		if err := d.Decode(&message); err != nil {
+			return err
+		}
+		m.count++
+		m.contents += int64(len(message.Content))
+	}
+	return nil
 }
 
 type chatMessage struct {
@@ -76,7 +102,7 @@
 	if err := json.Unmarshal(req.Body, &body); err != nil {
 		return nil, model.Refuse(model.ReasonBadRequest, "the body is not a chat completions request: "+err.Error())
 	}
-	if len(body.Messages) == 0 {
+	if body.Messages.count == 0 {
 		return nil, model.Refuse(model.ReasonBadRequest, "messages is empty")
 	}
 	if body.MaxTokens < 0 || body.MaxTokens > maxTokensPerRequest {
@@ -95,15 +121,11 @@
 
 // chatCost estimates the cost from the length of the messages and the token limit.
 func chatCost(body chatBody) model.Cost {
-	var chars int64
-	for _, m := range body.Messages {
-		chars += int64(len(m.Content))
-	}
 	generate := body.MaxTokens
 	if generate == 0 {
 		generate = defaultMaxTokens
 	}
-	return model.Cost{Prefill: 1 + chars/charsPerToken, Generate: generate}
+	return model.Cost{Prefill: 1 + body.Messages.contents/charsPerToken, Generate: generate}
 }
 
 // decodeService decodes a service call.
--- a/internal/soak/crowd_entry_test.go
+++ b/internal/soak/crowd_entry_test.go
@@ -208,8 +208,8 @@
 	}
 	nested := append(bytes.Repeat([]byte("["), entryBodyLimit/2), bytes.Repeat([]byte("]"), entryBodyLimit/2-100)...)
 	for name, body := range map[string][]byte{
-		"one long message": list(`{"content":"` + strings.Repeat("x", entryBodyLimit-200) + `"}`),
-		"escaped text":     list(`{"content":"` + strings.Repeat(`\u0041`, (entryBodyLimit-200)/6) + `"}`), "deeply nested": nested,
+		"many short messages": list(`{}`), "one long message": list(`{"content":"` + strings.Repeat("x", entryBodyLimit-200) + `"}`),
+		"escaped text": list(`{"content":"` + strings.Repeat(`\u0041`, (entryBodyLimit-200)/6) + `"}`), "deeply nested": nested,
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := shape{fmt.Sprint("Content-Length: ", len(body)), [][]byte{body}, 0}
