listener: trailers of requests are dropped

What callers saw: a router above its memory.

Cause: net/http parses a trailer of up to 4 KB into the request, as 800 fields that cost some 100 KB, and keeps it until the response is complete.

Why it works: the trailer is dropped in the read that parses it, so one goroutine at a time for each processor holds one.

--- a/internal/listener/buffers_test.go
+++ b/internal/listener/buffers_test.go
@@ -113,3 +113,32 @@
 	}
 	s.awaitNothingHeld()
 }
+
+// Guards against trailers that stay in memory until the response is complete.
+func TestTrailersAreDropped(t *testing.T) {
+	is := is.New(t)
+	trailers := make(chan http.Header, 2)
+	l := New(Config{Name: t.Name(), Quota: wide, Limits: generousLimits, Stall: 100 * time.Millisecond, Log: slog.New(slog.DiscardHandler)})
+	var servers *http.Request
+	srv := l.Protect(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		servers = r.Body.(*body).request
+		_, _ = io.Copy(io.Discard, r.Body)
+		trailers <- r.Trailer
+		trailers <- servers.Trailer
+	})})
+	inner, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	go func() { _ = srv.Serve(l.Wrap(inner)) }()
+	defer srv.Close()
+	c, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n1\r\nx\r\n0\r\nA: x\r\nB: y\r\n\r\n")
+	is.NoErr(err)
+	is.Equal(len(<-trailers), 0)
+	is.Equal(len(<-trailers), 0)
+	is.Equal(status(c), http.StatusOK)
+}
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -130,7 +130,7 @@
 	b := &body{ReadCloser: r.Body, conn: c, request: servers, ended: r.Body == nil || r.Body == http.NoBody}
 	to := inbound.Serving
 	if !b.ended {
-		to, r.Body = inbound.Receiving, b
+		to, r.Body, r.Trailer = inbound.Receiving, b, nil
 	}
 	c.requests.Add(1)
 	c.endArriving()
@@ -158,7 +158,7 @@
 type body struct {
 	io.ReadCloser
 	conn    *Conn
-	request *http.Request // of the server
+	request *http.Request // of the server, which sets its trailer
 	ended   bool
 	arrived int64 // bytes
 	large   bool  // a large receive buffer was asked for
@@ -184,7 +184,10 @@
 	if !b.conn.change(inbound.Receiving, inbound.Serving) && err == io.EOF {
 		return n, errEnded // given up just before the end, so the request is not passed on
 	}
-	b.ended = err == io.EOF
+	if b.ended = err == io.EOF; b.ended {
+		// Nobody reads the trailer, whose fields cost many times their text.
+		b.request.Trailer = nil
+	}
 	return n, err
 }
 
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -55,10 +55,22 @@
 		"over the limit, only sent":  {chunked, [][]byte{large, large, large, large}, 0},
 		"over the limit, in pieces":  {announced(256 * limit), pieces(plain, 4<<10), pause},
 		"announced and nothing sent": {announced(limit), nil, 0},
+		"many fields after a body":   {chunked, [][]byte{[]byte("1\r\nx\r\n0\r\n" + shortTrailer() + "\r\n")}, 0},
 		"bytes after the end":        {announced(0), [][]byte{plain}, 0},
 	}
 }
 
+// shortTrailer returns the fields of a trailer that is as long as the HTTP server reads,
+// with as many different names as fit.
+func shortTrailer() string {
+	const length, letters = 4000, "abcdefghijklmnopqrstuvwxyz0123456789"
+	var text strings.Builder
+	for i := 0; text.Len() < length; i++ {
+		fmt.Fprintf(&text, "%c%c:\r\n", letters[i%len(letters)], letters[i/len(letters)%len(letters)])
+	}
+	return text.String()
+}
+
 // chunksOf returns n chunks of the given size without the last chunk of a body.
 func chunksOf(size, n int) []byte {
 	return bytes.Repeat(fmt.Appendf(nil, "%x\r\n%s\r\n", size, strings.Repeat("x", size)), n)
