exchange: messages of peers share a budget

What callers saw: nothing yet. Whoever reaches the exchange address of a router and sends its key, which is no secret, ended the process by its memory.

Cause: a message is bounded by 1 MB, and connections by an eighth of the descriptors, but not both together.

Why it works: twice the announced length is asked for before the message is read, and given back when the next one begins or the connection ends.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -14,13 +14,15 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/limit"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/summary"
 	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
 func (e *Entry) newNode() *exchange.Node {
-	n := exchange.New(exchange.Config{Key: e.settings.Key, MaxPeers: int(e.settings.Bounds.Division().Peers.Descriptors), Budget: e.settings.ControlBudget, Dial: e.deps.Dial, AcceptFailed: func(err error) {
+	division := e.settings.Bounds.Division()
+	n := exchange.New(exchange.Config{Key: e.settings.Key, MaxPeers: int(division.Peers.Descriptors), Messages: memory.NewBudget(division.PeerMessages), Budget: e.settings.ControlBudget, Dial: e.deps.Dial, AcceptFailed: func(err error) {
 		e.log.Warn("connections of peers cannot be accepted", "error", err.Error())
 	}})
 	if err := n.Register(exchange.Service, &peerService{e}); err != nil {
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -99,7 +99,11 @@
 	return writeMessage(c.enc, c.out, r, body, c.conn)
 }
 
-func (c *serverCodec) Close() error { return c.conn.Close() }
+// Close implements rpc.ServerCodec. The goroutine that reads the requests calls it.
+func (c *serverCodec) Close() error {
+	c.in.memory.Release()
+	return c.conn.Close()
+}
 
 // writeMessage writes head and body as one segment. A failure leaves the gob stream
 // incomplete, so the connection is closed.
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 )
 
 // Dialer opens a connection to the control address of a peer.
@@ -21,6 +22,9 @@
 	Budget int64  // bytes a second, both directions together
 	// MaxPeers bounds incoming connections; 0 means maxPeers.
 	MaxPeers int
+	// Messages bounds the messages from peers that are held at the same time; nil means no
+	// bound.
+	Messages *memory.Budget
 	Dial     Dialer // nil means TCP
 	// AcceptFailed is called with each error of the listener that Serve passes over; nil
 	// means nothing is done.
@@ -139,7 +143,11 @@
 func (n *Node) serveConn(ctx context.Context, conn net.Conn) {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	n.rpc.ServeCodec(newServerCodec(&countedConn{Conn: conn, meter: n.meter}, n.cfg.Key))
+	codec := newServerCodec(&countedConn{Conn: conn, meter: n.meter}, n.cfg.Key)
+	if n.cfg.Messages != nil {
+		codec.in.memory = n.cfg.Messages.NewAccount()
+	}
+	n.rpc.ServeCodec(codec)
 }
 
 // Call calls method at the peer and returns its reply, for which it waits up to
--- a/internal/exchange/reader.go
+++ b/internal/exchange/reader.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 )
 
 // errTooLarge ends the connection of a peer that announces a message above the
@@ -14,11 +16,16 @@
 // messageReader reads a gob stream and refuses a message by its announced
 // length, before the decoder allocates memory for it. gob itself accepts 1 GiB.
 type messageReader struct {
-	src  *bufio.Reader
-	max  uint64
-	left uint64 // bytes of the current message that were not read
+	src    *bufio.Reader
+	max    uint64
+	left   uint64          // bytes of the current message that were not read
+	memory *memory.Account // holds the current message; nil means no bound
+	held   int64
 }
 
+// messageCopies is how often a message is held: as it is read and as it is decoded.
+const messageCopies = 2
+
 func newMessageReader(r io.Reader, limit uint64) *messageReader {
 	return &messageReader{src: bufio.NewReader(r), max: limit}
 }
@@ -55,7 +62,7 @@
 	}
 	if head[0] < 0x80 {
 		m.left = 1 + uint64(head[0])
-		return nil
+		return m.hold(messageCopies * int64(head[0]))
 	}
 	count := -int(int8(head[0]))
 	if count > 8 {
@@ -71,6 +78,21 @@
 	if length > m.max {
 		return errTooLarge
 	}
+	if err := m.hold(messageCopies * int64(length)); err != nil {
+		return err
+	}
 	m.left = 1 + uint64(count) + length
 	return nil
 }
+
+// hold replaces what the last message held, whose buffer the decoder keeps until the next
+// one.
+func (m *messageReader) hold(n int64) error {
+	m.memory.Drop(m.held)
+	m.held = 0
+	if err := m.memory.Hold(n); err != nil {
+		return err
+	}
+	m.held = n
+	return nil
+}
--- a/internal/inbound/quota.go
+++ b/internal/inbound/quota.go
@@ -56,6 +56,7 @@
 type Division struct {
 	Callers, Readiness, Metrics, Peers Quota
 	Bodies                             int64 // bytes of bodies and answers of callers' requests
+	PeerMessages                       int64 // bytes of messages of peers
 }
 
 // Costs in bytes. Measured on go1.26 with net/http: an idle connection holds its
@@ -95,6 +96,9 @@
 	callerShare = 0.25
 	bodyShare   = 0.25
 	bufferShare = 0.125
+	// peerShare is for the messages of peers that are longer than memory.FreeBytes, which few
+	// are.
+	peerShare = 0.0625
 )
 
 // Divide divides the memory in bytes and the descriptors of a process.
@@ -111,6 +115,8 @@
 		Metrics:   smallQuota(metrics),
 		Peers:     smallQuota(peers),
 		Bodies:    int64(bodyShare * float64(memory)),
+
+		PeerMessages: int64(peerShare * float64(memory)),
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -81,7 +81,7 @@
 	r.gate, r.meter = newStoreGate(), newMeter()
 	r.division = inbound.Divide(cmp.Or(s.MemoryLimit, defaultMemoryMB<<20), cmp.Or(s.MaxFDs, defaultMaxFDs))
 	r.memory = memory.NewBudget(r.division.Bodies)
-	r.node = exchange.New(exchange.Config{Key: exchangeKey, MaxPeers: int(r.division.Peers.Descriptors), AcceptFailed: func(err error) {
+	r.node = exchange.New(exchange.Config{Key: exchangeKey, MaxPeers: int(r.division.Peers.Descriptors), Messages: memory.NewBudget(r.division.PeerMessages), AcceptFailed: func(err error) {
 		r.log.Warn("connections of peers cannot be accepted", "error", err.Error())
 	}})
 	state := newState(s)
--- a/internal/side/exchange.go
+++ b/internal/side/exchange.go
@@ -16,12 +16,14 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 	"github.com/goldcrestturn/goldcrestturn/internal/member"
+	"github.com/goldcrestturn/goldcrestturn/internal/memory"
 	"github.com/goldcrestturn/goldcrestturn/internal/summary"
 	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
 func (p *Side) newNode() *exchange.Node {
-	n := exchange.New(exchange.Config{Key: p.settings.Key, MaxPeers: int(p.settings.Bounds.Division().Peers.Descriptors), Budget: p.settings.ControlBudget, Dial: p.deps.Dial, AcceptFailed: func(err error) {
+	division := p.settings.Bounds.Division()
+	n := exchange.New(exchange.Config{Key: p.settings.Key, MaxPeers: int(division.Peers.Descriptors), Messages: memory.NewBudget(division.PeerMessages), Budget: p.settings.ControlBudget, Dial: p.deps.Dial, AcceptFailed: func(err error) {
 		p.log.Warn("connections of peers cannot be accepted", "error", err.Error())
 	}})
 	if err := n.Register(exchange.Service, &peerService{p}); err != nil {
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/gob"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/rpc"
 	"slices"
 	"strings"
 	"sync"
@@ -277,7 +279,7 @@
 	}
 }
 
-// Guards against the same at the address for peers.
+// Guards against the same at the address for peers, whose key is no secret.
 func TestCrowdsOfPeers(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -288,9 +290,10 @@
 	unfinished := append([]byte("\xfd\x0d\xbb\xa0"), bytes.Repeat([]byte("x"), messageBytes-1)...)
 	flood := bytes.Repeat([]byte("\xff"), messageBytes)
 	for name, parts := range map[string][][]byte{
-		"unfinished message":    {unfinished},
-		"no message":            {flood},
-		"short message, no end": {unfinished[:1], flood},
+		"unfinished message":          {unfinished},
+		"unfinished message with key": {helloMessage(t, "goldcrest-router"), unfinished},
+		"no message":                  {flood},
+		"short message, no end":       {unfinished[:1], flood},
 	} {
 		t.Run(name, func(t *testing.T) {
 			crowdRouter(t, binary, crowdMemoryMB, crowdMaxFDs, func(p *process) crowd {
@@ -345,6 +348,19 @@
 	})
 }
 
+// helloMessage returns the first call on a connection between peers.
+func helloMessage(t *testing.T, key string) []byte {
+	var out bytes.Buffer
+	enc := gob.NewEncoder(&out)
+	if err := enc.Encode(rpc.Request{ServiceMethod: "H.Hello"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := enc.Encode(struct{ Key string }{key}); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
 // Guards against bounds on crowds that a single caller inside the limits meets.
 func TestCrowdBoundsPassSingleBodies(t *testing.T) {
 	if testing.Short() {
