router: an event ends at its blank line, whatever the lengths of its lines

The caller gets pieces of two runs joined and an end that looks complete, 7 events in place of 8.

Cause: bufio.Reader.ReadSlice returns a line that fills its buffer without the line feed, and then the line feed alone. The splitter looked at the result of one call and took it for a blank line.

Why it works: the splitter keeps where the current line began, and a line is blank only if all of it is, so pieces of a line decide nothing.

Looked for elsewhere: readers of lines in wire, endpointapi and load use bufio.Scanner, inbound.Head keeps its state over pieces, heads and bodies of origin and platform are read by net/http. Nothing found.

--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -35,10 +35,11 @@
 	s.memory.Drop(s.held)
 	s.held = 0
 	var event []byte
+	lineStart := 0 // of the current line in event; ReadSlice returns a long line in pieces
 	for {
-		line, err := s.r.ReadSlice('\n')
+		piece, err := s.r.ReadSlice('\n')
 		before := cap(event)
-		event = append(event, line...)
+		event = append(event, piece...)
 		if grown := int64(cap(event) - before); grown > 0 {
 			if err := s.memory.Hold(grown); err != nil {
 				return nil, err
@@ -51,8 +52,10 @@
 			return nil, errTruncatedEvent
 		case err != nil:
 			return nil, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line):
+		case lineStart > 0 && len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0:
 			return event, nil
+		default:
+			lineStart = len(event)
 		}
 		if len(event) > maxEventBytes {
 			return nil, eris.Errorf("router: event is longer than %d bytes", maxEventBytes)
--- a/internal/router/stream_test.go
+++ b/internal/router/stream_test.go
@@ -126,3 +126,28 @@
 	is.NoErr(r.err)
 	is.Equal(r.body, "")
 }
+
+// Guards against a stream that joins pieces of two endpoints, since its first endpoint failed
+// right before the blank line that ends an event with a long line, and against a sound stream
+// that is resumed or broken off for such a line.
+func TestStreamsWithLongLinesGoOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, 0)
+	p := f.start(nil).await()
+	const events = 5
+	for _, line := range []int{1022, 1023, 1024, 1025, 2048, 4096, 32 << 10} {
+		want := ""
+		for i := range events {
+			want += standin.Event(i, line)
+		}
+		for after, runs := range map[int]int{0: 1, 3: 2} {
+			f.setFaults("", standin.EndpointFaults{TruncateAfter: after, Unsent: 1, EventLine: line, Events: events})
+			r := p.post("/stream/chat/x")
+			is.Equal(r.status, http.StatusOK)
+			is.NoErr(r.err)
+			is.Equal(len(r.body), len(want))
+			is.True(r.body == want)
+			is.Equal(len(f.received(r.id)), runs)
+		}
+	}
+}
