router: blank lines after the last event are not the start of another

What callers saw: a complete stream that ends with a blank line more than its last event needs counted as broken off. A stream that may not be resumed ended without its last chunk, another one was resumed behind its last event.

Cause: the splitter took any byte after the last event for the beginning of another one.

Evidence: TestBlankLinesAfterTheLastEvent and TestStreamsThatEndWithABlankLineMore ("unexpected EOF" at the caller) failed before.

Why it works: at the end of the stream only bytes other than line ends are part of an event. Blank lines alone are passed on as they came, like a comment, so they neither begin a stream nor count as progress.

--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -29,8 +29,9 @@
 	return &eventSplitter{r: bufio.NewReaderSize(r, 1024), memory: a}
 }
 
-// next returns the next event, including the blank line that ends it. The event is valid
-// until the next call.
+// next returns the next event, including the blank line that ends it and any blank lines
+// before it. Blank lines after the last event are returned as an event of their own. The
+// event is valid until the next call.
 func (s *eventSplitter) next() ([]byte, error) {
 	s.memory.Drop(s.held)
 	s.held = 0
@@ -48,8 +49,10 @@
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-		case err != nil && len(event) > 0 && errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && len(bytes.Trim(event, "\r\n")) > 0:
 			return nil, errTruncatedEvent
+		case errors.Is(err, io.EOF) && len(event) > 0:
+			return event, nil // blank lines after the last event
 		case err != nil:
 			return nil, err
 		case lineStart > 0 && len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0:
--- a/internal/router/events_test.go
+++ b/internal/router/events_test.go
@@ -23,10 +23,13 @@
 			events, event = append(events, event), ""
 		}
 	}
-	if event != "" {
-		return events, errTruncatedEvent
+	switch {
+	case event == "":
+		return events, io.EOF
+	case strings.Trim(event, "\r\n") == "": // blank lines after the last event
+		return append(events, event), io.EOF
 	}
-	return events, io.EOF
+	return events, errTruncatedEvent
 }
 
 // readEvents reads all events from r.
@@ -82,12 +85,29 @@
 	}
 }
 
+// Guards against a complete stream that counts as broken off, since blank lines follow its last
+// event.
+func TestBlankLinesAfterTheLastEvent(t *testing.T) {
+	is := is.New(t)
+	for _, end := range []string{"\n", "\r\n"} {
+		for n := range 6 {
+			text := "data: a" + end + strings.Repeat(end, 1+n)
+			events, err := readEvents(strings.NewReader(text))
+			is.Equal(err, io.EOF)
+			is.Equal(strings.Join(events, ""), text)
+			is.Equal(events[0], "data: a"+end+end)
+			checkSplit(t, text)
+		}
+	}
+}
+
 // Guards against ends of events that depend on how the text of a stream arrives.
 func FuzzEvents(f *testing.F) {
 	for _, length := range []uint16{0, 1, 5, 1017, 1018, 1023, 1024, 2042, 2048} {
 		f.Add("id: 1\ndata: ", length, "\n\n: comment\n\nid: 2\r\ndata: b\r\n\r\n")
 		f.Add("data: ", length, "\n")
 	}
+	f.Add("data: a\r\n\r\n", uint16(0), "\r\n\n\r")
 	f.Fuzz(func(t *testing.T, before string, length uint16, after string) {
 		text := before + strings.Repeat("x", int(length)%5000) + after
 		for cut := range len(text) + 1 {
--- a/internal/router/stream_test.go
+++ b/internal/router/stream_test.go
@@ -151,3 +151,19 @@
 		}
 	}
 }
+
+// Guards against a complete stream that is resumed or broken off, since its endpoint sends a
+// blank line more than its last event needs.
+func TestStreamsThatEndWithABlankLineMore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, 0)
+	p := f.start(nil).await()
+	f.setFaults("", standin.EndpointFaults{Events: 3, LastBlanks: 1})
+	for _, path := range []string{"/stream/chat/x", "/stream/brief/x"} {
+		r := p.post(path)
+		is.Equal(r.status, http.StatusOK)
+		is.NoErr(r.err)
+		is.Equal(r.body, standin.Event(0, 0)+standin.Event(1, 0)+standin.Event(2, 0)+"\n")
+		is.Equal(len(f.received(r.id)), 1)
+	}
+}
