router, suspect: every part of a prompt counts at a crash

Cause: Request.causes returned the request as a whole and its first 15 parts, to bound the table of properties, although any part may be the deadly one.

Evidence: TestDeadlyPartsOfLongPromptsAreRefused, one router: three requests reach endpoints with 14 parts before the deadly one, all nine with 15, 300 and 2,000; three in each case now. Ruled out: the same with one router, so messages between routers are not the cause; with 14 parts it holds, so clearing and eviction are not.

Why it works: all properties count, up to what a head of 16 KB can hold, and of longer prompts others at each crash. Memory is bounded where it is held, by the table and by the list of failures, in place of the request. Sound requests still clear the parts that they share.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -15,12 +15,9 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
-// maxCausesPerRequest bounds the properties of one request, whose prompt may name any
-// number of parts.
-const maxCausesPerRequest = 16
-
 // causes returns the properties of a request that other requests may share and that can
-// crash an endpoint: the prompt parts except the last one, and the request as a whole.
+// crash an endpoint: the request as a whole, and the prompt parts except the last one. The
+// size of the head bounds them.
 func (r *Request) causes() []uint64 {
 	var caller model.Workspace
 	if r.Workspace != nil { // rather than the key, since a workspace may have several
@@ -29,11 +26,9 @@
 	d := xxhash.New()
 	_, _ = d.WriteString(string(caller) + "\x00" + r.Method + "\x00" + r.Host + "\x00" + r.Target + "\x00")
 	_, _ = d.Write(r.Body)
-	out := []uint64{suspect.KeyOfRequest(d.Sum64())}
-	for _, p := range r.Parts[:max(0, len(r.Parts)-1)] {
-		if len(out) == maxCausesPerRequest {
-			break
-		}
+	shared := r.Parts[:max(0, len(r.Parts)-1)]
+	out := append(make([]uint64, 0, 1+len(shared)), suspect.KeyOfRequest(d.Sum64()))
+	for _, p := range shared {
 		out = append(out, causeOfPart(p.ID))
 	}
 	return out
@@ -105,7 +100,8 @@
 
 // failureOf returns the attempt of a request that got no complete answer.
 func failureOf(req *Request) suspect.Failure {
-	return suspect.Failure{Endpoint: req.Endpoint.ID, Started: req.Endpoint.Started, Causes: req.causes()}
+	process := suspect.ProcessHash(req.Endpoint.ID, req.Endpoint.Started)
+	return suspect.Failure{Endpoint: req.Endpoint.ID, Started: req.Endpoint.Started, Causes: suspect.Sample(req.causes(), process)}
 }
 
 // recordSound reports that an endpoint answered a request, if it has a property that was
@@ -314,20 +310,32 @@
 	}
 }
 
+// maxPropertiesLogged bounds the lines about properties that change together. A long prompt
+// whose parts no sound request shares has thousands.
+const maxPropertiesLogged = 16
+
 // publish updates the view of the table and logs what it refuses from now on.
 func (f judgeCauses) publish(s *State, now time.Time) bool {
 	s.causes.Sweep(now)
 	view := s.causes.View()
-	for key, refused := range view {
-		if refused && !s.causeView[key] {
-			f.log.Warn("property of requests crashes endpoints", "property", suspect.Name(key), "crashes", len(s.causes.Crashes(key)))
-		}
+	refused := refusedOnlyIn(view, s.causeView)
+	for _, key := range refused[:min(len(refused), maxPropertiesLogged)] {
+		f.log.Warn("property of requests crashes endpoints", "property", suspect.Name(key), "crashes", len(s.causes.Crashes(key)), "together", len(refused))
 	}
-	for key, refused := range s.causeView {
-		if refused && !view[key] {
-			f.log.Info("property of requests is sound again", "property", suspect.Name(key))
-		}
+	sound := refusedOnlyIn(s.causeView, view)
+	for _, key := range sound[:min(len(sound), maxPropertiesLogged)] {
+		f.log.Info("property of requests is sound again", "property", suspect.Name(key), "together", len(sound))
 	}
 	s.causeView = view
 	return true
 }
+
+// refusedOnlyIn returns the properties that are refused in view and not in other.
+func refusedOnlyIn(view, other suspect.CauseView) (out []uint64) {
+	for key, refused := range view {
+		if refused && !other[key] {
+			out = append(out, key)
+		}
+	}
+	return out
+}
--- a/internal/router/causes_test.go
+++ b/internal/router/causes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -101,3 +102,45 @@
 	is.True(reached <= 4)
 	is.Equal(send("sound", "b").status, http.StatusOK)
 }
+
+// longPrompt returns the header of a request whose prompt has a given part behind many others
+// that all prompts share, and a last part of its own.
+func longPrompt(before int, part string, last int) map[string]string {
+	var b strings.Builder
+	for i := range before {
+		fmt.Fprintf(&b, "%x:1,", 0xa000+i)
+	}
+	fmt.Fprintf(&b, "%s:1,%x:1", part, 0xf0000+last)
+	return map[string]string{"X-Goldcrestturn-Prefix-Hash": b.String()}
+}
+
+// Guards against a prompt part that crashes one endpoint after the other and is never refused,
+// since it stands behind many others, and against the refusal of sound requests that share
+// those.
+func TestDeadlyPartsOfLongPromptsAreRefused(t *testing.T) {
+	for _, before := range []int{14, 15, 300, 2000} {
+		t.Run(fmt.Sprint(before), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t, 8, 0)
+			p := f.start(nil).await()
+			f.setFaults("", standin.EndpointFaults{DeadlyPart: "dead", DownTime: 2 * time.Second})
+			n := 0
+			send := func(part string) reply {
+				n++
+				return p.call(context.Background(), http.MethodPost, "/stream/brief/x", fmt.Sprint("body ", n), longPrompt(before, part, n))
+			}
+			reached := 0
+			for range 3 * suspect.CauseThreshold {
+				reached += len(f.received(send("dead").id))
+				time.Sleep(suspect.MinCrashInterval)
+				is.Equal(send("50d").status, http.StatusOK)
+			}
+			t.Logf("%d requests with the part reached endpoints", reached)
+			is.Equal(reached, suspect.CauseThreshold)
+			r := send("dead")
+			is.Equal(r.status, http.StatusServiceUnavailable)
+			is.Equal(r.header.Get("Retry-After"), "30.000")
+		})
+	}
+}
--- a/internal/suspect/capacity_test.go
+++ b/internal/suspect/capacity_test.go
@@ -37,3 +37,45 @@
 		t.View(now)
 	}
 }
+
+// fullCauses returns a table that is full of properties that were met at n crashes each.
+func fullCauses(n int) *Causes {
+	c := NewCauses()
+	for i := range n {
+		at := start.Add(time.Duration(i) * time.Second)
+		for key := range uint64(MaxCauses) {
+			c.Add(at, CauseCrash{key + 1, uint32(i), at})
+		}
+	}
+	return c
+}
+
+func BenchmarkCapacityCausesMemory(b *testing.B) {
+	for _, crashes := range []int{1, CauseThreshold, MaxCauseCrashes} {
+		b.Run(fmt.Sprint("crashes=", crashes), func(b *testing.B) {
+			for range b.N {
+				var m runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&m)
+				before := m.HeapAlloc
+				c := fullCauses(crashes)
+				runtime.GC()
+				runtime.ReadMemStats(&m)
+				b.ReportMetric(float64(m.HeapAlloc-before)/MaxCauses, "B/property")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+// The crash of a request with as many properties as are counted, at a full table.
+func BenchmarkCapacityCausesOfACrash(b *testing.B) {
+	c := fullCauses(1)
+	for i := range b.N {
+		at := start.Add(time.Duration(i+1) * time.Second)
+		for key := range uint64(MaxCausesPerRequest) {
+			c.Add(at, CauseCrash{key + uint64(i+1)<<32, uint32(i), at})
+		}
+		c.View()
+	}
+}
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -41,9 +44,12 @@
 	maxTrialDelay = 5 * time.Second
 	// refusedLifetime is how long a property stays refused after its last crash.
 	refusedLifetime = 24 * time.Hour
+	// MaxCausesPerRequest is the number of properties of one request that are counted at a
+	// crash. The longest prompt that fits into a head of 16 KB has 4,096 parts.
+	MaxCausesPerRequest = 4097
 	// MaxCauses is the maximum number of causes in a table, and MaxCauseCrashes that of
 	// the crashes of one.
-	MaxCauses       = 1024
+	MaxCauses       = 4 * MaxCausesPerRequest
 	MaxCauseCrashes = 8
 )
 
@@ -55,6 +61,25 @@
 func KeyOfPart(hash uint64) uint64    { return hash | partBit }
 func KeyOfRequest(hash uint64) uint64 { return hash &^ partBit }
 
+// Sample returns the properties of a request that are counted at the crash of a process: all
+// of them, or the first one and MaxCausesPerRequest-1 of the others. Which of the others
+// depends on the process, so that none is left out at each crash. It may reorder keys.
+func Sample(keys []uint64, process uint32) []uint64 {
+	if len(keys) <= MaxCausesPerRequest {
+		return keys
+	}
+	slices.SortFunc(keys[1:], func(a, b uint64) int { return cmp.Compare(scramble(a, uint64(process)), scramble(b, uint64(process))) })
+	return keys[:MaxCausesPerRequest]
+}
+
+// scramble returns the place of a key in an order that depends on seed.
+func scramble(key, seed uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], key)
+	binary.LittleEndian.PutUint64(b[8:], seed)
+	return xxhash.Sum64(b[:])
+}
+
 // CauseCrash is a crash of an endpoint while a request that had a certain property was
 // in flight and had no complete answer yet. Key stands for the property: a prompt part, or
 // the request as a whole.
@@ -117,20 +142,28 @@
 // evict removes an eighth of the table: the properties with the fewest crashes first and
 // refused ones last, and of those the ones whose last crashes are the oldest. Refused
 // properties are not sent, so theirs are old, while each crash adds all requests that
-// were in flight.
+// were in flight. Which ones of the same crash go first differs from crash to crash.
 func (t *Causes) evict() {
-	weight := func(s *cause) int {
+	type place struct {
+		key    uint64
+		weight int
+		last   time.Time
+		tie    uint64
+	}
+	order := make([]place, 0, len(t.byKey))
+	for key, s := range t.byKey {
+		p := place{key, s.separateCrashes(), s.last(), 0}
 		if s.refused() {
-			return CauseThreshold
+			p.weight = CauseThreshold
 		}
-		return s.separateCrashes()
+		p.tie = scramble(key, uint64(p.last.UnixNano()))
+		order = append(order, p)
 	}
-	keys := slices.SortedFunc(maps.Keys(t.byKey), func(a, b uint64) int {
-		x, y := t.byKey[a], t.byKey[b]
-		return cmp.Or(cmp.Compare(weight(x), weight(y)), x.last().Compare(y.last()), cmp.Compare(a, b))
+	slices.SortFunc(order, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.weight, b.weight), a.last.Compare(b.last), cmp.Compare(a.tie, b.tie))
 	})
-	for _, k := range keys[:MaxCauses/8] {
-		delete(t.byKey, k)
+	for _, p := range order[:MaxCauses/8] {
+		delete(t.byKey, p.key)
 	}
 }
 
--- a/internal/suspect/causes_test.go
+++ b/internal/suspect/causes_test.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -165,3 +166,61 @@
 	is.Equal(len(r), 2)
 	is.Equal(r[1].Trials, 1)
 }
+
+// Guards against a prompt part that is never refused because its prompt has very many parts,
+// or because the other requests at its crashes do.
+func TestAnyPartOfLongPromptsIsFound(t *testing.T) {
+	for _, deadly := range []uint64{1, 1<<64 - 1} {
+		is := is.New(t)
+		c := NewCauses()
+		now := time.Unix(1_700_000_000, 0)
+		for i := range uint32(CauseThreshold) {
+			is.True(!c.View()[deadly])
+			for part := range uint64(MaxCausesPerRequest - 1) {
+				c.Add(now, CauseCrash{1000 + part, i, now})
+				c.Add(now, CauseCrash{1_000_000*uint64(i+1) + part, i, now}) // of another request
+			}
+			c.Add(now, CauseCrash{deadly, i, now})
+			now = now.Add(time.Second)
+			for part := range uint64(MaxCausesPerRequest - 1) {
+				c.Clear(1000+part, now) // a sound request shares them
+			}
+		}
+		is.True(c.View()[deadly])
+		is.True(len(c.View()) <= MaxCauses)
+	}
+}
+
+// Guards against a property that is left out at each crash, since a request has more than are
+// counted, or since there are more than the table can hold.
+func TestNoPropertyIsLeftOutAtEachCrash(t *testing.T) {
+	is := is.New(t)
+	keys := make([]uint64, 3*MaxCausesPerRequest)
+	for i := range keys {
+		keys[i] = uint64(i + 1)
+	}
+	is.Equal(len(Sample(keys[:MaxCausesPerRequest], 1)), MaxCausesPerRequest)
+	counted := map[uint64]int{}
+	for process := range uint32(100) {
+		sample := Sample(slices.Clone(keys), process)
+		is.Equal(len(sample), MaxCausesPerRequest)
+		for _, key := range sample {
+			counted[key]++
+		}
+	}
+	is.Equal(len(counted), len(keys))
+	is.Equal(counted[keys[0]], 100) // the request as a whole
+
+	c := NewCauses()
+	now := time.Unix(1_700_000_000, 0)
+	found := false
+	for i := range uint32(20) {
+		for key := range uint64(MaxCauses + MaxCauses/4) {
+			c.Add(now, CauseCrash{key + 1, i, now})
+		}
+		found = found || len(c.Crashes(1)) > 0 && len(c.Crashes(2)) > 0
+		now = now.Add(2 * Lifetime)
+		c.Sweep(now)
+	}
+	is.True(found)
+}
--- a/internal/suspect/restarts.go
+++ b/internal/suspect/restarts.go
@@ -12,6 +12,8 @@
 	// that ended leaves the list after three missed check-ins.
 	restartTime = 15 * time.Second
 	maxFailures = 256
+	// maxFailureCauses is the maximum number of properties in all failures, 512 KB of memory.
+	maxFailureCauses = 16 * MaxCausesPerRequest
 )
 
 // Failure is an attempt whose answer did not come, or not whole, from an endpoint of which
@@ -27,12 +29,17 @@
 // started again since. It belongs to the control goroutine.
 type Failures struct{ list []Failure }
 
-// Add records a failure. The oldest one goes if there are too many.
+// Add records a failure. The oldest ones go if there are too many, or too many properties.
 func (t *Failures) Add(f Failure) {
-	if len(t.list) >= maxFailures {
-		t.list = slices.Delete(t.list, 0, 1)
-	}
 	t.list = append(t.list, f)
+	causes, from := 0, len(t.list)
+	for from > 0 && len(t.list)-from < maxFailures {
+		if causes += len(t.list[from-1].Causes); causes > maxFailureCauses {
+			break
+		}
+		from--
+	}
+	t.list = slices.Delete(t.list, 0, from)
 }
 
 // Crashes removes and returns the failures whose endpoints have ended since: restarted
--- a/internal/suspect/restarts_test.go
+++ b/internal/suspect/restarts_test.go
@@ -29,4 +29,9 @@
 		failures.Add(Failure{Endpoint: "lives", At: now})
 	}
 	is.Equal(len(failures.list), maxFailures)
+	long := make([]uint64, MaxCausesPerRequest) // of a prompt with very many parts
+	for range maxFailures {
+		failures.Add(Failure{Endpoint: "lives", At: now, Causes: long})
+	}
+	is.Equal(len(failures.list)*len(long), maxFailureCauses)
 }
