mesh, router: crashes with many properties take several datagrams

While the store is away, a deadly part behind the 48th property of a request crashed endpoints at each router anew, and answers with more properties cleared them only at the router that got them.

Cause: mesh.Append cuts the crashes and sound properties of a message to what fits into a datagram, 48 each, and nobody split a longer message.

Evidence: TestPeersHearOfLongPrompts with the store away; with 300 and 2,000 parts the second router sent the request on (502 of a crash in place of 503) before this change.

Why it works: the goroutine that sends splits a message with Split, which leaves nothing out. Datagrams keep their format and size.

--- a/internal/mesh/causes.go
+++ b/internal/mesh/causes.go
@@ -2,9 +2,34 @@
 
 import (
 	"encoding/binary"
+	"iter"
+	"slices"
 	"time"
 )
 
+// Split returns messages with all crashes and sound properties of m, each of which fits into a
+// datagram. A message with neither is returned as it is.
+func (m Message) Split() iter.Seq[Message] {
+	if !m.hasCauses() {
+		return func(yield func(Message) bool) { yield(m) }
+	}
+	return func(yield func(Message) bool) {
+		part := m
+		part.Sound = nil
+		for part.Crashes = range slices.Chunk(m.Crashes, MaxCrashes) {
+			if !yield(part) {
+				return
+			}
+		}
+		part.Crashes = nil
+		for part.Sound = range slices.Chunk(m.Sound, maxSound) {
+			if !yield(part) {
+				return
+			}
+		}
+	}
+}
+
 // appendCauses appends the crashes and the sound properties of m to its header fields.
 func appendCauses(b []byte, m Message) []byte {
 	crashes := m.Crashes[:min(len(m.Crashes), MaxCrashes)]
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -54,6 +54,31 @@
 	is.Equal(got, m)
 }
 
+// Guards against crashes and sound properties that are left out of the datagrams of a message
+// with many of them, and against datagrams above the smallest common MTU.
+func TestMessagesWithManyPropertiesAreSplit(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{0, 1, MaxCrashes, MaxCrashes + 1, 4097} {
+		m := Message{Name: "kauri-edge-17", DataCentre: "akl-a", Address: netip.MustParseAddrPort("10.1.0.7:7340"), Relay: true}
+		for i := range n {
+			m.Crashes = append(m.Crashes, Crash{Key: uint64(i), Endpoint: 7, Age: time.Second})
+			m.Sound = append(m.Sound, uint64(n+i))
+		}
+		got := Message{Name: m.Name, DataCentre: m.DataCentre, Address: m.Address, Relay: true}
+		datagrams := 0
+		for part := range m.Split() {
+			b := Append(nil, part)
+			is.True(len(b) <= 1232)
+			parsed, err := Parse(b)
+			is.NoErr(err)
+			got.Crashes, got.Sound = append(got.Crashes, parsed.Crashes...), append(got.Sound, parsed.Sound...)
+			datagrams++
+		}
+		is.Equal(got, m)
+		is.True(datagrams > 0)
+	}
+}
+
 // Guards against messages about slots that take more of the bytes of a router than the
 // rate of the home allows for: 100 a second of 110 bytes, 28 of them of UDP and IP.
 func TestMessagesAboutSlotsAreSmall(t *testing.T) {
--- a/internal/router/causes_test.go
+++ b/internal/router/causes_test.go
@@ -144,3 +144,41 @@
 		})
 	}
 }
+
+// Guards against crashes and answers with long prompts that the peers of a router do not hear
+// of, since a datagram holds fewer properties: the part crashed endpoints at each router anew.
+func TestPeersHearOfLongPrompts(t *testing.T) {
+	for _, before := range []int{60, 300, 2000} {
+		t.Run(fmt.Sprint(before), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t, 8, 0)
+			var routers []*process
+			for i := range 2 {
+				routers = append(routers, f.start(func(s *router.Settings) {
+					s.Instance, s.FirstStart, s.Revoke = model.InstanceID(fmt.Sprint("router-", i)), true, time.Minute
+				}).await())
+			}
+			for _, p := range routers {
+				eventually(t, "the routers hear each other", func() bool { return strings.Contains(p.text(), "router heard") })
+			}
+			f.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable}) // datagrams are the only path
+			f.setFaults("", standin.EndpointFaults{DeadlyPart: "dead", DownTime: time.Second})
+			n := 0
+			send := func(p *process, part string) reply {
+				n++
+				return p.call(context.Background(), http.MethodPost, "/stream/brief/x", fmt.Sprint("body ", n), longPrompt(before, part, n))
+			}
+			for range suspect.CauseThreshold {
+				is.Equal(len(f.received(send(routers[0], "dead").id)), 1)
+				time.Sleep(suspect.MinCrashInterval)
+				is.Equal(send(routers[0], "50d").status, http.StatusOK)
+			}
+			time.Sleep(time.Second) // for the datagrams, and until all endpoints are back
+			is.Equal(send(routers[1], "50d").status, http.StatusOK)
+			r := send(routers[1], "dead")
+			is.Equal(r.status, http.StatusServiceUnavailable)
+			is.Equal(len(f.received(r.id)), 0)
+		})
+	}
+}
--- a/internal/router/source_peers.go
+++ b/internal/router/source_peers.go
@@ -168,7 +168,9 @@
 		case h := <-p.newHolders:
 			p.broadcast(mesh.Message{Holders: p.batchHolders(h)})
 		case m := <-p.messages:
-			p.broadcast(m)
+			for part := range m.Split() {
+				p.broadcast(part)
+			}
 		case d := <-p.direct:
 			p.sendTo(d.to, p.encode(d.message))
 		case c := <-p.caches:
@@ -220,8 +222,10 @@
 	for holders := range slices.Chunk(report.holders, mesh.MaxHolders) {
 		p.sendTo(a, p.encode(mesh.Message{Holders: holders}))
 	}
-	for crashes := range slices.Chunk(report.crashes, mesh.MaxCrashes) {
-		p.sendTo(a, p.encode(mesh.Message{Crashes: crashes}))
+	if len(report.crashes) > 0 {
+		for part := range (mesh.Message{Crashes: report.crashes}).Split() {
+			p.sendTo(a, p.encode(part))
+		}
 	}
 	if len(report.limits) > 0 {
 		p.sendTo(a, p.encode(mesh.Message{Limits: report.limits}))
