suspect, platform: a report of crashes has room for long prompts

What callers saw: with six routers that do not hear each other, a deadly part behind 300 or 2,000 others crashed 8 endpoints in place of 3 while sound requests shared the other parts.

Cause: a report in the store held at most 128 crashes. All properties of one crash rank alike there, so the deadly one was left out until its router had met it twice.

Why it works: a report has room for two crashes of requests with as many properties as are counted. Observed keeps crashes by property, since an answer may clear thousands at once.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -185,7 +185,7 @@
 	case suspectsRead:
 		for _, r := range e.records {
 			s.causes.Merge(now, r)
-			if len(s.causes.Crashes(r.Key)) == 0 && s.table.IsFirst(uint32(r.Key)) {
+			if s.causes.Count(r.Key) == 0 && s.table.IsFirst(uint32(r.Key)) {
 				f.save(suspect.Record{Key: r.Key}) // expired
 			}
 		}
@@ -205,7 +205,7 @@
 			isNew = true
 			s.observed.AddCrash(c)
 		}
-		known = max(known, len(s.causes.Crashes(key)))
+		known = max(known, s.causes.Count(key))
 		// All crashes with the property, since peers may have missed a message.
 		crashes = append(crashes, agesOf(s.causes.Crashes(key), now)...)
 	}
@@ -294,7 +294,7 @@
 
 // saveReport writes what this router saw of crashes to the store.
 func (f judgeCauses) saveReport(s *State, now time.Time) {
-	f.report(s.observed.Report(now, s.settings.Instance, func(key uint64) int { return len(s.causes.Crashes(key)) }))
+	f.report(s.observed.Report(now, s.settings.Instance, s.causes.Count))
 }
 
 // publishHeard publishes what this router heard of others. The first router of a property
@@ -320,7 +320,7 @@
 	view := s.causes.View()
 	refused := refusedOnlyIn(view, s.causeView)
 	for _, key := range refused[:min(len(refused), maxPropertiesLogged)] {
-		f.log.Warn("property of requests crashes endpoints", "property", suspect.Name(key), "crashes", len(s.causes.Crashes(key)), "together", len(refused))
+		f.log.Warn("property of requests crashes endpoints", "property", suspect.Name(key), "crashes", s.causes.Count(key), "together", len(refused))
 	}
 	sound := refusedOnlyIn(s.causeView, view)
 	for _, key := range sound[:min(len(sound), maxPropertiesLogged)] {
--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -102,7 +102,7 @@
 // lost: the crashes that it saw, and the refused properties of which it is the first router or
 // knows a trial. The writer leaves out what the store holds.
 func (f judgeCauses) saveAfterRestore(s *State, now time.Time) {
-	if report := s.observed.Report(now, s.settings.Instance, func(key uint64) int { return len(s.causes.Crashes(key)) }); len(report.Crashes)+len(report.Sound) > 0 {
+	if report := s.observed.Report(now, s.settings.Instance, s.causes.Count); len(report.Crashes)+len(report.Sound) > 0 {
 		f.report(report)
 	}
 	for key, refused := range s.causeView {
--- a/internal/router/unheard_test.go
+++ b/internal/router/unheard_test.go
@@ -1,6 +1,9 @@
 package router_test
 
 import (
+	"context"
+	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -8,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/router"
+	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
@@ -159,3 +163,32 @@
 	is.New(t).True(float64(arrivals-requests) <= ratio*requests+burst)
 	is.New(t).True(arrivals > requests)
 }
+
+// Guards against a prompt part behind many others that crashes an endpoint at each router that
+// hears no peer: the reports of crashes in the store left it out.
+func TestDeadlyPartsOfLongPromptsAtRoutersThatHearNoPeer(t *testing.T) {
+	const routers = 6
+	for _, before := range []int{300, 2000} {
+		t.Run(fmt.Sprint(before), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 8, 0)
+			fleet := f.startUnheard(routers)
+			f.setFaults("", standin.EndpointFaults{DeadlyPart: "dead", DownTime: time.Second})
+			reached, answered := 0, 0
+			for i := range 3 * routers {
+				send := func(part string) reply {
+					return fleet[i%routers].call(context.Background(), http.MethodPost, "/stream/brief/x", fmt.Sprint("body ", part, i), longPrompt(before, part, i))
+				}
+				reached += len(f.received(send("dead").id))
+				if send("50d").status == http.StatusOK { // shares all other parts
+					answered++
+				}
+				time.Sleep(650 * time.Millisecond) // for the reports
+			}
+			t.Logf("%d requests with the part reached endpoints, %d sound ones were answered", reached, answered)
+			is := is.New(t)
+			is.Equal(reached, suspect.CauseThreshold)
+			is.Equal(answered, 3*routers)
+		})
+	}
+}
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -239,6 +239,14 @@
 	return s != nil && (s.refused() || s.separateCrashes() >= CauseThreshold-1)
 }
 
+// Count returns the number of crashes that are known of a property.
+func (t *Causes) Count(key uint64) int {
+	if s := t.byKey[key]; s != nil {
+		return len(s.crashes)
+	}
+	return 0
+}
+
 // Crashes returns the crashes of one property, or those of all if key is 0.
 func (t *Causes) Crashes(key uint64) (out []CauseCrash) {
 	if s := t.byKey[key]; s != nil {
--- a/internal/suspect/report.go
+++ b/internal/suspect/report.go
@@ -12,8 +12,8 @@
 
 const (
 	// MaxReported is the maximum number of crashes in a report, and that of sound
-	// properties.
-	MaxReported = 128
+	// properties. Two crashes of requests with as many properties as are counted fit.
+	MaxReported = 2 * MaxCausesPerRequest
 	// soundLifetime is how long a report names a property that was found sound. Routers
 	// that follow the reports have read it by then.
 	soundLifetime = 30 * time.Second
@@ -69,21 +69,31 @@
 
 // Observed holds what a router reports. It belongs to the control goroutine.
 type Observed struct {
-	crashes []CauseCrash
+	crashes map[uint64][]CauseCrash // by property
 	sound   []SoundCause
 }
 
 // AddCrash adds a crash that this router saw.
-func (o *Observed) AddCrash(c CauseCrash) { o.crashes = append(o.crashes, c) }
+func (o *Observed) AddCrash(c CauseCrash) {
+	if o.crashes == nil {
+		o.crashes = map[uint64][]CauseCrash{}
+	}
+	o.crashes[c.Key] = append(o.crashes[c.Key], c)
+}
 
 // AddSound records that a property was answered and reports whether there is something to
 // report: this router has reported crashes with it, or urgent is true.
 func (o *Observed) AddSound(key uint64, at time.Time, urgent bool) bool {
-	before := len(o.crashes)
-	o.crashes = slices.DeleteFunc(o.crashes, func(c CauseCrash) bool { return c.Key == key && !c.At.After(at) })
-	if len(o.crashes) == before && !urgent {
+	before := len(o.crashes[key])
+	left := slices.DeleteFunc(o.crashes[key], func(c CauseCrash) bool { return !c.At.After(at) })
+	if len(left) == before && !urgent {
 		return false
 	}
+	if len(left) == 0 {
+		delete(o.crashes, key)
+	} else {
+		o.crashes[key] = left
+	}
 	o.sound = append(o.sound, SoundCause{key, at})
 	return true
 }
@@ -91,12 +101,39 @@
 // Report returns the report of a router. If there is more to report than fits, the crashes
 // with the properties of which crashes returns the most are kept, and the newest ones.
 func (o *Observed) Report(now time.Time, router model.InstanceID, crashes func(key uint64) int) Report {
-	o.crashes = slices.DeleteFunc(o.crashes, func(c CauseCrash) bool { return now.Sub(c.At) >= Lifetime })
 	o.sound = slices.DeleteFunc(o.sound, func(c SoundCause) bool { return now.Sub(c.At) >= soundLifetime })
-	slices.SortStableFunc(o.crashes, func(a, b CauseCrash) int {
-		return cmp.Or(cmp.Compare(crashes(b.Key), crashes(a.Key)), b.At.Compare(a.At))
-	})
-	o.crashes = o.crashes[:min(len(o.crashes), MaxReported)]
 	o.sound = o.sound[max(0, len(o.sound)-MaxReported):]
-	return Report{Router: router, Written: now, Crashes: slices.Clone(o.crashes), Sound: slices.Clone(o.sound)}
+	list := o.ranked(now, crashes)
+	list = list[:min(len(list), MaxReported)]
+	clear(o.crashes)
+	for _, c := range list {
+		o.AddCrash(c)
+	}
+	return Report{Router: router, Written: now, Crashes: list, Sound: slices.Clone(o.sound)}
+}
+
+// ranked returns the crashes that still count, those with the properties of which crashes
+// returns the most first, and of these the newest ones.
+func (o *Observed) ranked(now time.Time, crashes func(key uint64) int) []CauseCrash {
+	type entry struct {
+		CauseCrash
+		known int
+	}
+	var list []entry
+	for key, of := range o.crashes {
+		known := crashes(key)
+		for _, c := range of {
+			if now.Sub(c.At) < Lifetime {
+				list = append(list, entry{c, known})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(b.known, a.known), b.At.Compare(a.At), cmp.Compare(a.Key, b.Key), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	var out []CauseCrash
+	for _, e := range list {
+		out = append(out, e.CauseCrash)
+	}
+	return out
 }
