router, platform: refused properties are stored together

What callers saw: a deadly part behind 300 or 2,000 others that no sound request shares crashed endpoints again after a restart of all routers.

Cause: refused properties went to the store through a queue of 256, one by one, each with a read of all and a conditional write. The rest was dropped (goldcrest_router_suspect_records_dropped_total).

Why it works: the control goroutine hands over a map of records, which the writer takes whole, so nothing is dropped below the size of the table of properties, and memory stays bounded by it. One read and one write take up to 512 records. Merging with what is stored, and the condition on the position, are as before.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -124,9 +124,9 @@
 
 // judgeCauses tracks the properties of requests that crash endpoints.
 type judgeCauses struct {
-	broadcast func(mesh.Message)   // must not block
-	save      func(suspect.Record) // writes to the store; must not block
-	report    func(suspect.Report) // writes to the store; must not block
+	broadcast func(mesh.Message)     // must not block
+	save      func([]suspect.Record) // writes to the store; must not block
+	report    func(suspect.Report)   // writes to the store; must not block
 	log       *slog.Logger
 }
 
@@ -183,12 +183,14 @@
 		f.publishHeard(s, now)
 		return true
 	case suspectsRead:
+		var expired []suspect.Record
 		for _, r := range e.records {
 			s.causes.Merge(now, r)
 			if s.causes.Count(r.Key) == 0 && s.table.IsFirst(uint32(r.Key)) {
-				f.save(suspect.Record{Key: r.Key}) // expired
+				expired = append(expired, suspect.Record{Key: r.Key})
 			}
 		}
+		f.save(expired)
 		return len(e.records) > 0 && f.publish(s, now)
 	}
 	return false
@@ -221,11 +223,13 @@
 
 // saveRefused stores the records of those properties that are refused.
 func (f judgeCauses) saveRefused(s *State, keys []uint64) {
+	var records []suspect.Record
 	for _, key := range keys {
 		if s.causeView[key] {
-			f.save(s.causes.Record(key))
+			records = append(records, s.causes.Record(key))
 		}
 	}
+	f.save(records)
 }
 
 // agesOf returns crashes in the form in which they are sent to peers.
@@ -303,11 +307,13 @@
 func (f judgeCauses) publishHeard(s *State, now time.Time) {
 	before := s.causeView
 	f.publish(s, now)
-	for key, refused := range s.causeView {
-		if refused && !before[key] && s.table.IsFirst(uint32(key)) {
-			f.save(s.causes.Record(key))
+	var records []suspect.Record
+	for _, key := range refusedOnlyIn(s.causeView, before) {
+		if s.table.IsFirst(uint32(key)) {
+			records = append(records, s.causes.Record(key))
 		}
 	}
+	f.save(records)
 }
 
 // maxPropertiesLogged bounds the lines about properties that change together. A long prompt
--- a/internal/router/causes_test.go
+++ b/internal/router/causes_test.go
@@ -13,6 +13,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/router"
 	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
+	"github.com/goldcrestturn/goldcrestturn/platform"
 	"github.com/goldcrestturn/goldcrestturn/platform/standin"
 )
 
@@ -182,3 +183,35 @@
 		})
 	}
 }
+
+// Guards against a prompt part that crashes endpoints again after a restart of all routers, since
+// too many properties were refused with it to be stored.
+func TestLongPromptsAreRefusedAfterARestart(t *testing.T) {
+	for _, before := range []int{300, 2000} {
+		t.Run(fmt.Sprint(before), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t, 8, 0)
+			p := f.start(nil).await()
+			f.setFaults("", standin.EndpointFaults{DeadlyPart: "dead", DownTime: time.Second})
+			send := func(n int, prompt map[string]string) reply {
+				return p.call(context.Background(), http.MethodPost, "/stream/brief/x", fmt.Sprint("body ", n), prompt)
+			}
+			for n := range suspect.CauseThreshold {
+				is.Equal(len(f.received(send(n, longPrompt(before, "dead", n)).id)), 1)
+				time.Sleep(suspect.MinCrashInterval)
+			}
+			// No other request tells the parts apart.
+			eventually(t, "all properties are stored", func() bool {
+				list, _, err := platform.NewStore(f.store.Address()).Suspects(context.Background())
+				return err == nil && len(list) == before+1
+			})
+			p.stop()
+			<-p.ended
+			p = f.start(nil).await()
+			r := send(9, prompt("a", "dead", "b")) // nothing else in common
+			is.Equal(r.status, http.StatusServiceUnavailable)
+			is.Equal(len(f.received(r.id)), 0)
+		})
+	}
+}
--- a/internal/router/deps.go
+++ b/internal/router/deps.go
@@ -128,10 +128,11 @@
 	Announce(ctx context.Context, m Member) error
 	Members(ctx context.Context) ([]Member, error)
 	// Suspects returns the records of all refused properties and the position after them.
-	// PutSuspect stores a record in place of the one with the same key, or removes that
-	// one if it has no crashes. It returns ErrConflict if one was stored after position.
+	// PutSuspects stores records in place of those with the same keys, all or none. A
+	// record without crashes removes the one with its key. It returns ErrConflict if one
+	// was stored after position.
 	Suspects(ctx context.Context) ([]suspect.Record, Position, error)
-	PutSuspect(ctx context.Context, r suspect.Record, position Position) error
+	PutSuspects(ctx context.Context, records []suspect.Record, position Position) error
 	// ClaimTrial stores records with one more trial each, all or none: none if a stored
 	// one has as many already. It returns the records that are stored then. It fails if
 	// another router stores a record at the same time, and with ErrRestored if the store
--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 	"github.com/goldcrestturn/goldcrestturn/internal/summary"
+	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
 const (
@@ -105,11 +106,13 @@
 	if report := s.observed.Report(now, s.settings.Instance, s.causes.Count); len(report.Crashes)+len(report.Sound) > 0 {
 		f.report(report)
 	}
+	var records []suspect.Record
 	for key, refused := range s.causeView {
 		if rec := s.causes.Record(key); refused && (rec.Trials > 0 || s.table.IsFirst(uint32(key))) {
-			f.save(rec)
+			records = append(records, rec)
 		}
 	}
+	f.save(records)
 }
 
 // heldOrders are orders in force that a restored store lacked when it was read first. Each is
--- a/internal/router/source_suspects.go
+++ b/internal/router/source_suspects.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"iter"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/goldcrestturn/goldcrestturn/internal/control"
@@ -27,25 +30,43 @@
 // that do not hear it. Its goroutine owns the fields after reload.
 type suspectWriter struct {
 	r       *Router
-	queue   chan suspect.Record
-	reports chan suspect.Report       // the latest one that was not taken yet
-	reload  chan struct{}             // the store may have lost records
-	pending map[uint64]suspect.Record // by key; not written yet
-	report  *suspect.Report           // not written yet; nil if there is none
-	loaded  bool                      // the records of the store have been read
+	records chan map[uint64]suspect.Record // by key; those that were not taken yet
+	reports chan suspect.Report            // the latest one that was not taken yet
+	reload  chan struct{}                  // the store may have lost records
+	pending map[uint64]suspect.Record      // by key; not written yet
+	report  *suspect.Report                // not written yet; nil if there is none
+	loaded  bool                           // the records of the store have been read
 }
 
 func newSuspectWriter(r *Router) *suspectWriter {
-	return &suspectWriter{r: r, queue: make(chan suspect.Record, 256), reports: make(chan suspect.Report, 1), reload: make(chan struct{}, 1), pending: map[uint64]suspect.Record{}}
+	return &suspectWriter{r: r, records: make(chan map[uint64]suspect.Record, 1), reports: make(chan suspect.Report, 1), reload: make(chan struct{}, 1), pending: map[uint64]suspect.Record{}}
 }
 
-// save queues a record, which replaces the one with the same key. If the queue is full
-// it is dropped: the property is then known to the routers only.
-func (w *suspectWriter) save(rec suspect.Record) {
+// save hands over records, which replace those with the same keys that are not written yet.
+// Only the control goroutine may call it.
+func (w *suspectWriter) save(records []suspect.Record) {
+	if len(records) == 0 {
+		return
+	}
+	waiting := map[uint64]suspect.Record{}
 	select {
-	case w.queue <- rec:
+	case waiting = <-w.records:
 	default:
-		suspectRecordsDropped.Inc()
+	}
+	addRecords(waiting, slices.Values(records))
+	w.records <- waiting
+}
+
+// addRecords adds records to those to be written. While the store fails there may be more
+// than a table of properties can hold. The others are dropped: their properties are then
+// known to the routers only.
+func addRecords(to map[uint64]suspect.Record, records iter.Seq[suspect.Record]) {
+	for rec := range records {
+		if _, known := to[rec.Key]; !known && len(to) >= suspect.MaxCauses {
+			suspectRecordsDropped.Inc()
+			continue
+		}
+		to[rec.Key] = rec
 	}
 }
 
@@ -76,8 +97,8 @@
 			control.Pause(ctx, crashReportPause)
 		}
 		select {
-		case rec := <-w.queue:
-			w.add(rec)
+		case records := <-w.records:
+			addRecords(w.pending, maps.Values(records))
 		case rep := <-w.reports:
 			w.report = &rep
 		case <-w.reload:
@@ -93,8 +114,8 @@
 func (w *suspectWriter) takeQueued() {
 	for {
 		select {
-		case rec := <-w.queue:
-			w.add(rec)
+		case records := <-w.records:
+			addRecords(w.pending, maps.Values(records))
 		case rep := <-w.reports:
 			w.report = &rep
 		default:
@@ -103,16 +124,6 @@
 	}
 }
 
-// add adds a record to those to be written. While the store fails there may be more than
-// a table of properties can hold.
-func (w *suspectWriter) add(rec suspect.Record) {
-	if _, known := w.pending[rec.Key]; !known && len(w.pending) >= suspect.MaxCauses {
-		suspectRecordsDropped.Inc()
-		return
-	}
-	w.pending[rec.Key] = rec
-}
-
 // sync reads the records of the store, if that has not been done yet, and writes what is
 // pending. It reports whether that included a report.
 func (w *suspectWriter) sync(ctx context.Context) (reported bool, err error) {
@@ -133,41 +144,68 @@
 		}
 		w.report, reported = nil, true
 	}
-	for key, rec := range w.pending {
-		if err := w.put(ctx, rec); err != nil {
+	for len(w.pending) > 0 {
+		if err := w.writePending(ctx); err != nil {
 			return reported, err
 		}
-		delete(w.pending, key)
 	}
 	return reported, nil
 }
 
-// put adds a record to what the store holds of its property. Routers that do not hear each
-// other store what they know of one property, and trials that were claimed must stay.
-func (w *suspectWriter) put(ctx context.Context, rec suspect.Record) error {
+// maxRecordsPerWrite bounds the records in one write to the store, to about 100 KB.
+const maxRecordsPerWrite = 512
+
+// writePending adds pending records to what the store holds of their properties, with one
+// write at most. Routers that do not hear each other store what they know of one property,
+// and trials that were claimed must stay.
+func (w *suspectWriter) writePending(ctx context.Context) error {
 	for conflicts := 0; ; conflicts++ {
 		list, position, err := w.r.deps.Store.Suspects(ctx)
 		if err != nil {
 			return err
 		}
-		stored := suspect.Record{Key: rec.Key}
-		for _, other := range list {
-			if other.Key == rec.Key {
-				stored = other
-			}
+		next := w.changedRecords(list)
+		if len(next) == 0 {
+			return nil
 		}
-		next, changed := stored.Update(rec)
-		if !changed {
+		err = w.r.deps.Store.PutSuspects(ctx, next, position)
+		if err == nil {
+			for _, rec := range next {
+				delete(w.pending, rec.Key)
+			}
 			return nil
 		}
-		err = w.r.deps.Store.PutSuspect(ctx, next, position)
 		again := errors.Is(err, ErrConflict) || errors.Is(err, ErrRestored)
-		if err == nil || !again || conflicts == maxConflicts {
+		if !again || conflicts == maxConflicts {
 			return err
 		}
 	}
 }
 
+// changedRecords returns the next records to be written to a store that holds a list of them,
+// and drops the pending ones that change nothing there.
+func (w *suspectWriter) changedRecords(list []suspect.Record) (next []suspect.Record) {
+	stored := make(map[uint64]suspect.Record, len(list))
+	for _, rec := range list {
+		stored[rec.Key] = rec
+	}
+	for key, rec := range w.pending {
+		if len(next) == maxRecordsPerWrite {
+			break
+		}
+		before, known := stored[key]
+		if !known {
+			before.Key = key
+		}
+		if after, changed := before.Update(rec); changed {
+			next = append(next, after)
+		} else {
+			delete(w.pending, key)
+		}
+	}
+	return next
+}
+
 // followCrashReports reads what other routers reported of crashes until ctx ends: first
 // their newest reports, then the changes. It does not depend on the peers, since a router
 // that hears none is bound by what they know all the same.
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -45,7 +45,7 @@
 func (startStore) Announce(context.Context, Member) error    { return nil }
 func (startStore) Members(context.Context) ([]Member, error) { return nil, nil }
 
-func (startStore) PutSuspect(context.Context, suspect.Record, Position) error { return nil }
+func (startStore) PutSuspects(context.Context, []suspect.Record, Position) error { return nil }
 func (startStore) ClaimTrial(_ context.Context, r []suspect.Record, _ int64) ([]suspect.Record, bool, error) {
 	return r, true, nil
 }
