--- a/internal/router/causes_test.go
+++ b/internal/router/causes_test.go
@@ -215,3 +215,26 @@
 		})
 	}
 }
+
+// Guards against a prompt part that crashes one endpoint after the other and is not counted,
+// since its id is longer than 64 bits or stands behind an entry that is none.
+func TestDeadlyPartsOfUnusualPromptsAreRefused(t *testing.T) {
+	const part = "dead5c1e07a291bd3f06e4402b7d0001"
+	for name, before := range map[string]string{"long id": "", "behind no entry": "a:1,none,"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t, 8, 0)
+			p := f.start(nil).await()
+			f.setFaults("", standin.EndpointFaults{DeadlyPart: part, DownTime: 2 * time.Second})
+			reached := 0
+			for n := range 2 * suspect.CauseThreshold {
+				r := p.call(context.Background(), http.MethodPost, "/stream/brief/x", fmt.Sprint("body ", n),
+					map[string]string{"X-Goldcrestturn-Prefix-Hash": fmt.Sprintf("%s%s:60,%x:1", before, part, 0xf0000+n)})
+				reached += len(f.received(r.id))
+				time.Sleep(suspect.MinCrashInterval)
+			}
+			is.Equal(reached, suspect.CauseThreshold)
+		})
+	}
+}
