suspect, side: a crash holds all requests that were in flight

What callers saw: a request that crashes engines was not refused by entries and other sides if more than 64 requests were in flight with it.

Cause: a side put all fingerprints into the crash that it broadcasts and appends to the log, and the receivers refuse one with more than 64 as malformed. Its own table kept the 64 lowest.

Evidence: TestCrashesWithManyRequestsInFlightReachOthers failed with "message is out of its bounds" at 200 other requests.

Why it works: the bound is 1,024, and the side keeps to it before anyone else sees the crash. Above it the sample differs from crash to crash, so that no request is left out each time. The table grows in proportion: 16,384 fingerprints of 113 B.

--- a/internal/side/crash_test.go
+++ b/internal/side/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/goldcrestturn/goldcrestturn/internal/instances"
 	"github.com/goldcrestturn/goldcrestturn/internal/logsvc"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
+	"github.com/goldcrestturn/goldcrestturn/internal/suspect"
 )
 
 // failingLog is a log service that is down.
@@ -136,3 +138,45 @@
 		is.Equal(model.AsRefusal(<-running).Crash, message.crashes[0].ID)
 	})
 }
+
+// Guards against a request that crashes one endpoint after the other and is never refused, since
+// many others are in flight with it: other processes drop a crash with too many fingerprints.
+func TestCrashesWithManyRequestsInFlightReachOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, others := range []int{suspect.MaxPerCrash - 1, 200, 5000} {
+			is := is.New(t)
+			p, cancel := newRunningSide(t)
+			const deadly = 1 << 62
+			known := suspect.NewTable() // of an entry
+			crashes := 0
+			for known.View(time.Now()).RemainingTime(deadly, time.Now()) == 0 && crashes < 50 {
+				crashes++
+				end := make(chan struct{})
+				running := []<-chan error{runUntil(t.Context(), p, "deadly", deadly, end, crashRefusal())}
+				for i := range others {
+					running = append(running, runUntil(t.Context(), p, model.RequestID(fmt.Sprint(i)), uint64(crashes*1_000_000+i), end, crashRefusal()))
+				}
+				synctest.Wait()
+				close(end)
+				for _, r := range running {
+					<-r
+				}
+				synctest.Wait()
+				crash := <-p.crashes // as it is broadcast and appended to the log
+				received, err := exchange.FromCrash(crash, time.Now()).Model(time.Now())
+				is.NoErr(err)
+				known.Add(time.Now(), received)
+				data, err := suspect.Encode(crash)
+				is.NoErr(err)
+				_, err = suspect.Decode(data, time.Now())
+				is.NoErr(err)
+			}
+			t.Logf("refused after %d crashes with %d other requests", crashes, others)
+			is.True(crashes < 50)
+			if others < suspect.MaxPerCrash {
+				is.Equal(crashes, suspect.Threshold)
+			}
+			cancel()
+		}
+	})
+}
--- a/internal/side/stage_suspects.go
+++ b/internal/side/stage_suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,18 +69,13 @@
 	if !ev.ran {
 		delete(s.inFlight, ev.id)
 	}
-	c := suspect.Crash{Endpoint: st.settings.EndpointID(), At: now}
-	for _, f := range s.inFlight {
-		if f != 0 && !slices.Contains(c.Fingerprints, f) {
-			c.Fingerprints = append(c.Fingerprints, f)
-		}
-	}
-	if len(c.Fingerprints) == 0 {
+	inFlight := slices.DeleteFunc(slices.Sorted(maps.Values(s.inFlight)), func(f uint64) bool { return f == 0 })
+	if len(inFlight) == 0 {
 		return crashReply{}
 	}
-	slices.Sort(c.Fingerprints)
 	s.crashCount++
-	c.ID = fmt.Sprintf("%s-%d-%x", st.settings.Instance, s.crashCount, now.UnixMilli())
+	c := suspect.Crash{ID: fmt.Sprintf("%s-%d-%x", st.settings.Instance, s.crashCount, now.UnixMilli()), Endpoint: st.settings.EndpointID(), At: now}
+	c.Fingerprints = suspect.SampleInFlight(slices.Compact(inFlight), c.ID)
 	for id := range s.inFlight {
 		s.crashByRequest[id] = c
 	}
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -68,18 +65,10 @@
 	if len(keys) <= MaxCausesPerRequest {
 		return keys
 	}
-	slices.SortFunc(keys[1:], func(a, b uint64) int { return cmp.Compare(scramble(a, uint64(process)), scramble(b, uint64(process))) })
+	sample(keys[1:], MaxCausesPerRequest-1, uint64(process))
 	return keys[:MaxCausesPerRequest]
 }
 
-// scramble returns the place of a key in an order that depends on seed.
-func scramble(key, seed uint64) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:], key)
-	binary.LittleEndian.PutUint64(b[8:], seed)
-	return xxhash.Sum64(b[:])
-}
-
 // CauseCrash is a crash of an endpoint while a request that had a certain property was
 // in flight and had no complete answer yet. Key stands for the property: a prompt part, or
 // the request as a whole.
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 )
 
@@ -18,10 +21,10 @@
 	// after its last crash.
 	Lifetime = 10 * time.Minute
 	// MaxFingerprints is the maximum number of fingerprints in a table.
-	MaxFingerprints = 4096
-	// MaxPerCrash is the maximum number of fingerprints of one crash. An endpoint
-	// runs fewer requests at the same time.
-	MaxPerCrash = 64
+	MaxFingerprints = 16 * MaxPerCrash
+	// MaxPerCrash is the maximum number of fingerprints of one crash. A pool whose
+	// endpoints run more requests at the same time is served, see SampleInFlight.
+	MaxPerCrash = 1024
 )
 
 // Crash is a crash of an endpoint with the requests that were in flight.
@@ -32,6 +35,33 @@
 	Fingerprints []uint64
 }
 
+// SampleInFlight returns the fingerprints of a crash with the given id, in ascending order:
+// those that were in flight, or MaxPerCrash of them. Which ones depends on the id, so that none
+// is left out at each crash. It reorders inFlight.
+func SampleInFlight(inFlight []uint64, id string) []uint64 {
+	out := sample(inFlight, MaxPerCrash, xxhash.Sum64String(id))
+	slices.Sort(out)
+	return out
+}
+
+// sample returns n of the keys, or all if there are not more. Which ones depends on seed. It may
+// reorder keys.
+func sample(keys []uint64, n int, seed uint64) []uint64 {
+	if len(keys) <= n {
+		return keys
+	}
+	slices.SortFunc(keys, func(a, b uint64) int { return cmp.Compare(scramble(a, seed), scramble(b, seed)) })
+	return keys[:n]
+}
+
+// scramble returns the place of a key in an order that depends on seed.
+func scramble(key, seed uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], key)
+	binary.LittleEndian.PutUint64(b[8:], seed)
+	return xxhash.Sum64(b[:])
+}
+
 // fingerprintState holds the crashes at which a fingerprint was in flight.
 type fingerprintState struct {
 	crashIDs  []string  // at most Threshold
