router: repeats of earlier crashes take one datagram at most

At a crash a router also repeats the earlier crashes of its properties, in case a peer missed a message. Since messages are split, a prompt of 2,000 parts that no sound request shares would take three times 42 datagrams to each peer. The repeats are now 48 at most, those of the properties with the most crashes first; before messages were split, 48 was the limit of all. A peer that missed more reads the report in the store.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"log/slog"
@@ -198,7 +199,7 @@
 
 // addCrash counts a crash for each property of the request that the endpoint ran.
 func (f judgeCauses) addCrash(s *State, now time.Time, failure suspect.Failure) {
-	var crashes []mesh.Crash
+	var crashes, earlier []suspect.CauseCrash
 	known, isNew := 0, false
 	for _, key := range failure.Causes {
 		c := suspect.CauseCrash{Key: key, Endpoint: suspect.ProcessHash(failure.Endpoint, failure.Started), At: failure.At}
@@ -208,12 +209,21 @@
 			s.observed.AddCrash(c)
 		}
 		known = max(known, s.causes.Count(key))
-		// All crashes with the property, since peers may have missed a message.
-		crashes = append(crashes, agesOf(s.causes.Crashes(key), now)...)
+		for _, other := range s.causes.Crashes(key) {
+			if other.Endpoint == c.Endpoint {
+				crashes = append(crashes, other)
+			} else {
+				earlier = append(earlier, other)
+			}
+		}
 	}
 	f.log.Info("endpoint crashed while it ran a request", "endpoint", failure.Endpoint, "properties", len(failure.Causes), "known", known,
 		"ago_ms", now.Sub(failure.At).Milliseconds())
-	f.broadcast(mesh.Message{Crashes: crashes})
+	// Peers may have missed a message on the properties with the most crashes. The reports
+	// in the store have all.
+	slices.SortStableFunc(earlier, func(a, b suspect.CauseCrash) int { return cmp.Compare(s.causes.Count(b.Key), s.causes.Count(a.Key)) })
+	crashes = append(crashes, earlier[:min(len(earlier), mesh.MaxCrashes)]...)
+	f.broadcast(mesh.Message{Crashes: agesOf(crashes, now)})
 	if isNew {
 		f.saveReport(s, now)
 	}
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -22,8 +22,8 @@
 	Lifetime = 10 * time.Minute
 	// MaxFingerprints is the maximum number of fingerprints in a table.
 	MaxFingerprints = 16 * MaxPerCrash
-	// MaxPerCrash is the maximum number of fingerprints of one crash. A pool whose
-	// endpoints run more requests at the same time is served, see SampleInFlight.
+	// MaxPerCrash is the maximum number of fingerprints of one crash. If more requests
+	// were in flight, SampleInFlight chooses among them.
 	MaxPerCrash = 1024
 )
 
@@ -35,9 +35,9 @@
 	Fingerprints []uint64
 }
 
-// SampleInFlight returns the fingerprints of a crash with the given id, in ascending order:
+// SampleInFlight returns the fingerprints of a crash with the given id in ascending order:
 // those that were in flight, or MaxPerCrash of them. Which ones depends on the id, so that none
-// is left out at each crash. It reorders inFlight.
+// is left out at each crash. It may reorder inFlight.
 func SampleInFlight(inFlight []uint64, id string) []uint64 {
 	out := sample(inFlight, MaxPerCrash, xxhash.Sum64String(id))
 	slices.Sort(out)
