suspect: crashes at one moment replace no separate ones

What callers saw: a prompt part that was refused is sent on and crashes two endpoints more, after many endpoints have crashed at one moment, as when a router that stood still sends what has piled up.

Cause: of each property the 8 newest crashes are kept. Crashes within 0.3 s count as one for a part, so 8 at one moment replaced those that had made it refused.

TestCrashesAtOneMomentReplaceNoOthers failed before.

Why it works: what does not count goes first, so the number of separate crashes never falls by an addition below the threshold. The same for records in the store.

--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -124,7 +124,7 @@
 	}
 	s.crashes = append(s.crashes, c)
 	slices.SortFunc(s.crashes, func(a, b CauseCrash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Endpoint, b.Endpoint)) })
-	s.crashes = s.crashes[max(0, len(s.crashes)-MaxCauseCrashes):]
+	s.crashes = trimCrashes(s.crashes)
 	return true
 }
 
@@ -175,6 +175,23 @@
 	return n
 }
 
+// trimCrashes removes crashes from a list, in the order of time, until MaxCauseCrashes are
+// left: those that separateCrashes does not count first, and then the oldest.
+func trimCrashes(list []CauseCrash) []CauseCrash {
+	for len(list) > MaxCauseCrashes {
+		drop := 0
+		for i, counted := 1, 0; i < len(list); i++ {
+			if list[i].At.Sub(list[counted].At) < MinCrashInterval {
+				drop = i
+				break
+			}
+			counted = i
+		}
+		list = slices.Delete(list, drop, drop+1)
+	}
+	return list
+}
+
 // refused reports whether requests with the property are refused. Many sound requests in
 // flight at one moment may share a prompt part, but few are copies of one request, so for
 // these each crash counts: callers may send copies together.
@@ -289,7 +306,7 @@
 		}
 	}
 	slices.SortStableFunc(out.Crashes, func(a, b CauseCrash) int { return a.At.Compare(b.At) })
-	out.Crashes = out.Crashes[max(0, len(out.Crashes)-MaxCauseCrashes):]
+	out.Crashes = trimCrashes(out.Crashes)
 	// Routers may differ a little on the time of one crash.
 	return out, out.Trials > r.Trials || out.last().Sub(r.last()) >= sameCrash
 }
--- a/internal/suspect/causes_test.go
+++ b/internal/suspect/causes_test.go
@@ -224,3 +224,45 @@
 	}
 	is.True(found)
 }
+
+// Guards against a refused prompt part that is sent on after many endpoints crashed at one
+// moment, since those crashes took the place of the earlier ones.
+func TestCrashesAtOneMomentReplaceNoOthers(t *testing.T) {
+	is := is.New(t)
+	c := NewCauses()
+	now := time.Unix(1_700_000_000, 0)
+	const deadly = 1
+	process := uint32(processBit)
+	crash := func() CauseCrash {
+		process++
+		return CauseCrash{deadly, process, now}
+	}
+	for range CauseThreshold {
+		c.Add(now, crash())
+		now = now.Add(MinCrashInterval)
+	}
+	is.True(c.View()[deadly])
+	stored := c.Record(deadly)
+	burst := Record{Key: deadly}
+	for range 2 * MaxCauseCrashes {
+		burst.Crashes = append(burst.Crashes, crash())
+		c.Add(now, burst.Crashes[len(burst.Crashes)-1])
+		is.True(c.View()[deadly])
+	}
+	is.True(len(c.Crashes(deadly)) <= MaxCauseCrashes)
+	is.Equal(c.Crashes(deadly)[0], stored.Crashes[0])
+
+	merged, _ := stored.Update(burst)
+	is.True(len(merged.Crashes) <= MaxCauseCrashes)
+	other := NewCauses()
+	other.Merge(now, merged)
+	is.True(other.View()[deadly])
+
+	for range 2 * MaxCauseCrashes { // of many separate ones the newest stay
+		now = now.Add(MinCrashInterval)
+		c.Add(now, crash())
+	}
+	list := c.Crashes(deadly)
+	is.Equal(len(list), MaxCauseCrashes)
+	is.Equal(list[0].At, now.Add(-(MaxCauseCrashes-1)*MinCrashInterval))
+}
