--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -102,7 +102,7 @@
 // failureOf returns the attempt of a request that got no complete answer.
 func failureOf(req *Request) suspect.Failure {
 	process := suspect.ProcessHash(req.Endpoint.ID, req.Endpoint.Started)
-	return suspect.Failure{Endpoint: req.Endpoint.ID, Started: req.Endpoint.Started, Causes: suspect.Sample(req.causes(), process)}
+	return suspect.Failure{Endpoint: req.Endpoint.ID, Started: req.Endpoint.Started, Causes: suspect.SampleCauses(req.causes(), process)}
 }
 
 // recordSound reports that an endpoint answered a request, if it has a property that was
--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -88,8 +88,8 @@
 	}
 	deadly := healthyEndpoint
 	deadly.DeadlyBody, deadly.DeadlyPart, deadly.DownTime = deadlyBody, deadlyPart, time.Duration(60+rng.IntN(2000))*time.Millisecond
-	prompts := prompts{part: seed%2 == 0, before: []int{14, 300, 1, 15, 2000}[seed/2%5]}
-	t.Logf("deadly: %+v", prompts)
+	kind := deadlyKind{part: seed%2 == 0, before: []int{14, 300, 1, 15, 2000}[seed/2%5]}
+	t.Logf("deadly: %+v", kind)
 	for _, e := range f.endpoints {
 		e.endpoint.SetFaults(deadly)
 	}
@@ -98,13 +98,13 @@
 	ctx, stop := context.WithTimeout(context.Background(), deadlyFaultTimes**faultDuration)
 	defer stop()
 	var running sync.WaitGroup
-	running.Go(func() { f.sendDeadly(ctx, rand.New(rand.NewPCG(seed, 30)), prompts, sentBy) })
+	running.Go(func() { f.sendDeadly(ctx, rand.New(rand.NewPCG(seed, 30)), kind, sentBy) })
 	for ctx.Err() == nil {
 		f.disturb(rng, deadly, disturbed, &running)
-		time.Sleep(time.Duration(500+rng.IntN(2500)) * time.Millisecond * prompts.calm())
+		time.Sleep(time.Duration(500+rng.IntN(2500)) * time.Millisecond * kind.calm())
 	}
 	running.Wait()
-	f.checkDeadlyRuns(prompts.boundAfter(), sentBy, disturbed)
+	f.checkDeadlyRuns(kind.boundAfter(), sentBy, disturbed)
 	f.report(seed)
 }
 
@@ -117,16 +117,16 @@
 	return err == nil
 }
 
-// prompts says which requests are deadly: copies of one request, or those with deadlyPart
+// deadlyKind says which requests are deadly: copies of one request, or those with deadlyPart
 // behind a number of other parts, no two alike. A head of 16 KB holds 2,000 of these.
-type prompts struct {
+type deadlyKind struct {
 	part   bool
 	before int
 }
 
 // boundAfter returns the number of crashes after which the platform bounds the deadly requests.
-func (p prompts) boundAfter() int {
-	if p.part {
+func (k deadlyKind) boundAfter() int {
+	if k.part {
 		return 5
 	}
 	return 3
@@ -134,20 +134,20 @@
 
 // calm returns how much longer than usual the pauses between disturbances are, which excuse
 // most runs: the bound of parts begins later.
-func (p prompts) calm() time.Duration {
-	if p.part {
+func (k deadlyKind) calm() time.Duration {
+	if k.part {
 		return 3
 	}
 	return 1
 }
 
 // request returns the body and the prompt of a request.
-func (p prompts) request(id, part string) (body, prompt string) {
-	if !p.part {
+func (k deadlyKind) request(id, part string) (body, prompt string) {
+	if !k.part {
 		return deadlyBody, ""
 	}
 	var b strings.Builder
-	for i := range p.before {
+	for i := range k.before {
 		fmt.Fprintf(&b, "%x:1,", 0xa000+i)
 	}
 	return "body of " + id, b.String() + part + ":1,ffff:1"
@@ -155,7 +155,7 @@
 
 // sendDeadly sends the deadly request, at times in several copies together, until ctx
 // ends. If a part of the prompt is deadly, a sound request that shares all others follows.
-func (f *fleet) sendDeadly(ctx context.Context, rng *rand.Rand, p prompts, sentBy *sync.Map) {
+func (f *fleet) sendDeadly(ctx context.Context, rng *rand.Rand, kind deadlyKind, sentBy *sync.Map) {
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{}}
 	pause := time.Duration(50+rng.IntN(1500)) * time.Millisecond
 	var sending sync.WaitGroup
@@ -163,7 +163,7 @@
 	send := func(id, part string) {
 		router := f.routers[rng.IntN(len(f.routers))]
 		sentBy.Store(id, router.name)
-		body, prompt := p.request(id, part)
+		body, prompt := kind.request(id, part)
 		req, _ := http.NewRequest(http.MethodPost, "http://"+router.callerAddress+"/assign/x", strings.NewReader(body))
 		req.Host = "app.example"
 		req.Header.Set("X-Goldcrestturn-Request-Id", id)
@@ -184,7 +184,7 @@
 			send(fmt.Sprintf("d-%d-%d", n, copyOf), deadlyPart)
 		}
 		time.Sleep(pause)
-		if p.part {
+		if kind.part {
 			send(fmt.Sprintf("s-%d", n), "50d")
 		}
 	}
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -58,10 +58,10 @@
 func KeyOfPart(hash uint64) uint64    { return hash | partBit }
 func KeyOfRequest(hash uint64) uint64 { return hash &^ partBit }
 
-// Sample returns the properties of a request that are counted at the crash of a process: all
+// SampleCauses returns the properties of a request that are counted at the crash of a process: all
 // of them, or the first one and MaxCausesPerRequest-1 of the others. Which of the others
 // depends on the process, so that none is left out at each crash. It may reorder keys.
-func Sample(keys []uint64, process uint32) []uint64 {
+func SampleCauses(keys []uint64, process uint32) []uint64 {
 	if len(keys) <= MaxCausesPerRequest {
 		return keys
 	}
--- a/internal/suspect/causes_test.go
+++ b/internal/suspect/causes_test.go
@@ -199,10 +199,10 @@
 	for i := range keys {
 		keys[i] = uint64(i + 1)
 	}
-	is.Equal(len(Sample(keys[:MaxCausesPerRequest], 1)), MaxCausesPerRequest)
+	is.Equal(len(SampleCauses(keys[:MaxCausesPerRequest], 1)), MaxCausesPerRequest)
 	counted := map[uint64]int{}
 	for process := range uint32(100) {
-		sample := Sample(slices.Clone(keys), process)
+		sample := SampleCauses(slices.Clone(keys), process)
 		is.Equal(len(sample), MaxCausesPerRequest)
 		for _, key := range sample {
 			counted[key]++
