--- a/internal/router/source_suspects.go
+++ b/internal/router/source_suspects.go
@@ -89,7 +89,7 @@
 			if !dep.failed(ctx, err) {
 				return
 			}
-			w.takeQueued()
+			w.takeWaiting()
 			continue
 		}
 		dep.succeeded()
@@ -106,12 +106,12 @@
 		case <-ctx.Done():
 			return
 		}
-		w.takeQueued()
+		w.takeWaiting()
 	}
 }
 
-// takeQueued takes over the queued records and the latest report.
-func (w *suspectWriter) takeQueued() {
+// takeWaiting takes over the records and the report that wait, if there are any.
+func (w *suspectWriter) takeWaiting() {
 	for {
 		select {
 		case records := <-w.records:
@@ -152,7 +152,7 @@
 	return reported, nil
 }
 
-// maxRecordsPerWrite bounds the records in one write to the store, to about 100 KB.
+// maxRecordsPerWrite bounds the size of one write to the store.
 const maxRecordsPerWrite = 512
 
 // writePending adds pending records to what the store holds of their properties, with one
--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -57,10 +57,17 @@
 // fail requests, and the store rejects calls. Endpoints are reached without proxies, which
 // would accept connections for one that has crashed.
 func TestDeadlyRequestSoak(t *testing.T) {
-	runSeeds(t, runDeadlySeed)
+	runSeeds(t, func(t *testing.T, binary string, seed uint64) { runDeadlySeed(t, binary, seed, deadlyKind{}) })
 }
 
-func runDeadlySeed(t *testing.T, binary string, seed uint64) {
+// Guards against the same for requests that share a prompt part, whatever its position.
+func TestDeadlyPartSoak(t *testing.T) {
+	runSeeds(t, func(t *testing.T, binary string, seed uint64) {
+		runDeadlySeed(t, binary, seed, deadlyKind{part: true, before: []int{14, 300, 1, 15, 2000}[seed%5]})
+	})
+}
+
+func runDeadlySeed(t *testing.T, binary string, seed uint64, kind deadlyKind) {
 	rng := rand.New(rand.NewPCG(seed, 29))
 	f := newFleet(t, binary, 0, 0, 0)
 	for i := range 8 {
@@ -88,7 +95,6 @@
 	}
 	deadly := healthyEndpoint
 	deadly.DeadlyBody, deadly.DeadlyPart, deadly.DownTime = deadlyBody, deadlyPart, time.Duration(60+rng.IntN(2000))*time.Millisecond
-	kind := deadlyKind{part: seed%2 == 0, before: []int{14, 300, 1, 15, 2000}[seed/2%5]}
 	t.Logf("deadly: %+v", kind)
 	for _, e := range f.endpoints {
 		e.endpoint.SetFaults(deadly)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,7 +50,19 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, seed, (*fleet).keepEvents) })
+	}
+}
+
+// Guards against the same where the lines of events are as long as buffers, and streams break
+// off near the ends of events or end with blank lines.
+func TestSoakWithLongEvents(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	binary := buildRouter(t)
+	for _, seed := range soakSeeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, seed, (*fleet).drawEvents) })
 	}
 }
 
@@ -162,13 +174,12 @@
 	slack = 300 * time.Millisecond
 )
 
-// runSeed runs a fleet under the faults of one seed and checks the guarantees.
-func runSeed(t *testing.T, binary string, seed uint64) {
+// runSeed runs a fleet under the faults of one seed and checks the guarantees. setEvents
+// chooses the form of the events.
+func runSeed(t *testing.T, binary string, seed uint64, setEvents func(*fleet, *rand.Rand)) {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	f := newFleet(t, binary, 4, 2, *routerCount)
-	if seed%2 == 0 {
-		f.drawEvents(rand.New(rand.NewPCG(seed, 33)))
-	}
+	setEvents(f, rand.New(rand.NewPCG(seed, 33)))
 	if !f.awaitReady(recoveryTimeout) {
 		t.Fatal("routers are not ready at the start")
 	}
@@ -285,6 +296,9 @@
 	return revocation
 }
 
+// keepEvents leaves the events as they are.
+func (f *fleet) keepEvents(*rand.Rand) {}
+
 // drawEvents draws the form of the events that endpoints send, and where a stream breaks off
 // in the middle of one. Its generator is one of its own, so that the faults of a seed stay what
 // they were.
--- a/internal/suspect/causes.go
+++ b/internal/suspect/causes.go
@@ -42,10 +42,11 @@
 	// refusedLifetime is how long a property stays refused after its last crash.
 	refusedLifetime = 24 * time.Hour
 	// MaxCausesPerRequest is the number of properties of one request that are counted at a
-	// crash. The longest prompt that fits into a head of 16 KB has 4,096 parts.
+	// crash. The longest prompt that fits into a head of 16 KB has 4,096 parts, and
+	// one property is the request as a whole.
 	MaxCausesPerRequest = 4097
-	// MaxCauses is the maximum number of causes in a table, and MaxCauseCrashes that of
-	// the crashes of one.
+	// MaxCauses is the maximum number of causes in a table: those of four such requests,
+	// since others are in flight at a crash. MaxCauseCrashes is that of the crashes of one.
 	MaxCauses       = 4 * MaxCausesPerRequest
 	MaxCauseCrashes = 8
 )
@@ -131,24 +132,25 @@
 // evict removes an eighth of the table: the properties with the fewest crashes first and
 // refused ones last, and of those the ones whose last crashes are the oldest. Refused
 // properties are not sent, so theirs are old, while each crash adds all requests that
-// were in flight. Which ones of the same crash go first differs from crash to crash.
+// were in flight. The order among those of one crash differs from crash to crash, so that
+// no property always goes first.
 func (t *Causes) evict() {
-	type place struct {
+	type candidate struct {
 		key    uint64
 		weight int
 		last   time.Time
 		tie    uint64
 	}
-	order := make([]place, 0, len(t.byKey))
+	order := make([]candidate, 0, len(t.byKey))
 	for key, s := range t.byKey {
-		p := place{key, s.separateCrashes(), s.last(), 0}
+		p := candidate{key, s.separateCrashes(), s.last(), 0}
 		if s.refused() {
 			p.weight = CauseThreshold
 		}
 		p.tie = scramble(key, uint64(p.last.UnixNano()))
 		order = append(order, p)
 	}
-	slices.SortFunc(order, func(a, b place) int {
+	slices.SortFunc(order, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.weight, b.weight), a.last.Compare(b.last), cmp.Compare(a.tie, b.tie))
 	})
 	for _, p := range order[:MaxCauses/8] {
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -22,8 +22,9 @@
 	Lifetime = 10 * time.Minute
 	// MaxFingerprints is the maximum number of fingerprints in a table.
 	MaxFingerprints = 16 * MaxPerCrash
-	// MaxPerCrash is the maximum number of fingerprints of one crash. If more requests
-	// were in flight, SampleInFlight chooses among them.
+	// MaxPerCrash is the maximum number of fingerprints of one crash, which bounds the
+	// messages and records of crashes. If more requests were in flight, SampleInFlight
+	// chooses among them.
 	MaxPerCrash = 1024
 )
 
