measure: calls that the callers' network loses are no attempts

Cause: the check is wrong. It gave a chat ten calls, and in the worlds that combine faults of the fleet's network with faults of the callers' network a third of the calls fail by injected faults, each call for itself.

Why the new check is no weaker: a call in which the callers' network lost the request or the answer, in whole or in part, does not count; of the others a chat has seven, which is how many of ten that network passes on average.

--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -21,7 +21,7 @@
 	FaultRefuse      Fault = iota // the connection is refused
 	FaultLoseRequest              // the connection breaks before the server reads the request
 	FaultLoseAnswer               // the server handles the request and the answer is lost
-	FaultTruncate                 // the connection breaks after some bytes of the answer
+	FaultTruncate                 // the connection breaks after some bytes of the answer; the last kind that loses something
 	FaultLate                     // the request arrives late
 	FaultDuplicate                // the request arrives twice; one of the answers is discarded
 	FaultCross                    // two answers arrive on each other's connection
@@ -129,6 +129,15 @@
 	}
 }
 
+// lossesKey is the key of the counter in the context of a request; see CountLosses.
+type lossesKey struct{}
+
+// CountLosses returns a context for requests that adds to n each fault by which the network
+// itself loses a request or an answer, in whole or in part.
+func CountLosses(ctx context.Context, n *atomic.Int64) context.Context {
+	return context.WithValue(ctx, lossesKey{}, n)
+}
+
 // SetFaults replaces the probabilities of faults.
 func (n *Network) SetFaults(f Faults) { n.faults.Store(&f) }
 
@@ -141,6 +150,7 @@
 func (n *Network) RoundTrip(req *http.Request) (*http.Response, error) {
 	call := n.calls.Add(1)
 	c := &netCall{net: n, rng: rand.New(rand.NewPCG(n.seed, call)), faults: n.faults.Load()}
+	c.losses, _ = req.Context().Value(lossesKey{}).(*atomic.Int64)
 	host := (*n.hosts.Load())[req.URL.Host]
 	if host == nil || host.ctx.Err() != nil || c.inject(FaultRefuse) {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errConnReset}
@@ -172,12 +182,13 @@
 	net    *Network
 	rng    *rand.Rand
 	faults *Faults
+	losses *atomic.Int64 // counts the faults that lose something; may be nil
 }
 
 // fork returns a copy of the call with its own source of randomness, for use in
 // the goroutine of the server.
 func (c *netCall) fork(stream uint64) *netCall {
-	return &netCall{net: c.net, rng: rand.New(rand.NewPCG(c.rng.Uint64(), stream)), faults: c.faults}
+	return &netCall{net: c.net, rng: rand.New(rand.NewPCG(c.rng.Uint64(), stream)), faults: c.faults, losses: c.losses}
 }
 
 // inject decides whether fault f is injected and counts it.
@@ -186,6 +197,9 @@
 		return false
 	}
 	c.net.counts[f].Add(1)
+	if c.losses != nil && f <= FaultTruncate {
+		c.losses.Add(1)
+	}
 	return true
 }
 
