origin, router: one function decides where an answer without a length ends

What callers saw: a server that says that it leaves and is then taken away ended its answers without a length as complete.

Cause: the check whether the endpoint's process lives was left out for answers with Server-Leaving, so their end was guessed. Behind it a second one: the kernel closes the descriptors of a killed process one after the other, so the check may reach a listener that is about to be closed.

Why it works: ending.incomplete decides for every answer that ends with its connection, whatever the endpoint says of itself.

Elsewhere: services beside a side used the client without that check; it is in the client now. The other places in docs/design/completeness.md have an end in their bytes.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -44,6 +44,9 @@
 	// refusalTimeout bounds the check whether a host refuses connections. A caller waits
 	// for its result.
 	refusalTimeout = 100 * time.Millisecond
+	// endingTime is how long the kernel may take from closing the first connections of a
+	// killed process until it closes its listener.
+	endingTime = 30 * time.Millisecond
 	// tcpUserTimeout is the TCP_USER_TIMEOUT of connections: how long the endpoint
 	// may acknowledge nothing before the connection is closed.
 	tcpUserTimeout = 1000 * time.Millisecond
@@ -222,7 +225,7 @@
 	cn.setReadTimeout(0, nil) // the timeout is for the head only, and the connection may be reused
 	res.conn, res.client, res.stopCancel, res.sent = cn, c, stop, sent
 	if res.unframed {
-		res.Body = &closeDelimited{body: res.Body, res: res}
+		res.Body = &closeDelimited{ctx: ctx, body: res.Body, res: res}
 	}
 	return res, nil
 }
@@ -230,13 +233,49 @@
 // Refuses reports whether the host at address refuses connections, as it does when no
 // process listens there. It is false if a connection can be made and if nothing answers.
 func (c *Client) Refuses(ctx context.Context, address string) bool {
+	nc, state := c.probe(ctx, address)
+	if nc != nil {
+		_ = nc.Close()
+	}
+	return state == hostRefuses
+}
+
+// settledState returns what the host at address does with connections, also if its process is
+// just being ended: the kernel closes the listener of a killed process some time after its
+// first connections, and resets connections that the process has not accepted.
+func (c *Client) settledState(ctx context.Context, address string) hostState {
+	nc, state := c.probe(ctx, address)
+	if state != hostAccepts {
+		return state
+	}
+	_ = nc.SetReadDeadline(time.Now().Add(endingTime))
+	_, err := nc.Read(make([]byte, 1))
+	_ = nc.Close()
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return hostAccepts
+	}
+	// A process that is full resets connections too, but then it accepts others.
+	if nc, state = c.probe(ctx, address); nc != nil {
+		_ = nc.Close()
+	}
+	return state
+}
+
+// probe connects to the host at address. The connection is nil unless the host accepts it.
+func (c *Client) probe(ctx context.Context, address string) (net.Conn, hostState) {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
 	nc, err := c.dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = nc.Close()
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return nc, hostAccepts
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, hostRefuses
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, hostSilent
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return nil, hostUnknown
 }
 
 // connect returns an idle connection to address if one may be reused, or a new one.
--- a/internal/origin/complete.go
+++ b/internal/origin/complete.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -11,16 +12,48 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrIncomplete is returned by the body of an answer without a length whose connection ended
-// in another way than after the whole request and in order.
+// ErrIncomplete is returned by the body of an answer without a length unless it is proved to be
+// complete.
 var ErrIncomplete = eris.New("origin: connection ended before the answer was complete")
 
-// tcpCloseWait is the state of a TCP connection whose peer has ended its direction in order
-// (TCP_CLOSE_WAIT of the kernel's tcp_states.h). After a reset the state is TCP_CLOSE.
-const tcpCloseWait = 8
+// hostState is what a host does with a new connection.
+type hostState int
+
+const (
+	hostUnknown hostState = iota // the connection failed at this machine
+	hostAccepts
+	hostRefuses // no process listens
+	hostSilent
+)
+
+// ending is what is known of the end of a connection that is also the end of an answer.
+type ending struct {
+	inOrder bool  // the endpoint ended its direction, and has read the request
+	sendErr error // of the request
+	host    hostState
+}
+
+// incomplete decides whether an answer without a length is complete: it returns "" if it is, or
+// what is missing. docs/design/completeness.md gives the reasons.
+func (e ending) incomplete() string {
+	switch {
+	case !e.inOrder:
+		return "the connection did not end in order"
+	case e.sendErr != nil:
+		return "the request was not sent to its end: " + e.sendErr.Error()
+	case e.host == hostRefuses:
+		return "the endpoint accepts no other connection, so it may have been killed"
+	case e.host == hostUnknown:
+		return "whether the endpoint was killed cannot be found out"
+	}
+	// The machine of a killed process refuses connections. One that is gone is silent, but then
+	// it cannot have ended the connection.
+	return ""
+}
 
 // closeDelimited is a body that ends with its connection.
 type closeDelimited struct {
+	ctx  context.Context
 	body io.Reader
 	res  *Response
 	err  error // of the first read that failed
@@ -32,31 +65,33 @@
 	}
 	n, err := b.body.Read(p)
 	if errors.Is(err, io.EOF) {
-		if failed := b.res.checkEnd(); failed != nil {
-			err = failed
+		if missing := b.ending().incomplete(); missing != "" {
+			err = eris.Wrapf(ErrIncomplete, "answer from %s: %s", b.res.conn.address, missing)
 		}
 	}
 	b.err = err
 	return n, err
 }
 
-// checkEnd returns ErrIncomplete unless the request was sent to its end and the endpoint ended
-// the connection in order. The end of the stream does not prove that: the kernel reports a
-// reset once, and if the goroutine that sends the request gets that report, the one that reads
-// the answer gets the end of the stream.
-func (r *Response) checkEnd() error {
-	if !EndedInOrder(r.conn.Conn) {
-		return eris.Wrapf(ErrIncomplete, "answer from %s", r.conn.address)
-	}
+// ending collects what is known when the end of the stream has been read. The end of the stream
+// itself proves little: the kernel reports a reset once, and if the goroutine that sends the
+// request gets that report, the one that reads the answer gets the end of the stream.
+func (b *closeDelimited) ending() ending {
+	cn := b.res.conn
+	e := ending{inOrder: EndedInOrder(cn.Conn)}
 	// A request that was read to its end has been written by now, and what is not written yet
 	// is not waited for.
-	_ = r.conn.SetWriteDeadline(time.Unix(1, 0))
-	if err := <-r.sent; err != nil {
-		return eris.Wrapf(ErrIncomplete, "answer from %s: %v", r.conn.address, err)
+	_ = cn.SetWriteDeadline(time.Unix(1, 0))
+	if e.sendErr = <-b.res.sent; e.inOrder && e.sendErr == nil {
+		e.host = b.res.client.settledState(b.ctx, cn.address)
 	}
-	return nil
+	return e
 }
 
+// tcpCloseWait is the state of a TCP connection whose peer has ended its direction in order
+// (TCP_CLOSE_WAIT of the kernel's tcp_states.h). After a reset the state is TCP_CLOSE.
+const tcpCloseWait = 8
+
 // EndedInOrder reports whether the peer of a TCP connection has ended its direction with all
 // data sent to it acknowledged, and the connection has not been reset since. The end of the
 // stream acknowledges all that the peer had received, so unacknowledged data means that it
--- a/internal/origin/complete_test.go
+++ b/internal/origin/complete_test.go
@@ -110,6 +110,79 @@
 	}
 }
 
+// Guards against part of a body that is taken for the whole because its endpoint was killed,
+// whoever reads it.
+func TestBodiesOfKilledEndpointsAreIncomplete(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		readID(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart")
+		_ = l.Close()
+	}()
+	_, err = do(NewClient(), l.Addr().String(), request("a", nil))
+	is.True(errors.Is(err, ErrIncomplete))
+}
+
+// Guards against the same where the kernel ends the connections of the killed process before its
+// listener, as it does in the order of their descriptors.
+func TestBodiesOfEndpointsThatAreEndingAreIncomplete(t *testing.T) {
+	is := is.New(t)
+	complete := 0
+	for range brokenOffCalls {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			readID(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart")
+			_ = c.Close()
+			time.Sleep(2 * time.Millisecond)
+			_ = l.Close()
+		}()
+		if _, err = do(NewClient(), l.Addr().String(), request("a", nil)); err == nil {
+			complete++
+		}
+	}
+	is.Equal(complete, 0)
+}
+
+// Guards against correct answers that are refused because their endpoint is full and resets
+// further connections.
+func TestFullEndpointsCompleteTheirAnswers(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		for first := true; ; first = false {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if first {
+				readID(bufio.NewReader(c))
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nbody")
+				_ = c.Close()
+			} else {
+				resetConn(c.(*net.TCPConn))
+			}
+		}
+	}()
+	body, err := do(NewClient(), l.Addr().String(), request("a", nil))
+	is.NoErr(err)
+	is.Equal(body, "body")
+}
+
 // Guards against a reader that gets the end of the stream from the second read on after it
 // was told that the body is incomplete.
 func TestIncompleteBodiesStayIncomplete(t *testing.T) {
--- a/internal/router/complete_test.go
+++ b/internal/router/complete_test.go
@@ -92,6 +92,28 @@
 	is.True(r.err != nil)
 }
 
+// Guards against part of an answer that callers get as complete because its endpoint had said
+// that it leaves: it is taken away before it has sent the rest. An endpoint that leaves and
+// completes its answers serves on.
+func TestPartsOfAnswersOfLeavingEndpointsAreNotComplete(t *testing.T) {
+	for _, path := range []string{"/assign/x", "/read/x", "/stream/brief/x", "/stream/chat/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, 1)
+			p := f.start(nil).await()
+			f.setFaults("", standin.EndpointFaults{Leaving: true, DieAfter: 2, DownTime: time.Minute})
+			r := p.post(path)
+			is.True(r.err != nil || r.status == http.StatusBadGateway)
+			f = newFleet(t, 1, 1)
+			p = f.start(nil).await()
+			f.setFaults("", standin.EndpointFaults{Leaving: true, Unframed: true, Events: 2})
+			r = p.post(path)
+			is.NoErr(r.err)
+			is.Equal(r.status, http.StatusOK)
+		})
+	}
+}
+
 // Guards against a stream that looks complete to a caller of HTTP/1.0 although it was broken
 // off: such callers know the end of an answer without a length by the end of the connection.
 func TestCallersOfHTTP10GetALength(t *testing.T) {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -169,10 +169,8 @@
 		return nil, &model.Refusal{Outcome: model.OutcomeUnknown, Reason: model.ReasonEndpointFailed, Detail: "endpoint answered with a status that promises what it does not state"}
 	}
 	answer := &Answer{Status: res.Status, Header: res.Header, Endpoint: req.Endpoint.ID, EndpointError: res.Status >= http.StatusInternalServerError}
-	// An endpoint that leaves may refuse connections while it completes its answers.
-	mayBeKilled := !res.Framed() && !class.Leaving
 	if req.Route.Semantics == catalog.Stream && res.Status == http.StatusOK {
-		answer.Events = &stream{filter: f, req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory), mayBeKilled: mayBeKilled,
+		answer.Events = &stream{filter: f, req: req, res: res, ctx: ctx, events: newEventSplitter(res.Body, req.memory),
 			sent: sent, times: answerTime(req, class), resumed: req.LastEvent != ""}
 		return answer, nil
 	}
@@ -181,9 +179,6 @@
 	}
 	body, err := memory.ReadAll(res.Body, res.Length, maxAnswerBytes, req.memory, errAnswerTooLong)
 	res.Release(err == nil)
-	if err == nil && mayBeKilled && f.client.Refuses(ctx, req.Endpoint.Address) {
-		err = errKilled
-	}
 	if err != nil {
 		return nil, f.refuseFailed(ctx, req, err)
 	}
@@ -225,28 +220,22 @@
 	return unknownIfRun(req, refuseWithRetryAfter(model.ReasonOverloaded, detail, defaultRetryAfter))
 }
 
-// errKilled is returned for an answer without a length whose endpoint accepts no connections
-// at its end. The kernel of the endpoint's machine ends the connections of a killed process in
-// order if it had read all that it received.
-var errKilled = eris.New("router: connection ended and the endpoint accepts no other")
-
 // errNoEvent is returned for a stream without a length that ends before its first event.
 var errNoEvent = eris.New("router: connection ended before the first event")
 
 // stream reads the events of the answer of one endpoint.
 type stream struct {
-	filter      send
-	req         *Request
-	res         *origin.Response
-	ctx         context.Context
-	events      *eventSplitter
-	sent        time.Time // when the request was sent
-	times       place.AnswerTime
-	mayBeKilled bool // the end of the connection may be that of the endpoint's process
-	resumed     bool // the answer continues that of another endpoint, so its times tell little
-	begun       bool // an event has arrived
-	waiting     bool // the read timeout of the next event runs
-	finished    bool
+	filter   send
+	req      *Request
+	res      *origin.Response
+	ctx      context.Context
+	events   *eventSplitter
+	sent     time.Time // when the request was sent
+	times    place.AnswerTime
+	resumed  bool // the answer continues that of another endpoint, so its times tell little
+	begun    bool // an event has arrived
+	waiting  bool // the read timeout of the next event runs
+	finished bool
 }
 
 func (s *stream) Next() ([]byte, error) {
@@ -269,9 +258,6 @@
 	if errors.Is(err, io.EOF) && !s.begun && !s.res.Framed() {
 		err = errNoEvent
 	}
-	if errors.Is(err, io.EOF) && s.mayBeKilled && s.filter.client.Refuses(s.ctx, s.req.Endpoint.Address) {
-		err = errKilled
-	}
 	switch {
 	case errors.Is(err, io.EOF):
 		s.filter.recordSound(s.req) // not earlier, since an endpoint may crash after its first events
