origin: the end of an answer without a length that is noticed late proves nothing

Cause: the router asks the server's machine whether a process listens without knowing how old the end of the connection is. After a second the process that listens may be another one.

Why it works: before each read the client looks whether the connection has ended and asks the machine at once if it has, so that a slow reader does not matter as long as it comes back within a second. Standstills of the process are seen by a clock that goes on during suspensions. An end that may be older than a second is not proved. TestEndsAfterPausesAreReadInTime guards against correct answers that are refused: pauses of the endpoint before the head, within the body and before its end, and of the reader.

Other uses of the check (whether a crash is certain) take a false negative as open.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -122,9 +122,10 @@
 
 // Client sends requests to endpoints and keeps idle connections to them.
 type Client struct {
-	idle   *idlePool
-	dialer net.Dialer
-	dialed atomic.Uint64 // connections so far
+	idle        *idlePool
+	dialer      net.Dialer
+	dialed      atomic.Uint64 // connections so far
+	standstills *standstills
 }
 
 // NewClient returns a client that has no connections yet.
@@ -133,7 +134,7 @@
 // NewClientWithIdle returns a client that keeps at most maxIdle idle connections to each
 // endpoint.
 func NewClientWithIdle(maxIdle int) *Client {
-	return &Client{idle: newIdlePool(maxIdle), dialer: net.Dialer{
+	return &Client{idle: newIdlePool(maxIdle), standstills: newStandstills(), dialer: net.Dialer{
 		Timeout:   dialTimeout,
 		Control:   socket.Control(socket.UserTimeout(tcpUserTimeout), socket.ReceiveBuffer(inbound.EndpointBuffer)),
 		KeepAlive: -1,
@@ -209,6 +210,8 @@
 	trace := cmp.Or(req.Trace, new(Trace))
 	*trace = Trace{Connection: cn.number, Reused: cn.reused}
 	cn.setReadTimeout(req.ResponseHeaderTimeout, req.ExtendWait)
+	c.standstills.begin()
+	began := c.standstills.now()
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	sent := cn.startSend(req)
 	res, err := cn.receive(req, trace)
@@ -216,6 +219,7 @@
 		stop()
 		_ = cn.Close()
 		<-sent
+		c.standstills.end()
 		if ctx.Err() != nil {
 			return nil, eris.Wrap(ctx.Err(), "origin: request cancelled")
 		}
@@ -225,7 +229,7 @@
 	cn.setReadTimeout(0, nil) // the timeout is for the head only, and the connection may be reused
 	res.conn, res.client, res.stopCancel, res.sent = cn, c, stop, sent
 	if res.unframed {
-		res.Body = &closeDelimited{ctx: ctx, body: res.Body, res: res}
+		res.Body = newCloseDelimited(ctx, res, began)
 	}
 	return res, nil
 }
@@ -445,6 +449,7 @@
 		return
 	}
 	r.released = true
+	r.client.standstills.end()
 	alive := r.stopCancel()
 	r.conn.setReadTimeout(0, nil)
 	if complete && alive && !r.unframed && !r.closeAfter && r.conn.r.Buffered() == 0 && r.fullySent() {
--- a/internal/origin/complete_test.go
+++ b/internal/origin/complete_test.go
@@ -110,6 +110,52 @@
 	}
 }
 
+// Guards against part of a body that is taken for the whole because the process that wrote it
+// was gone, and another one listened in its place, when the end of the connection was read. The
+// reader is late, since its own reader was slow.
+func TestEndsThatAreReadLateProveNothing(t *testing.T) {
+	is := is.New(t)
+	address := serveEarly(t, 0, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart", func(*net.TCPConn) { time.Sleep(50 * time.Millisecond) })
+	res, err := NewClient().Do(context.Background(), address, request("a", nil))
+	is.NoErr(err)
+	defer res.Close()
+	time.Sleep(maxEndAge + 250*time.Millisecond)
+	_, err = io.ReadAll(res.Body)
+	is.True(errors.Is(err, ErrIncomplete))
+}
+
+// Guards against correct answers that count as read late: the endpoint is silent for a while
+// before the head, within the body or before the end, or the reader pauses within the body.
+func TestEndsAfterPausesAreReadInTime(t *testing.T) {
+	const pause = maxEndAge + 200*time.Millisecond
+	for name, at := range map[string]struct {
+		head, body, end time.Duration // pauses of the endpoint before these
+		reader          time.Duration // pause of the reader after the head
+	}{
+		"head": {head: pause}, "body": {body: pause}, "end": {end: pause}, "reader": {body: pause, end: pause, reader: pause},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			address, _ := serve(t, func(c net.Conn, _ string) bool {
+				time.Sleep(at.head)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n")
+				time.Sleep(at.body)
+				_, _ = io.WriteString(c, "body")
+				time.Sleep(at.end)
+				return false
+			})
+			res, err := NewClient().Do(context.Background(), address, request("a", nil))
+			is.NoErr(err)
+			defer res.Close()
+			time.Sleep(at.reader)
+			body, err := io.ReadAll(res.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "body")
+		})
+	}
+}
+
 // Guards against part of a body that is taken for the whole because its endpoint was killed,
 // whoever reads it.
 func TestBodiesOfKilledEndpointsAreIncomplete(t *testing.T) {
@@ -183,6 +229,30 @@
 	is.Equal(body, "body")
 }
 
+// Guards against a standstill of the process that is not seen, whichever of its goroutines
+// runs first afterwards, and against an earlier one that counts.
+func TestStandstillsAreSeen(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	w := standstills{now: func() time.Duration { return now }}
+	w.tick()
+	begin := now
+	for range 10 {
+		now += standstillTick
+		w.tick()
+	}
+	is.True(!w.since(begin))
+	now += maxEndAge + time.Millisecond
+	is.True(w.since(begin)) // before the next tick
+	w.tick()
+	is.True(w.since(begin))
+	later := now
+	now += standstillTick
+	w.tick()
+	is.True(!w.since(later))
+	is.True(w.since(begin))
+}
+
 // Guards against a reader that gets the end of the stream from the second read on after it
 // was told that the body is incomplete.
 func TestIncompleteBodiesStayIncomplete(t *testing.T) {
