router: a reload puts settings in force or names them

Cause: the planned stop read the grace time of the start. Nothing said which settings a reload changes: it put all in the control state, also names and addresses that the rest of the process had read at its start.

Elsewhere: the watcher of the file compared with what it read some time after the start, so that a change in between was never seen; it compares with what was loaded.

--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -14,6 +14,9 @@
 // NewWindow returns an empty window of the given duration.
 func NewWindow(duration time.Duration) *Window { return &Window{duration: duration} }
 
+// SetDuration changes the duration. A longer window fills from now on.
+func (w *Window) SetDuration(d time.Duration) { w.duration = d }
+
 // ratioShare is the fraction of the permitted ratio that a router uses, since a
 // request and its retries may fall into different windows.
 const ratioShare = 0.75
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -8,8 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -327,6 +331,52 @@
 	is.True(served >= 10)
 }
 
+// Guards against a grace time that was raised by a reload and does not reach the planned stop,
+// which cut requests at the end of the former one, also if the reload comes during the stop.
+func TestPlannedStopInARaisedGraceTime(t *testing.T) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // so that the signal does not end the test
+	defer signal.Stop(hup)
+	for _, stopFirst := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stopFirst=%t", stopFirst), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, 0)
+			path := filepath.Join(t.TempDir(), "router.ini")
+			write := func(grace string) {
+				is.NoErr(os.WriteFile(path, []byte("[router]\ninstance = router-1\ndata_centre = dc-a\nlisten = 127.0.0.1:1\nready = 127.0.0.1:2\nready_path = /ready\nexchange = 127.0.0.1:3\n"+
+					"[platform]\nstore = "+f.store.Address()+"\n[bounds]\ngrace = "+grace+"\n"), 0o600))
+			}
+			write("2s")
+			p := f.start(func(s *router.Settings) {
+				loaded, err := router.LoadSettings(path)
+				is.NoErr(err)
+				loaded.Exchange = s.Exchange
+				*s = loaded
+			}).await()
+			f.setFaults("", standin.EndpointFaults{Events: 30, EventInterval: 100 * time.Millisecond})
+			stream := make(chan reply, 1)
+			go func() { stream <- p.post("/stream/brief/x") }()
+			eventually(t, "the stream runs", func() bool { return len(f.endpoints[0].Received()) > 0 })
+			reload := func() {
+				write("8s")
+				is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+				eventually(t, "the settings are reloaded", func() bool { return strings.Contains(p.text(), "settings reloaded") })
+			}
+			if stopFirst {
+				p.stop()
+				reload()
+			} else {
+				reload()
+				p.stop()
+			}
+			r := <-stream
+			is.NoErr(r.err)
+			is.Equal(strings.Count(r.body, "data: piece"), 30)
+			is.NoErr(<-p.ended)
+		})
+	}
+}
+
 // Guards against routers that do not exchange holders: a router that starts later
 // must send a prompt to the endpoint that holds it because of the first router, or
 // have it fetched from there.
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -136,10 +136,14 @@
 func (r *Router) shutDown(ctx context.Context, srv *http.Server, active *atomic.Int64) {
 	begin := time.Now()
 	_ = r.loop.Post(ctx, phaseChanged{Leaving})
-	control.Pause(ctx, min(drainDelay, time.Duration(maxDrainShare*float64(r.settings.Grace))))
+	control.Pause(ctx, min(drainDelay, time.Duration(maxDrainShare*float64(r.grace()))))
 	_ = r.loop.Post(ctx, phaseChanged{Refusing})
-	limit, cancel := context.WithDeadline(ctx, begin.Add(r.settings.Grace-exitMargin))
+	limit, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go func() {
+		r.awaitGraceEnd(limit, begin)
+		cancel()
+	}()
 	if err := srv.Shutdown(limit); err != nil {
 		r.log.Warn("requests were cut at the end of the grace time", "count", active.Load())
 		_ = srv.Close()
@@ -147,6 +151,24 @@
 	r.flushCounts(ctx)
 }
 
+// grace returns the grace time in force.
+func (r *Router) grace() time.Duration { return r.loop.Snapshot().Settings.Grace }
+
+// graceCheckInterval is how often the grace time is read during a planned stop.
+const graceCheckInterval = 200 * time.Millisecond
+
+// awaitGraceEnd waits for the end of the grace time of a stop that began at a time, but for
+// exitMargin, or until ctx ends. A reload during the stop may change the grace time.
+func (r *Router) awaitGraceEnd(ctx context.Context, begin time.Time) {
+	for ctx.Err() == nil {
+		left := time.Until(begin.Add(r.grace() - exitMargin))
+		if left <= 0 {
+			return
+		}
+		control.Pause(ctx, min(left, graceCheckInterval))
+	}
+}
+
 // countActive counts the requests in flight in n.
 func (r *Router) countActive(n *atomic.Int64, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -1,8 +1,12 @@
 package router
 
 import (
+	"os"
+	"reflect"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/goldcrestturn/goldcrestturn/internal/locality"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/settings"
@@ -45,6 +49,7 @@
 	Price        locality.Price // of requests to other data centres
 	Duties       DutySettings
 	path         string // of the settings file
+	file         []byte // its contents when it was read
 }
 
 // SlotSettings are the settings of the grants of slots.
@@ -95,15 +100,64 @@
 
 // LoadSettings reads the settings file at path. The error lists all findings.
 func LoadSettings(path string) (Settings, error) {
-	f, err := settings.Open(path)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "router: settings file cannot be read")
+	}
+	f, err := settings.Parse(path, data)
 	if err != nil {
 		return Settings{}, err
 	}
 	s, err := ReadSettings(f)
-	s.path = path
+	s.path, s.file = path, data
 	return s, err
 }
 
+// startSettings are the settings that a reload does not change: addresses and names, by which
+// others know the process, and what is laid out once. All other settings are read from the
+// control state or its snapshot, never from the settings of the start.
+var startSettings = []struct {
+	key string // in the settings file
+	of  func(*Settings) any
+}{
+	{"router.instance", func(s *Settings) any { return &s.Instance }},
+	{"router.data_centre", func(s *Settings) any { return &s.DataCentre }},
+	{"router.listen", func(s *Settings) any { return &s.Listen }},
+	{"router.ready", func(s *Settings) any { return &s.Ready }},
+	{"router.ready_path", func(s *Settings) any { return &s.ReadyPath }},
+	{"router.metrics", func(s *Settings) any { return &s.Metrics }},
+	{"router.exchange", func(s *Settings) any { return &s.Exchange }},
+	{"router.memory_mb", func(s *Settings) any { return &s.MemoryLimit }},
+	{"router.max_fds", func(s *Settings) any { return &s.MaxFDs }},
+	{"router.max_header_fields", func(s *Settings) any { return &s.MaxFields }},
+	{"router.min_rate", func(s *Settings) any { return &s.MinRate }},
+	{"router.first_start", func(s *Settings) any { return &s.FirstStart }},
+	{"platform.store", func(s *Settings) any { return &s.Store }},
+	{"platform.contracts", func(s *Settings) any { return &s.Contracts }},
+	{"rollout.enabled", func(s *Settings) any { return &s.Rollouts }},
+	{"regions", func(s *Settings) any { return &s.Regions }},
+	{"duties.address", func(s *Settings) any { return &s.Duties.Address }},
+	{"duties.names", func(s *Settings) any { return &s.Duties.Names }},
+	{"duties.lease", func(s *Settings) any { return &s.Duties.Lease }},
+	{"duties.thaw", func(s *Settings) any { return &s.Duties.Thaw }},
+	{"duties.report_window", func(s *Settings) any { return &s.Duties.Window }},
+	{"duties.report_delay", func(s *Settings) any { return &s.Duties.Delay }},
+}
+
+// reloaded returns the settings in force after a reload of the file as next, and the keys of
+// the changed settings that wait for the next start.
+func (s Settings) reloaded(next Settings) (inForce Settings, waiting []string) {
+	inForce = next
+	for _, setting := range startSettings {
+		kept, changed := reflect.ValueOf(setting.of(&s)).Elem(), reflect.ValueOf(setting.of(&inForce)).Elem()
+		if !reflect.DeepEqual(kept.Interface(), changed.Interface()) {
+			waiting = append(waiting, setting.key)
+			changed.Set(kept)
+		}
+	}
+	return inForce, waiting
+}
+
 // ReadSettings reads the settings of a router from f.
 func ReadSettings(f *settings.File) (Settings, error) {
 	s := Settings{
--- a/internal/router/source_settings.go
+++ b/internal/router/source_settings.go
@@ -24,7 +24,7 @@
 	defer signal.Stop(hup)
 	t := time.NewTicker(settingsInterval)
 	defer t.Stop()
-	last, _ := os.ReadFile(r.settings.path)
+	last := r.settings.file
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -279,6 +279,7 @@
 		w = retry.NewWindow(s.settings.RetryWindow)
 		s.retryWindows[pool] = w
 	}
+	w.SetDuration(s.settings.RetryWindow)
 	return w
 }
 
@@ -410,8 +411,7 @@
 	return true
 }
 
-// applySettings puts changed settings in force. Addresses keep their values from the
-// start.
+// applySettings puts changed settings in force, but for those that wait for the next start.
 type applySettings struct{ log *slog.Logger }
 
 func (applySettings) Name() string { return "reload" }
@@ -421,9 +421,12 @@
 	if !ok {
 		return false
 	}
-	e.settings.Duties = s.settings.Duties // windows that are being counted keep their length
-	s.settings = e.settings
-	s.table.SetLocality(e.settings.Price)
+	var waiting []string
+	s.settings, waiting = s.settings.reloaded(e.settings)
+	s.table.SetLocality(s.settings.Price)
 	f.log.Info("settings reloaded")
+	if len(waiting) > 0 {
+		f.log.Warn("changed settings take effect at the next start", "settings", waiting)
+	}
 	return true
 }
