router: endpoints that have left stay gone when the store is restored

What callers saw: streams that were sent to a server 5.4 s after its entry had been removed, and cut when it exited.

Cause: the first list of a restored store is compared with the list in force; a server that has left is in neither, so nothing spoke against it.

Why it works: the control state remembers departures for 30 s, and they stay until the record is written again or a later process is listed.

Elsewhere: the other records of a restored store, see the table in docs/design/restored-store.md; nothing else found.

--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -27,6 +27,7 @@
 	// sent.
 	listRead struct {
 		list place.List
+		era  int64 // of the store that listed it
 		sent time.Duration
 	}
 	// listReadFailed is posted if the instance list could not be read.
--- a/internal/router/held_test.go
+++ b/internal/router/held_test.go
@@ -53,13 +53,33 @@
 		{ID: "gone", Started: 1}, {ID: "leaves", Started: 1, Draining: true}, {ID: "new-process", Started: 5, Address: "b"},
 		{ID: "newer-there", Started: 1, Draining: true}, {ID: "same", Started: 1},
 	})
-	list, kept := keepEndpoints(before, []place.Endpoint{
-		{ID: "leaves", Started: 1}, {ID: "new-process", Started: 2, Address: "a"}, {ID: "newer-there", Started: 3},
-		{ID: "same", Started: 1}, {ID: "unknown", Started: 1},
+	held := heldEndpoints{before: before, departed: map[model.EndpointID]departure{"left": {started: 1}, "back": {started: 1}}}
+	list, kept, left := held.keep([]place.Endpoint{
+		{ID: "back", Started: 2}, {ID: "leaves", Started: 1}, {ID: "left", Started: 1}, {ID: "new-process", Started: 2, Address: "a"},
+		{ID: "newer-there", Started: 3}, {ID: "same", Started: 1}, {ID: "unknown", Started: 1},
 	})
 	is.Equal(kept, 3)
+	is.Equal(left, 1)
 	is.Equal(place.NewList(list).Endpoints, []place.Endpoint{
-		{ID: "gone", Started: 1}, {ID: "leaves", Started: 1, Draining: true}, {ID: "new-process", Started: 5, Address: "b"},
+		{ID: "back", Started: 2}, {ID: "gone", Started: 1}, {ID: "leaves", Started: 1, Draining: true}, {ID: "new-process", Started: 5, Address: "b"},
 		{ID: "newer-there", Started: 3}, {ID: "same", Started: 1}, {ID: "unknown", Started: 1},
 	})
 }
+
+// Guards against what is held of an endpoint after its record has been written again, and
+// against endpoints that are forgotten, or remembered for ever, after they have left.
+func TestDeparturesAndRewrittenRecords(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	with := place.NewList([]place.Endpoint{{ID: "a", Started: 1}, {ID: "b", Started: 1}})
+	without := place.NewList([]place.Endpoint{{ID: "b", Started: 1}})
+	departed := recordDepartures(nil, now, with, without)
+	is.Equal(departed, map[model.EndpointID]departure{"a": {1, now}})
+	is.Equal(len(recordDepartures(departed, now, without, with)), 0)
+	is.Equal(len(recordDepartures(departed, now.Add(departedTime), without, without)), 0)
+	held := heldEndpoints{until: now, before: without, departed: departed}
+	held.rewritten(place.Delta{Changed: []place.Endpoint{{ID: "a", Started: 1}}, Gone: []model.EndpointID{"b"}})
+	list, kept, left := held.keep([]place.Endpoint{{ID: "a", Started: 1}})
+	is.Equal(list, []place.Endpoint{{ID: "a", Started: 1}})
+	is.Equal(kept+left, 0)
+}
--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -90,7 +90,7 @@
 	if e.restored {
 		s.restoredAt = now
 	}
-	return false
+	return e.restored
 }
 
 // trialsPaused reports whether the store was restored so recently that it may lack the trials
@@ -181,15 +181,76 @@
 	return s.held.expire(now, e)
 }
 
-// keepEndpoints returns the endpoints that a restored store lists, together with what the list
-// before says of endpoints that have not written their records again: those that are missing,
-// those that leave, and those that have started since.
-func keepEndpoints(before place.List, read []place.Endpoint) (list []place.Endpoint, kept int) {
+// departedTime is how long it is remembered which endpoints have left, longer than the copy of a
+// restored store is old.
+const departedTime = fullReadInterval
+
+// departure is the end of the entry of an endpoint.
+type departure struct {
+	started int64 // of the process that was listed
+	at      time.Time
+}
+
+// recordDepartures returns departed with the changes from one list to the next.
+func recordDepartures(departed map[model.EndpointID]departure, now time.Time, from, to place.List) map[model.EndpointID]departure {
+	started := make(map[model.EndpointID]int64, len(from.Endpoints))
+	for _, e := range from.Endpoints {
+		started[e.ID] = e.Started
+	}
+	out := map[model.EndpointID]departure{}
+	for id, d := range departed {
+		if now.Sub(d.at) < departedTime {
+			out[id] = d
+		}
+	}
+	delta := from.Diff(to)
+	for _, id := range delta.Gone {
+		out[id] = departure{started[id], now}
+	}
+	for _, e := range delta.Changed {
+		delete(out, e.ID)
+	}
+	return out
+}
+
+// heldEndpoints is what was known of endpoints before the store was restored, for those that
+// have not written their records again. The zero value holds nothing.
+type heldEndpoints struct {
+	until    time.Time
+	before   place.List
+	departed map[model.EndpointID]departure
+}
+
+// rewritten drops what is held of the endpoints whose records have been written since.
+func (h *heldEndpoints) rewritten(d place.Delta) {
+	if h.until.IsZero() || d.Empty() {
+		return
+	}
+	gone := slices.Clone(d.Gone)
+	for _, e := range d.Changed {
+		gone = append(gone, e.ID)
+	}
+	h.before = h.before.Apply(place.Delta{Gone: gone})
+	for _, id := range gone {
+		delete(h.departed, id)
+	}
+}
+
+// keep returns the endpoints that a restored store lists, together with what is held: those that
+// are missing, those that leave, and those that have started since. It leaves out those that had
+// left.
+func (h *heldEndpoints) keep(read []place.Endpoint) (list []place.Endpoint, kept, left int) {
+	n := len(read)
+	read = slices.DeleteFunc(read, func(e place.Endpoint) bool {
+		d, ok := h.departed[e.ID]
+		return ok && e.Started <= d.started
+	})
+	left = n - len(read)
 	index := make(map[model.EndpointID]int, len(read))
 	for i, e := range read {
 		index[e.ID] = i
 	}
-	for _, e := range before.Endpoints {
+	for _, e := range h.before.Endpoints {
 		i, listed := index[e.ID]
 		switch {
 		case !listed:
@@ -201,7 +262,7 @@
 		}
 		kept++
 	}
-	return read, kept
+	return read, kept, left
 }
 
 const (
--- a/internal/router/restored_test.go
+++ b/internal/router/restored_test.go
@@ -113,6 +113,42 @@
 	}
 }
 
+// Guards against requests to an endpoint that has left and that a restored store lists again,
+// also when a read fails after the restore, and against one that stays out of use although it
+// has registered again.
+func TestEndpointsThatLeftStayGoneThoughARestoredStoreListsThem(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0, 2)
+	left := f.endpoints[0]
+	fleet := f.startRouters(3)
+	send := func() {
+		for _, p := range fleet {
+			p.get("/read/x")
+		}
+	}
+	sendFor := func(d time.Duration) {
+		for begin := time.Now(); time.Since(begin) < d; time.Sleep(5 * time.Millisecond) {
+			send()
+		}
+	}
+	eventually(t, "the endpoint gets requests", func() bool { send(); return ranAt(left, time.Time{}) > 5 })
+	copied := time.Now()
+	f.store.Unregister(left)
+	for _, p := range fleet {
+		eventually(t, "the endpoint is no longer listed", func() bool { return strings.Contains(p.text(), "endpoint no longer listed") })
+	}
+	f.restoreTo(copied)
+	restored := time.Now()
+	sendFor(meanwhileTime / 2)
+	f.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	sendFor(meanwhileTime / 4)
+	f.store.SetFaults(standin.StoreFaults{})
+	sendFor(meanwhileTime)
+	is.Equal(ranAt(left, restored), 0)
+	f.store.Register(left, "service", "dc-a", "ready")
+	eventually(t, "the endpoint gets requests again", func() bool { send(); return ranAt(left, restored) > 0 })
+}
+
 // Guards against records that a router never reads, because it goes on at an offset of before
 // the restore, which other records have by then.
 func TestRecordsAtOffsetsThatAreGivenOutAgain(t *testing.T) {
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -155,7 +156,7 @@
 		r.log.Warn("list of endpoints does not match the one of another router", "router", name)
 		return readerFailed
 	}
-	_ = r.loop.Post(ctx, listRead{list: list, sent: sent - reply.ListAge})
+	_ = r.loop.Post(ctx, listRead{list: list, era: cmp.Or(reply.ListEra, reply.Era), sent: sent - reply.ListAge})
 	r.listKnown(ctx)
 	position := reply.position(snap.Position.Era)
 	if position.After(snap.Position) {
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -111,7 +112,7 @@
 			continue
 		}
 		dep.succeeded()
-		_ = r.loop.Post(ctx, listRead{list: list, sent: sent})
+		_ = r.loop.Post(ctx, listRead{list: list, era: f.position.Era, sent: sent})
 		r.listKnown(ctx)
 		if !control.Pause(ctx, max(0, r.loop.Snapshot().Settings.ListInterval-time.Since(start))) {
 			return
@@ -126,6 +127,7 @@
 	position   Position
 	fullReadAt time.Time // time of the last full read; zero if one is due
 	skipped    int       // number of skipped entries that was logged last
+	held       heldEndpoints
 }
 
 // read returns the current instance list. After an error the next call reads the
@@ -134,6 +136,9 @@
 	now := time.Now()
 	var read Listing
 	var err error
+	if !f.held.until.IsZero() && now.After(f.held.until) {
+		f.held, f.fullReadAt = heldEndpoints{}, time.Time{}
+	}
 	full := now.Sub(f.fullReadAt) > fullReadInterval
 	if !full {
 		read, err = f.r.deps.Store.EndpointChanges(ctx, f.position)
@@ -157,11 +162,10 @@
 		e := &read.Changed[i]
 		e.Region = f.r.settings.Regions[e.DataCentre]
 	}
-	if full && f.position.Era != 0 && read.Position.Era > f.position.Era {
-		var kept int
-		if read.Changed, kept = keepEndpoints(f.list, read.Changed); kept > 0 {
-			f.r.log.Warn("endpoints stay listed as before although the restored store lacks their records", "count", kept, "for_ms", fullReadInterval.Milliseconds())
-		}
+	if full {
+		read.Changed = f.keepEndpoints(now, read)
+	} else {
+		f.held.rewritten(read.Delta)
 	}
 	f.position = read.Position
 	switch {
@@ -172,3 +176,24 @@
 	}
 	return f.list, nil
 }
+
+// keepEndpoints returns the endpoints of a full read, if the store has been restored with what
+// was known before of those that have not written their records again.
+func (f *listFollower) keepEndpoints(now time.Time, read Listing) []place.Endpoint {
+	// What was known is in the snapshot, since a store reader may have supplied this router
+	// since its last read; that reader may have noticed the restore first.
+	snap := f.r.loop.Snapshot()
+	later := snap.Listed && snap.ListEra != 0 && read.Position.Era > snap.ListEra
+	restored := read.Position.Era > f.position.Era && (later || !snap.restoredAt.IsZero() && now.Sub(snap.restoredAt) < fullReadInterval)
+	if restored {
+		f.held = heldEndpoints{until: now.Add(fullReadInterval), departed: maps.Clone(snap.departed)}
+		if later {
+			f.held.before = snap.List
+		}
+	}
+	list, kept, left := f.held.keep(read.Changed)
+	if restored && kept+left > 0 {
+		f.r.log.Warn("endpoints stay listed as before although the restored store lacks their records", "count", kept, "departed", left, "for_ms", fullReadInterval.Milliseconds())
+	}
+	return list
+}
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -110,12 +110,13 @@
 		if e.sent < s.listSent {
 			return false // older than the current list
 		}
-		s.listSent = e.sent
+		s.listSent, s.listEra = e.sent, e.era
 		if s.listed && e.list.Hash == s.list.Hash {
 			f.logRemoved(s.table.ExpireMissing(now))
 			return true
 		}
 		s.history = s.history.Add(s.list, e.list)
+		s.departed = recordDepartures(s.departed, now, s.list, e.list)
 		s.list, s.listed = e.list, true
 		changes := s.table.SetEndpoints(now, e.list.Endpoints)
 		for _, id := range changes.Added {
