place, router: endpoints that have left are kept for 2 s from the store's return

Cause: endpoints that are missing from the list are kept for 2.5 s from the last failed read, for records that expire while the store is down. A read that began in the partition fails after newer lists have arrived, and each further failure starts the time anew.

Why it works: the platform has such records back within two seconds of the store's return, which is no later than the first read that works. The time runs from there; a failed read that began before the current list shows no outage after it; nothing is kept for longer than that since it was first missing; and a timer ends the time, not the next read.

--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -110,7 +110,7 @@
 func TestEntriesThatLapseInAnOutage(t *testing.T) {
 	is := is.New(t)
 	tab := table(engines(2))
-	tab.RecordStoreOutage(start)
+	tab.RecordStoreOutage()
 	is.Equal(len(tab.SetEndpoints(start.Add(time.Second), nil).Removed), 0)
 	_, ok := tab.Pick(start.Add(time.Second), Query{Pool: "p"})
 	is.True(ok)
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -73,6 +73,7 @@
 	price        locality.Price            // of requests to other data centres
 	spills       map[model.Pool]*locality.Pool
 	listReceived bool      // set by the first list, whose endpoints are cold only if the list says so
+	storeDown    bool      // the instance list could not be read since the last one
 	graceUntil   time.Time // endpoints that are missing from the list are kept until then
 }
 
@@ -98,15 +99,21 @@
 	clear(t.usableCache)
 }
 
-// outageGrace is how long endpoints that are missing from the list after a store
-// outage are kept. The platform promises to list them again within about two
-// seconds.
-const outageGrace = 2500 * time.Millisecond
+// outageGrace is how long endpoints that are missing from the list after a store outage are
+// kept. The platform promises to list them again within about two seconds of its end.
+const outageGrace = 2 * time.Second
 
-// RecordStoreOutage records that the instance list could not be read at now.
-// Endpoints whose records expire during an outage are kept for outageGrace
-// after it.
-func (t *Table) RecordStoreOutage(now time.Time) { t.graceUntil = now.Add(outageGrace) }
+// RecordStoreOutage records that the instance list cannot be read. The records of endpoints may
+// expire meanwhile, so those that are missing from the next list are kept for outageGrace.
+func (t *Table) RecordStoreOutage() { t.storeDown = true }
+
+// RecordStoreRead records that the instance list has been read. SetEndpoints calls it; it must
+// also be called if the list has not changed.
+func (t *Table) RecordStoreRead(now time.Time) {
+	if t.storeDown {
+		t.storeDown, t.graceUntil = false, now.Add(outageGrace)
+	}
+}
 
 // Changes lists the endpoints whose state a new list changed.
 type Changes struct {
@@ -118,6 +125,7 @@
 // gets no new requests, except during outageGrace after a store outage.
 func (t *Table) SetEndpoints(now time.Time, list []Endpoint) Changes {
 	var c Changes
+	t.RecordStoreRead(now)
 	clear(t.usableCache)
 	seen := make(map[model.EndpointID]bool, len(list))
 	for _, e := range list {
@@ -164,8 +172,8 @@
 }
 
 // ExpireMissing stops new requests to the endpoints that are missing from the list
-// and returns them. After a store outage it does so only once graceUntil has passed,
-// except for draining endpoints. It deletes the state of those that have been
+// and returns them. After a store outage it does so only once graceUntil has passed, or
+// once they have been missing for outageGrace, except for draining endpoints. It deletes the state of those that have been
 // missing for longer than retentionTime and have no requests in flight.
 // SetEndpoints calls it; it must also be called when the list has not changed, since
 // the grace time may have passed.
@@ -174,7 +182,7 @@
 		if s.missingSince.IsZero() {
 			continue
 		}
-		if s.listed && (s.Draining || !now.Before(t.graceUntil)) {
+		if s.listed && (s.Draining || !t.storeDown && !now.Before(t.graceUntil) || now.Sub(s.missingSince) >= outageGrace) {
 			s.listed = false
 			clear(t.usableCache)
 			removed = append(removed, id)
@@ -186,6 +194,24 @@
 	return removed
 }
 
+// NextExpiry returns when ExpireMissing must be called next to stop new requests in time to
+// endpoints that are missing from the list, or the zero time.
+func (t *Table) NextExpiry() (next time.Time) {
+	for _, s := range t.endpoints {
+		if !s.listed || s.missingSince.IsZero() {
+			continue
+		}
+		at := s.missingSince.Add(outageGrace)
+		if !t.storeDown && t.graceUntil.Before(at) {
+			at = t.graceUntil
+		}
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
 // retentionTime is how long the state of a removed endpoint or a silent peer is
 // kept, so that one that flaps does not lose it.
 const retentionTime = 30 * time.Second
--- a/internal/router/control_events.go
+++ b/internal/router/control_events.go
@@ -31,7 +31,10 @@
 		sent time.Duration
 	}
 	// listReadFailed is posted if the instance list could not be read.
-	listReadFailed struct{}
+	listReadFailed struct{ sent time.Duration }
+	// listHoldEnded is posted when endpoints that are missing after a failed read need not be
+	// kept any longer.
+	listHoldEnded struct{}
 	// membersRead carries the routers whose announcements have not expired.
 	membersRead struct{ routers []Member }
 	// settingsRead carries the settings of a changed file.
@@ -148,6 +151,7 @@
 func (listRead) EventName() string          { return "list_read" }
 func (listReadFailed) EventName() string    { return "list_lost" }
 func (membersRead) EventName() string       { return "members_read" }
+func (listHoldEnded) EventName() string     { return "list_hold_ended" }
 func (settingsRead) EventName() string      { return "settings_read" }
 func (phaseChanged) EventName() string      { return "phase_changed" }
 func (pickEndpoint) EventName() string      { return "pick_endpoint" }
--- a/internal/router/held_test.go
+++ b/internal/router/held_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestturn/goldcrestturn/internal/control"
 	"github.com/goldcrestturn/goldcrestturn/internal/model"
 	"github.com/goldcrestturn/goldcrestturn/internal/place"
 )
@@ -66,6 +67,33 @@
 	})
 }
 
+// Guards against an endpoint that has left and is kept longer than a store that was down needs
+// to list it again: a read that began before a newer list fails later, or reads fail again and
+// again.
+func TestEndpointsAreNotKeptForLateFailures(t *testing.T) {
+	is := is.New(t)
+	f := applyList{log: slog.New(slog.NewTextHandler(io.Discard, nil)), expireLater: func(time.Duration) {}}
+	s := newState(Settings{})
+	at := func(d time.Duration, ev control.Event) { f.Apply(s, time.Unix(1000, 0).Add(d), ev) }
+	usable := func(d time.Duration) bool {
+		_, ok := s.table.Pick(time.Unix(1000, 0).Add(d), place.Query{Pool: "p"})
+		return ok
+	}
+	list := place.NewList([]place.Endpoint{{ID: "a", Pool: "p", Started: 1}})
+	at(0, listRead{list: list, sent: 0})
+	at(5*time.Second, listReadFailed{sent: time.Second})
+	at(5200*time.Millisecond, listRead{list: place.List{}, sent: 5100 * time.Millisecond})
+	is.True(usable(5200 * time.Millisecond)) // its record may have expired while the store was down
+	at(6*time.Second, listReadFailed{sent: 5 * time.Second})
+	at(6500*time.Millisecond, listReadFailed{sent: 6300 * time.Millisecond})
+	at(7*time.Second, listRead{list: place.List{}, sent: 7 * time.Second})
+	is.True(usable(7 * time.Second))
+	at(7200*time.Millisecond, listHoldEnded{})
+	is.True(!usable(7200 * time.Millisecond))
+	at(8*time.Second, listReadFailed{sent: 7500 * time.Millisecond})
+	is.True(!usable(8 * time.Second))
+}
+
 // Guards against what is held of an endpoint after its record has been written again, and
 // against endpoints that are forgotten, or remembered for ever, after they have left.
 func TestDeparturesAndRewrittenRecords(t *testing.T) {
--- a/internal/router/peers_bound_test.go
+++ b/internal/router/peers_bound_test.go
@@ -25,7 +25,7 @@
 	is.Equal(len(s.addresses), maxRouters)
 	is.True(len(s.table.LivePeers(now)) <= maxRouters)
 	later := now.Add(time.Hour)
-	applyList{log}.Apply(s, later, membersRead{[]Member{{Instance: "router-2", Address: "10.1.0.2:7340"}}})
+	applyList{log: log}.Apply(s, later, membersRead{[]Member{{Instance: "router-2", Address: "10.1.0.2:7340"}}})
 	is.Equal(len(s.addresses), 1)
 	is.Equal(s.addresses[model.InstanceID("router-2")].address, "10.1.0.2:7340")
 }
--- a/internal/router/pipeline.go
+++ b/internal/router/pipeline.go
@@ -39,7 +39,7 @@
 	return []control.Stage[State]{
 		applyEra{},
 		applyOrders{r.log},
-		applyList{r.log},
+		applyList{r.expireLater, r.log},
 		applyPeers{r.log},
 		carryOutRollouts{enabled: r.rollouts, readMembers: func() { wake(r.membersWanted) }, log: r.log},
 		placeRequests{broadcast: r.broadcast, log: r.log},
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -103,7 +103,7 @@
 		start, sent := time.Now(), boottime.Now()
 		list, err := f.read(ctx)
 		if err != nil {
-			_ = r.loop.Post(ctx, listReadFailed{})
+			_ = r.loop.Post(ctx, listReadFailed{sent})
 			r.gate.readFailed.Store(true)
 			r.listKnown(ctx)
 			if !dep.failed(ctx, err) {
@@ -197,3 +197,8 @@
 	}
 	return list
 }
+
+// expireLater posts listHoldEnded after a time.
+func (r *Router) expireLater(d time.Duration) {
+	time.AfterFunc(d, func() { _ = r.loop.Post(context.Background(), listHoldEnded{}) })
+}
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -100,7 +100,10 @@
 }
 
 // applyList applies the instance list and the list of announced routers.
-type applyList struct{ log *slog.Logger }
+type applyList struct {
+	expireLater func(time.Duration) // posts listHoldEnded after a time; must not block
+	log         *slog.Logger
+}
 
 func (applyList) Name() string { return "list" }
 
@@ -112,6 +115,7 @@
 		}
 		s.listSent, s.listEra = e.sent, e.era
 		if s.listed && e.list.Hash == s.list.Hash {
+			s.table.RecordStoreRead(now)
 			f.logRemoved(s.table.ExpireMissing(now))
 			return true
 		}
@@ -128,9 +132,18 @@
 			f.log.Info("endpoint leaves", "endpoint", id)
 		}
 		f.logRemoved(changes.Removed)
+		if next := s.table.NextExpiry(); !next.IsZero() {
+			f.expireLater(next.Sub(now))
+		}
 		return true
 	case listReadFailed:
-		s.table.RecordStoreOutage(now)
+		// A read that began before the current list shows no outage after it.
+		if e.sent >= s.listSent {
+			s.table.RecordStoreOutage()
+		}
+	case listHoldEnded:
+		f.logRemoved(s.table.ExpireMissing(now))
+		return true
 	case membersRead:
 		f.applyMembers(s, now, e.routers)
 	}
