origin: connections that are given up are reset

Cause: the connection of a request that is given up was closed. What a partition holds up stays in the kernel's send buffer then, and is sent when the partition heals.

Evidence: TestGivenUpConnectionsAreReset, in four ways of giving up, found the end of the stream at the endpoint in place of a reset.

Why it works: a reset discards the send buffer. Connections of complete answers are closed as before, TestConnectionsOfCompleteAnswersAreNotReset.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -212,12 +212,12 @@
 	cn.setReadTimeout(req.ResponseHeaderTimeout, req.ExtendWait)
 	c.standstills.begin()
 	began := c.standstills.now()
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stop := context.AfterFunc(ctx, cn.giveUp)
 	sent := cn.startSend(req)
 	res, err := cn.receive(req, trace)
 	if err != nil {
 		stop()
-		_ = cn.Close()
+		cn.giveUp()
 		<-sent
 		c.standstills.end()
 		if ctx.Err() != nil {
@@ -307,6 +307,15 @@
 	return &conn{Conn: nc, limited: limited, r: bufio.NewReaderSize(limited, bufferBytes), address: address}
 }
 
+// giveUp resets the connection. If it were closed, the kernel would go on sending what a
+// partition holds up, and the endpoint would run the request when nobody waits for it any more.
+func (c *conn) giveUp() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // startSend sends req and returns a channel that receives the result. It returns
 // before the whole request is sent if the body is long, since an endpoint may answer
 // before it has read all of it. Sending a short request first makes its result known
@@ -456,7 +465,11 @@
 		r.client.idle.put(r.conn)
 		return
 	}
-	_ = r.conn.Close()
+	if complete {
+		_ = r.conn.Close()
+	} else {
+		r.conn.giveUp()
+	}
 }
 
 // fullySent reports whether the whole request has been sent. An endpoint may answer
