origin: a request whose bytes are held up is given up by a reset

Cause: the kernel ends a connection whose peer acknowledges nothing without a reset, after a second, or earlier if its keep-alives had been unanswered. The router gets the error when it can reset nothing any more.

Why it works: after 0.7 s in which nothing of what was sent is acknowledged the router resets the connection; the kernel's timeout is twice that now. Bytes for which the endpoint has no room do not count, so slow endpoints are not given up, TestSlowEndpointsAreNotGivenUp.

--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -48,8 +48,9 @@
 	// killed process until it closes its listener.
 	endingTime = 30 * time.Millisecond
 	// tcpUserTimeout is the TCP_USER_TIMEOUT of connections: how long the endpoint
-	// may acknowledge nothing before the connection is closed.
-	tcpUserTimeout = 1000 * time.Millisecond
+	// may acknowledge nothing before the kernel ends the connection. ackWatch resets it
+	// earlier.
+	tcpUserTimeout = 2 * ackTimeout
 	// writeTimeout bounds the time to send a request to an endpoint that reads
 	// slowly.
 	writeTimeout = 3 * time.Second
@@ -117,6 +118,7 @@
 	released   bool
 	unframed   bool         // the body ends with the connection, as closeDelimited checks
 	sent       <-chan error // result of sending the request
+	acks       *ackWatch
 	closeAfter bool         // the endpoint closes the connection after the answer
 }
 
@@ -198,6 +200,15 @@
 	idleSince time.Time
 	keepAlive time.Duration // idle time that the endpoint allows
 	reused    bool
+	written   atomic.Int64 // bytes of all requests
+	sent      atomic.Bool  // the request was written to its end
+}
+
+// Write counts what is written.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
 }
 
 // Do sends req to address and waits for the head of the answer. If ctx ends before
@@ -214,8 +225,10 @@
 	began := c.standstills.now()
 	stop := context.AfterFunc(ctx, cn.giveUp)
 	sent := cn.startSend(req)
+	acks := cn.watchAcks()
 	res, err := cn.receive(req, trace)
 	if err != nil {
+		acks.stop()
 		stop()
 		cn.giveUp()
 		<-sent
@@ -224,10 +237,13 @@
 			return nil, eris.Wrap(ctx.Err(), "origin: request cancelled")
 		}
 		c.idle.closeAll(address)
+		if acks.held.Load() {
+			err = eris.Wrapf(ErrConnectionFailed, "%s acknowledged nothing for %v", address, ackTimeout)
+		}
 		return nil, err
 	}
 	cn.setReadTimeout(0, nil) // the timeout is for the head only, and the connection may be reused
-	res.conn, res.client, res.stopCancel, res.sent = cn, c, stop, sent
+	res.conn, res.client, res.stopCancel, res.sent, res.acks = cn, c, stop, sent, acks
 	if res.unframed {
 		res.Body = newCloseDelimited(ctx, res, began)
 	}
@@ -322,6 +338,7 @@
 // when the answer arrives, so that the connection can be reused.
 func (c *conn) startSend(req *Request) <-chan error {
 	sent := make(chan error, 1)
+	c.sent.Store(false)
 	if len(req.Body) <= maxInlineBody {
 		sent <- c.send(req)
 	} else {
@@ -336,6 +353,7 @@
 		Method: req.Method, Host: req.Host, Header: req.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
+	defer c.sent.Store(true)
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w := bufio.NewWriterSize(c, bufferBytes)
 	writeHead(w, &r, req.Target, len(req.Body))
@@ -458,6 +476,7 @@
 		return
 	}
 	r.released = true
+	r.acks.stop()
 	r.client.standstills.end()
 	alive := r.stopCancel()
 	r.conn.setReadTimeout(0, nil)
