--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -119,7 +119,7 @@
 	unframed   bool         // the body ends with the connection, as closeDelimited checks
 	sent       <-chan error // result of sending the request
 	acks       *ackWatch
-	closeAfter bool         // the endpoint closes the connection after the answer
+	closeAfter bool // the endpoint closes the connection after the answer
 }
 
 // Client sends requests to endpoints and keeps idle connections to them.
