hangup: SIGHUP is caught from the initialisation of the router on

What callers saw: connections refused by a router that SIGHUP had ended in its first milliseconds.

Cause: the signal was caught once the settings were followed, after the settings had been read and the listeners opened.

Evidence: TestHangupBeforeTheSettingsAreRead, whose settings file is a pipe so that the process waits for it, ended with "signal: hangup".

Why it works: a small package catches the signal when it is initialised, and the watcher of the settings compares the file at once, so that a change that came with such a signal is not missed. What is left is the time of the loader and the runtime, before any code of the program runs.

--- a/cmd/goldcrest-router/main.go
+++ b/cmd/goldcrest-router/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 
+	_ "github.com/goldcrestturn/goldcrestturn/internal/hangup" // SIGHUP reloads the settings
 	"github.com/goldcrestturn/goldcrestturn/internal/program"
 	"github.com/goldcrestturn/goldcrestturn/internal/router"
 	"github.com/goldcrestturn/goldcrestturn/platform"
--- a/internal/router/source_settings.go
+++ b/internal/router/source_settings.go
@@ -25,12 +25,14 @@
 	t := time.NewTicker(settingsInterval)
 	defer t.Stop()
 	last := r.settings.file
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		case <-t.C:
+	for first := true; ; first = false {
+		if !first { // the file may have changed while the process started
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			case <-t.C:
+			}
 		}
 		data, err := os.ReadFile(r.settings.path)
 		if err != nil || bytes.Equal(data, last) {
--- /dev/null
+++ b/internal/soak/signals_test.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Guards against a router that SIGHUP ends because it has not read its settings yet. The
+// settings file is a pipe, so the process waits for it.
+func TestHangupBeforeTheSettingsAreRead(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	path := filepath.Join(t.TempDir(), "settings")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(buildRouter(t), "-settings", path, "-check")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	exited := make(chan error, 1)
+	go func() { exited <- cmd.Wait() }()
+	defer func() { _ = cmd.Process.Kill() }()
+	opened := make(chan *os.File, 1)
+	go func() {
+		if f, err := os.OpenFile(path, os.O_WRONLY, 0); err == nil { // once the process reads
+			opened <- f
+		}
+	}()
+	settings := <-opened
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-exited:
+		t.Fatalf("SIGHUP ended the process: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+	_ = settings.Close()
+	<-exited
+}
