program: a log whose reader is gone does not end the process

What callers saw: connections refused, since the process had ended with SIGPIPE when the reader of its standard output went away.

Cause: the Go runtime ends a process that gets EPIPE on standard output, unless it ignores the signal.

Evidence: TestOutputWhoseReaderIsGone failed with "signal: broken pipe".

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -77,6 +77,7 @@
 		fmt.Printf("%s: settings are valid\n", o.Settings)
 		return ExitOK
 	}
+	signal.Ignore(syscall.SIGPIPE) // the program serves on when nobody reads its log
 	lines := NewLineWriter(os.Stdout, o.LogLines)
 	defer lines.Close()
 	log := Logger(lines, o.LogFormat, prefix)
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -44,3 +45,36 @@
 	_ = settings.Close()
 	<-exited
 }
+
+// Guards against a router that ends with SIGPIPE because nobody reads its log any more.
+func TestOutputWhoseReaderIsGone(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	f := newFleet(t, buildRouter(t), 0, 1, 0)
+	reader, out, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.addRouter(0, out)
+	_ = out.Close()
+	if !f.awaitReady(recoveryTimeout) {
+		t.Fatal("the router is not ready at the start")
+	}
+	_ = reader.Close()
+	p := f.routers[0]
+	for i := range 5 { // each reload is logged
+		settings, err := os.OpenFile(p.settings, os.O_APPEND|os.O_WRONLY, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(settings, "# change %d\n", i)
+		_ = settings.Close()
+		p.signal(syscall.SIGHUP, false)
+		time.Sleep(200 * time.Millisecond)
+	}
+	if !p.isReady() {
+		t.Error("the router is not ready")
+	}
+	f.report(1)
+}
