soak: ports of processes are none that the kernel gives to connections

Cause: free ports were taken from the range that the kernel gives to connections, so any connection may have the port while a router restarts.

Evidence: TestFreePortsAreNotGivenToConnections failed with port 46245; the kernel gives 32768 to 60999 here.

Why it works: ports come from below that range.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -75,14 +77,32 @@
 // twice.
 func freePort(t *testing.T) string { return freePortAt(t, "127.0.0.1:0") }
 
+// minFreePort is the least port that freePort returns.
+const minFreePort = 10_000
+
+// ephemeralPort returns the least port that the kernel gives to connections. Ports above it may
+// be taken by any connection while a process that listens there is restarted.
+func ephemeralPort() int {
+	var least int
+	data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	if err == nil {
+		_, err = fmt.Sscan(string(data), &least)
+	}
+	if err != nil || least <= minFreePort {
+		return 32_768
+	}
+	return least
+}
+
 // freePortAt returns the same of the host of an address.
 func freePortAt(t *testing.T, host string) string {
-	for range 50 {
-		l, err := net.Listen("tcp", host)
+	host, _, _ = net.SplitHostPort(host)
+	for range 200 {
+		address := net.JoinHostPort(host, strconv.Itoa(minFreePort+rand.IntN(ephemeralPort()-minFreePort)))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		address := l.Addr().String()
 		udpAddress, _ := net.ResolveUDPAddr("udp", address)
 		conn, err := net.ListenUDP("udp", udpAddress)
 		_ = l.Close()
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -78,3 +80,13 @@
 	}
 	f.report(1)
 }
+
+// Guards against ports of restarted processes that another connection has taken meanwhile.
+func TestFreePortsAreNotGivenToConnections(t *testing.T) {
+	for range 100 {
+		_, port, _ := net.SplitHostPort(freePort(t))
+		if n, _ := strconv.Atoi(port); n >= ephemeralPort() {
+			t.Fatalf("the kernel may give port %d to a connection", n)
+		}
+	}
+}
