router: departures hold through failed reads and readers that just started

After a drill, a router that had read that an endpoint left used it again when a router that had started meanwhile became its store reader. And an endpoint that left while the store was away was kept if that was within 30 s after a drill.

Cause: what a reader that started after the restore lists was taken as it is. And after a failed read the whole list is read, which does not tell a removed record from one that the restored store lacks.

TestDeparturesAndRewrittenRecords.

Why it works: a reader states the era of the first list that it had; if it knows none before the restore, a router keeps to what it knows itself. While something is held, a failed read is followed by the changes since.

--- a/internal/router/held_test.go
+++ b/internal/router/held_test.go
@@ -101,10 +101,13 @@
 	now := time.Unix(1000, 0)
 	with := place.NewList([]place.Endpoint{{ID: "a", Started: 1}, {ID: "b", Started: 1}})
 	without := place.NewList([]place.Endpoint{{ID: "b", Started: 1}})
-	departed := recordDepartures(nil, now, with, without)
-	is.Equal(departed, map[model.EndpointID]departure{"a": {1, now}})
-	is.Equal(len(recordDepartures(departed, now, without, with)), 0)
-	is.Equal(len(recordDepartures(departed, now.Add(departedTime), without, without)), 0)
+	departed := recordDepartures(nil, now, with, without, 1)
+	is.Equal(departed, map[model.EndpointID]departure{"a": {1, 1, now}})
+	is.Equal(len(recordDepartures(departed, now, without, with, 1)), 0)
+	is.Equal(len(recordDepartures(departed, now.Add(departedTime), without, without, 1)), 0)
+	is.Equal(withoutDeparted(with, 2, departed), without)
+	is.Equal(withoutDeparted(with, 1, departed), with) // listed again in the same era
+	is.Equal(withoutDeparted(place.NewList([]place.Endpoint{{ID: "a", Started: 2}}), 2, departed).Endpoints, []place.Endpoint{{ID: "a", Started: 2}})
 	held := heldEndpoints{until: now, before: without, departed: departed}
 	held.rewritten(place.Delta{Changed: []place.Endpoint{{ID: "a", Started: 1}}, Gone: []model.EndpointID{"b"}})
 	list, kept, left := held.keep([]place.Endpoint{{ID: "a", Started: 1}})
--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -188,11 +188,26 @@
 // departure is the end of the entry of an endpoint.
 type departure struct {
 	started int64 // of the process that was listed
+	era     int64 // of the store that no longer listed it
 	at      time.Time
 }
 
-// recordDepartures returns departed with the changes from one list to the next.
-func recordDepartures(departed map[model.EndpointID]departure, now time.Time, from, to place.List) map[model.EndpointID]departure {
+// withoutDeparted returns a list of an era without the endpoints that had left in an earlier one.
+func withoutDeparted(list place.List, era int64, departed map[model.EndpointID]departure) place.List {
+	var left []model.EndpointID
+	for _, e := range list.Endpoints {
+		if d, ok := departed[e.ID]; ok && d.era < era && e.Started <= d.started {
+			left = append(left, e.ID)
+		}
+	}
+	if len(left) == 0 {
+		return list
+	}
+	return list.Apply(place.Delta{Gone: left})
+}
+
+// recordDepartures returns departed with the changes from one list to the next, of an era.
+func recordDepartures(departed map[model.EndpointID]departure, now time.Time, from, to place.List, era int64) map[model.EndpointID]departure {
 	started := make(map[model.EndpointID]int64, len(from.Endpoints))
 	for _, e := range from.Endpoints {
 		started[e.ID] = e.Started
@@ -205,7 +220,7 @@
 	}
 	delta := from.Diff(to)
 	for _, id := range delta.Gone {
-		out[id] = departure{started[id], now}
+		out[id] = departure{started[id], era, now}
 	}
 	for _, e := range delta.Changed {
 		delete(out, e.ID)
--- a/internal/router/source_shared.go
+++ b/internal/router/source_shared.go
@@ -156,6 +156,9 @@
 		r.log.Warn("list of endpoints does not match the one of another router", "router", name)
 		return readerFailed
 	}
+	if reply.ListSince == reply.ListEra {
+		list = withoutDeparted(list, reply.ListEra, snap.departed)
+	}
 	_ = r.loop.Post(ctx, listRead{list: list, era: cmp.Or(reply.ListEra, reply.Era), sent: sent - reply.ListAge})
 	r.listKnown(ctx)
 	position := reply.position(snap.Position.Era)
--- a/internal/router/source_store.go
+++ b/internal/router/source_store.go
@@ -131,7 +131,7 @@
 }
 
 // read returns the current instance list. After an error the next call reads the
-// full list.
+// full list, unless something is held after a restore.
 func (f *listFollower) read(ctx context.Context) (place.List, error) {
 	now := time.Now()
 	var read Listing
@@ -145,13 +145,16 @@
 		if errors.Is(err, ErrIncomplete) || errors.Is(err, ErrRestored) {
 			f.r.log.Info("changes of the instance list are incomplete, reading the whole list", "position", f.position.Offset, "cause", err.Error())
 			full = true
+			f.held.before = place.List{} // records may have been written again, or removed
 		}
 	}
 	if full {
 		read, err = f.r.deps.Store.Endpoints(ctx)
 	}
 	if err != nil {
-		f.fullReadAt = time.Time{}
+		if f.held.until.IsZero() { // else the changes show which records are written again
+			f.fullReadAt = time.Time{}
+		}
 		return f.list, err
 	}
 	if read.Skipped > 0 && read.Skipped != f.skipped {
--- a/internal/router/stages.go
+++ b/internal/router/stages.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -114,13 +115,14 @@
 			return false // older than the current list
 		}
 		s.listSent, s.listEra = e.sent, e.era
+		s.listSince = cmp.Or(s.listSince, e.era)
 		if s.listed && e.list.Hash == s.list.Hash {
 			s.table.RecordStoreRead(now)
 			f.logRemoved(s.table.ExpireMissing(now))
 			return true
 		}
 		s.history = s.history.Add(s.list, e.list)
-		s.departed = recordDepartures(s.departed, now, s.list, e.list)
+		s.departed = recordDepartures(s.departed, now, s.list, e.list, e.era)
 		s.list, s.listed = e.list, true
 		changes := s.table.SetEndpoints(now, e.list.Endpoints)
 		for _, id := range changes.Added {
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -51,6 +51,7 @@
 	history      place.History                        // the last changes of list
 	listSent     time.Duration                        // boot time at which the read of list was sent
 	listEra      int64                                // of the store that listed it
+	listSince    int64                                // era of the first list of this process
 	departed     map[model.EndpointID]departure       // endpoints that left list lately; replaced, not modified
 	addresses    map[model.InstanceID]exchangeAddress // of the peers
 	members      []model.InstanceID                   // routers whose announcements have not expired, this one included
@@ -82,6 +83,7 @@
 	History    place.History
 	ListSent   time.Duration
 	ListEra    int64                          // of the store that listed List
+	ListSince  int64                          // era of the first list of this process
 	departed   map[model.EndpointID]departure // endpoints that left List lately
 	restoredAt time.Time                      // when this router learned that the store was restored; zero if it was not
 }
@@ -96,5 +98,5 @@
 // publish returns the snapshot of the state.
 func publish(s *State, _ time.Time) *Snapshot {
 	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Phase: s.phase, causes: s.causeView,
-		Position: s.position, config: s.config, configHash: s.configHash, deltas: s.deltas, evacuated: s.evacuated, rollouts: s.rollouts, windows: s.windows, List: s.list, History: s.history, ListSent: s.listSent, ListEra: s.listEra, departed: s.departed, restoredAt: s.restoredAt}
+		Position: s.position, config: s.config, configHash: s.configHash, deltas: s.deltas, evacuated: s.evacuated, rollouts: s.rollouts, windows: s.windows, List: s.list, History: s.history, ListSent: s.listSent, ListEra: s.listEra, ListSince: s.listSince, departed: s.departed, restoredAt: s.restoredAt}
 }
--- a/internal/router/store_server.go
+++ b/internal/router/store_server.go
@@ -49,7 +49,10 @@
 	Rollouts  map[model.Pool]model.Version // Orders.Rollouts at Position
 	Windows   map[model.Pool]time.Duration // Orders.RolloutWindows at Position
 	ListAge   time.Duration
-	ListEra   int64  // Position.Era of the instance list; 0 from readers of earlier versions
+	ListEra   int64 // Position.Era of the instance list; 0 from readers of earlier versions
+	// ListSince is the era of the first instance list that the reader had. If it is ListEra, the
+	// reader does not know which endpoints had left before the store was restored.
+	ListSince int64
 	List      uint64 // hash of the instance list
 	Delta     place.Delta
 	Unknown   bool    // the reader does not know StateArgs.List, so Delta is empty
@@ -74,7 +77,7 @@
 	}
 	*reply = StateReply{
 		OrdersAge: now - snap.Confirmed, Era: snap.Position.Era, Position: snap.Position.Offset,
-		ListAge: now - snap.ListSent, ListEra: snap.ListEra, List: snap.List.Hash,
+		ListAge: now - snap.ListSent, ListEra: snap.ListEra, ListSince: snap.ListSince, List: snap.List.Hash,
 	}
 	if snap.Position.After(Position{Era: cmp.Or(args.Era, snap.Position.Era), Offset: args.Position}) {
 		reply.Config, reply.Evacuated, reply.Rollouts, reply.Windows = snap.configHash, slices.Collect(maps.Keys(snap.evacuated)), snap.rollouts, snap.windows
