suspect, router: sound answers end pending failures

Cause: a failure whose endpoint may have crashed waits up to 15 s for the instance list. A sound answer within that time cleared nothing, since routers report sound answers only for properties that were met at a crash.

Evidence: TestSoundAnswersEndPendingFailures; with the removal alone taken out, the answered property counts as one crash in place of none.

Why it works: the properties of pending failures are published too, at most each 100 ms, so that answers with them are reported and take them out.

--- a/internal/router/causes.go
+++ b/internal/router/causes.go
@@ -106,18 +106,13 @@
 }
 
 // recordSound reports that an endpoint answered a request, if it has a property that was
-// met at a crash.
+// met at a crash, or at a failure that may turn out to be one.
 func (r *Router) recordSound(req *Request) {
-	view := r.loop.Snapshot().causes
-	if len(view) == 0 {
+	snap := r.loop.Snapshot()
+	if len(snap.causes)+len(snap.pending) == 0 {
 		return
 	}
-	var sound []uint64
-	for _, key := range req.causes() {
-		if _, ok := view[key]; ok {
-			sound = append(sound, key)
-		}
-	}
+	sound := slices.DeleteFunc(req.causes(), func(key uint64) bool { return !snap.isOpen(key) })
 	if len(sound) > 0 {
 		_ = r.loop.Post(context.Background(), causesSound{sound})
 	}
@@ -133,13 +128,34 @@
 
 func (judgeCauses) Name() string { return "causes" }
 
+// isOpen reports whether a property was met at a crash, or at a failure that may turn out to be
+// one.
+func (s *Snapshot) isOpen(key uint64) bool {
+	_, met := s.causes[key]
+	return met || s.pending[key]
+}
+
+// pendingViewInterval bounds how often the properties of pending failures are published.
+const pendingViewInterval = 100 * time.Millisecond
+
+// viewPending publishes the properties of pending failures if they have changed, and reports
+// whether it does.
+func (judgeCauses) viewPending(s *State, now time.Time) bool {
+	if !s.pendingChanged || now.Sub(s.pendingViewed) < pendingViewInterval {
+		return false
+	}
+	s.pending, s.pendingViewed, s.pendingChanged = s.failures.Keys(), now, false
+	return true
+}
+
 func (f judgeCauses) Apply(s *State, now time.Time, ev control.Event) bool {
 	switch e := ev.(type) {
 	case crashSeen:
 		e.failure.At = now
 		if !e.certain {
 			s.failures.Add(e.failure)
-			return false
+			s.pendingChanged = true
+			return f.viewPending(s, now)
 		}
 		f.addCrash(s, now, e.failure)
 		return true
@@ -148,7 +164,8 @@
 		for _, failure := range crashes {
 			f.addCrash(s, now, failure)
 		}
-		return len(crashes) > 0
+		s.pendingChanged = s.pendingChanged || len(s.pending) > 0
+		return f.viewPending(s, now) || len(crashes) > 0
 	case eraSeen:
 		if e.restored {
 			f.saveAfterRestore(s, now)
@@ -256,21 +273,24 @@
 	var sound []uint64
 	tell := false
 	for _, key := range keys {
+		s.failures.Sound(key)
+		s.pendingChanged = true
 		near := s.causes.NearThreshold(key)
 		if s.causes.Clear(key, now) {
 			sound = append(sound, key)
 			tell = s.observed.AddSound(key, now, near) || tell
 		}
 	}
+	viewed := f.viewPending(s, now)
 	if len(sound) == 0 {
-		return false
+		return viewed
 	}
 	f.broadcast(mesh.Message{Sound: sound})
 	f.saveRefused(s, sound)
 	if tell {
 		f.saveReport(s, now)
 	}
-	return f.publish(s, now)
+	return f.publish(s, now) || viewed
 }
 
 // applyReport applies what another router reported of crashes. live says that the report
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -36,30 +36,35 @@
 	phase        Phase
 	causes       *suspect.Causes   // properties of requests that were met at crashes
 	causeView    suspect.CauseView // of causes
-	failures     suspect.Failures  // attempts at endpoints that may have crashed
-	observed     suspect.Observed  // what this router reports of crashes
-	retryWindows map[model.Pool]*retry.Window
-	admission    *admissionState                      // nil if the deployment does not call for it
-	position     Position                             // after the last order that was read
-	held         heldOrders                           // in force although the store lacks them
-	era          int64                                // of the store; 0 if it is not known
-	restoredAt   time.Time                            // when this router learned that the store was restored
-	config       []byte                               // encoding of catalog
-	configHash   uint64                               // hash of config
-	deltas       []ConfigDelta                        // the last changes of config, for the peers
-	list         place.List                           // the latest instance list
-	history      place.History                        // the last changes of list
-	listSent     time.Duration                        // boot time at which the read of list was sent
-	listEra      int64                                // of the store that listed it
-	listSince    int64                                // era of the first list of this process
-	departed     map[model.EndpointID]departure       // endpoints that left list lately; replaced, not modified
-	addresses    map[model.InstanceID]exchangeAddress // of the peers
-	members      []model.InstanceID                   // routers whose announcements have not expired, this one included
-	slots        map[model.Pool]*slotPool             // with few slots, to which requests were sent
-	slotTickets  uint64                               // number of attempts that asked for a slot
-	peersUnheard int                                  // announced routers that were not heard, as logged last
-	peersWatched time.Time                            // when that was logged, or first checked
-	duties       *dutyState
+	// pending are the properties of failures; replaced, not modified, at most each
+	// pendingViewInterval.
+	pending        map[uint64]bool
+	pendingViewed  time.Time
+	pendingChanged bool
+	failures       suspect.Failures // attempts at endpoints that may have crashed
+	observed       suspect.Observed // what this router reports of crashes
+	retryWindows   map[model.Pool]*retry.Window
+	admission      *admissionState                      // nil if the deployment does not call for it
+	position       Position                             // after the last order that was read
+	held           heldOrders                           // in force although the store lacks them
+	era            int64                                // of the store; 0 if it is not known
+	restoredAt     time.Time                            // when this router learned that the store was restored
+	config         []byte                               // encoding of catalog
+	configHash     uint64                               // hash of config
+	deltas         []ConfigDelta                        // the last changes of config, for the peers
+	list           place.List                           // the latest instance list
+	history        place.History                        // the last changes of list
+	listSent       time.Duration                        // boot time at which the read of list was sent
+	listEra        int64                                // of the store that listed it
+	listSince      int64                                // era of the first list of this process
+	departed       map[model.EndpointID]departure       // endpoints that left list lately; replaced, not modified
+	addresses      map[model.InstanceID]exchangeAddress // of the peers
+	members        []model.InstanceID                   // routers whose announcements have not expired, this one included
+	slots          map[model.Pool]*slotPool             // with few slots, to which requests were sent
+	slotTickets    uint64                               // number of attempts that asked for a slot
+	peersUnheard   int                                  // announced routers that were not heard, as logged last
+	peersWatched   time.Time                            // when that was logged, or first checked
+	duties         *dutyState
 }
 
 // Snapshot is the part of the state that other goroutines read. It is immutable.
@@ -70,6 +75,7 @@
 	Listed    bool             // an instance list has arrived
 	Phase     Phase
 	causes    suspect.CauseView
+	pending   map[uint64]bool // properties of failures that may turn out to be crashes
 	// The state of the store, from which peers that use this router as store reader
 	// are answered.
 	Position   Position
@@ -97,6 +103,6 @@
 
 // publish returns the snapshot of the state.
 func publish(s *State, _ time.Time) *Snapshot {
-	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Phase: s.phase, causes: s.causeView,
+	return &Snapshot{Settings: s.settings, Catalog: s.catalog, Confirmed: s.confirmed, Listed: s.listed, Phase: s.phase, causes: s.causeView, pending: s.pending,
 		Position: s.position, config: s.config, configHash: s.configHash, deltas: s.deltas, evacuated: s.evacuated, rollouts: s.rollouts, windows: s.windows, List: s.list, History: s.history, ListSent: s.listSent, ListEra: s.listEra, ListSince: s.listSince, departed: s.departed, restoredAt: s.restoredAt}
 }
--- a/internal/suspect/restarts.go
+++ b/internal/suspect/restarts.go
@@ -42,6 +42,27 @@
 	t.list = slices.Delete(t.list, 0, from)
 }
 
+// Sound removes a property that an endpoint has answered from the failures.
+func (t *Failures) Sound(key uint64) {
+	t.list = slices.DeleteFunc(t.list, func(f Failure) bool { return len(f.Causes) == 1 && f.Causes[0] == key })
+	for i, f := range t.list {
+		if slices.Contains(f.Causes, key) {
+			t.list[i].Causes = slices.DeleteFunc(slices.Clone(f.Causes), func(k uint64) bool { return k == key })
+		}
+	}
+}
+
+// Keys returns the properties of all failures.
+func (t *Failures) Keys() map[uint64]bool {
+	out := map[uint64]bool{}
+	for _, f := range t.list {
+		for _, key := range f.Causes {
+			out[key] = true
+		}
+	}
+	return out
+}
+
 // Crashes removes and returns the failures whose endpoints have ended since: restarted
 // reports whether the process of an endpoint that was started at a time has ended.
 func (t *Failures) Crashes(now time.Time, restarted func(model.EndpointID, int64) bool) (out []Failure) {
