--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -25,18 +25,19 @@
 const (
 	// ackTime is how long routers may take to read that an endpoint has left.
 	ackTime = 1200 * time.Millisecond
-	// stableWindow is how long after a disturbance of the store the bounds hold again.
+	// leavingStableWindow is how long after a partition from the store, or the start of a router,
+	// the bounds hold again.
 	leavingStableWindow = 3 * time.Second
-	shortGrace          = "grace = 2s"
+	shortGrace          = "grace = 2s" // shorter than some streams
 	longGrace           = "grace = 8s"
-	// maxLeaving is how long an endpoint that has left serves on, in which it counts requests.
-	maxLeaving = 6 * time.Second
+	// leavingTime is how long an endpoint that has left serves on.
+	leavingTime = 6 * time.Second
 	// entryExpiry is how long a store keeps an entry that its endpoint does not renew.
 	entryExpiry = 3 * time.Second
 )
 
-// departure is the time in which an endpoint must get no requests, but for the first
-// drainTimeout.
+// departure is the time for which an endpoint has left. It must get no requests then, but for
+// the first drainTimeout.
 type departure struct {
 	endpoint string
 	from, to time.Time
@@ -60,14 +61,14 @@
 	crashes    []crash
 	pending    sync.WaitGroup
 	busy       map[*fleetEndpoint]bool // leaving or gone; of the goroutine that draws
-	freed      chan *fleetEndpoint
-	storeBusy  chan struct{} // holds one token while nothing disturbs the store
+	freed      chan *fleetEndpoint     // no longer busy
+	storeIdle  chan struct{}           // holds one token while nothing disturbs the store
 }
 
 func runLeavingSeed(t *testing.T, binary string, seed uint64) {
 	f := newFleet(t, binary, 0, 0, 0)
-	r := &leavingRun{fleet: f, rng: rand.New(rand.NewPCG(seed, 51)), busy: map[*fleetEndpoint]bool{}, freed: make(chan *fleetEndpoint, 16), storeBusy: make(chan struct{}, 1)}
-	r.storeBusy <- struct{}{}
+	r := &leavingRun{fleet: f, rng: rand.New(rand.NewPCG(seed, 51)), busy: map[*fleetEndpoint]bool{}, freed: make(chan *fleetEndpoint, 16), storeIdle: make(chan struct{}, 1)}
+	r.storeIdle <- struct{}{}
 	for _, pool := range []string{"engines", "service"} {
 		for i := range 4 {
 			r.addUnproxied(fmt.Sprintf("%s-%d", pool, i), pool)
@@ -237,16 +238,17 @@
 }
 
 // leaveBeside removes the entry of an endpoint that serves on, and disturbs the store when the
-// routers have read that, or at the same time.
+// routers have read that, or, if atOnce is set, while it happens. disturb gets the time since the
+// entry was removed.
 func (r *leavingRun) leaveBeside(disturb func(since time.Duration), atOnce bool) {
 	select {
-	case <-r.storeBusy:
+	case <-r.storeIdle:
 	default:
 		return
 	}
 	e := r.pick()
 	if e == nil {
-		r.storeBusy <- struct{}{}
+		r.storeIdle <- struct{}{}
 		return
 	}
 	r.pending.Go(func() {
@@ -268,7 +270,7 @@
 			// The restored store drops the entry again, since nobody renews it.
 			r.pending.Go(func() { time.Sleep(entryExpiry); r.store.Unregister(e.endpoint) })
 		}
-		time.Sleep(time.Until(time.Now().Add(maxLeaving - ackTime)))
+		time.Sleep(leavingTime - ackTime)
 		d.to = time.Now()
 		r.mu.Lock()
 		r.departures = append(r.departures, d)
@@ -276,7 +278,7 @@
 		r.store.Register(e.endpoint, e.pool, e.dc, "ready")
 		time.Sleep(ackTime)
 		r.freed <- e
-		r.storeBusy <- struct{}{}
+		r.storeIdle <- struct{}{}
 	})
 }
 
