--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -23,9 +23,9 @@
 	// at that moment, the outcome of the request is unknown, which is far worse
 	// than the cost of a new connection.
 	maxIdleAtMostOnce = 500 * time.Millisecond
-	// maxIdleRetryable is the same bound for other requests. The kernel ends a connection after
-	// three seconds without an acknowledgement, and without a reset if a request is under way;
-	// origin resets it before, if the request was sent early enough.
+	// maxIdleRetryable is the same bound for other requests. On the platform a connection ends
+	// without a reset after three seconds in which its keep-alives are unanswered; origin resets
+	// it before if the request was sent early enough.
 	maxIdleRetryable = 2 * time.Second
 	// maxAnswerBytes is the maximum size of the body of an answer that is not a
 	// stream. The body is held in memory.
